--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+SRC := packages/core/src:packages/daemon/src:packages/ctl/src:packages/fakes/src
+export PYTHONPATH := $(SRC)
+PACKAGES := packages/core packages/daemon packages/ctl packages/fakes
+TOOLS := pytest ruff hypothesis grpcio-tools openai cryptography
+
+.PHONY: setup test lint format demo demo-up bench check-log scenarios soak proto
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -c constraints.txt $(TOOLS) $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+
+format: setup
+	$(PY) -m ruff check --fix-only -q .
+	$(PY) -m ruff format .
+
+demo: setup
+	$(PY) -m bergamotwood_fakes.demo $(if $(TEXT),--text $(TEXT))
+
+demo-up: setup
+	$(PY) -m bergamotwood_fakes.demo --stay
+
+bench: setup
+	$(PY) -m benchmarks
+
+proto: setup
+	$(PY) -m grpc_tools.protoc -I proto --python_out=packages/daemon/src \
+	  --grpc_python_out=packages/daemon/src \
+	  proto/bergamotwood_daemon/peer.proto
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, systems and decisions; no sockets and no clock of its own."""
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/tables.py
@@ -0,0 +1,154 @@
+"""Tables of entities, over which the systems run."""
+
+from dataclasses import dataclass, field
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import (
+    Cascade,
+    Model,
+    Rollout,
+    Service,
+    Version,
+    Workspace,
+)
+from bergamotwood_core.ids import (
+    CascadeName,
+    EndpointId,
+    Fingerprint,
+    InstanceId,
+    LogIndex,
+    ModelName,
+    RequestId,
+    RolloutId,
+    ServiceName,
+    TicketNumber,
+    VersionId,
+    WorkspaceId,
+)
+from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.states import EndpointState, RolloutState
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """An endpoint as one daemon knows it.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        Its newest word.
+    heard_at : Seconds
+        When that word reached this daemon.
+    outstanding : int
+        Requests that this daemon runs there now.
+    outstanding_at_report : int
+        What `outstanding` was when the announcement came.
+    first_token_seconds : float
+        Moving average of time to the first token.
+    failures : int
+        Failures in a row.
+    ejected_until : Seconds
+        Gets no new work before, because of failures.
+    """
+
+    announcement: Announcement
+    heard_at: Seconds
+    outstanding: int = 0
+    outstanding_at_report: int = 0
+    first_token_seconds: float = 0.0
+    failures: int = 0
+    ejected_until: Seconds = Seconds(0.0)
+
+    @property
+    def id(self) -> EndpointId:
+        """The endpoint's id."""
+        return self.announcement.id
+
+    @property
+    def serving(self) -> bool:
+        """Whether it says that it takes new work."""
+        return self.announcement.state is EndpointState.SERVING
+
+
+@dataclass(slots=True)
+class Entry:
+    """An entry instance as one daemon knows it."""
+
+    report: EntryReport
+    heard_at: Seconds
+
+
+@dataclass(slots=True)
+class RolloutProgress:
+    """Replicated progress of a roll-out.
+
+    Parameters
+    ----------
+    ticket : TicketNumber
+        Ticket that set the roll-out last.
+    stage : int
+        Index into the roll-out's stages.
+    state : RolloutState
+        Where it stands.
+    exposed : int
+        Requests that ran on the candidate, over all entries.
+    reason : str
+        Why it stopped, for a person.
+    """
+
+    ticket: TicketNumber
+    stage: int = 0
+    state: RolloutState = RolloutState.RUNNING
+    exposed: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A request fingerprint that ran on endpoints when they crashed."""
+
+    crashes: int = 0
+    last_endpoint: EndpointId = EndpointId("")
+
+
+@dataclass
+class ConfigurationTables:
+    """Entities that tickets change; equal on every daemon at one log index."""
+
+    index: LogIndex = LogIndex(0)
+    ticket: TicketNumber = TicketNumber(0)
+    workspaces: dict[WorkspaceId, Workspace] = field(default_factory=dict)
+    models: dict[ModelName, Model] = field(default_factory=dict)
+    versions: dict[VersionId, Version] = field(default_factory=dict)
+    cascades: dict[CascadeName, Cascade] = field(default_factory=dict)
+    services: dict[ServiceName, Service] = field(default_factory=dict)
+    rollouts: dict[RolloutId, Rollout] = field(default_factory=dict)
+    progress: dict[RolloutId, RolloutProgress] = field(default_factory=dict)
+    suspects: dict[Fingerprint, Suspect] = field(default_factory=dict)
+
+
+@dataclass
+class DirectoryTables:
+    """Soft state: who is there now."""
+
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    entries: dict[InstanceId, Entry] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A caller's request that this entry is serving."""
+
+    id: RequestId
+    workspace: WorkspaceId
+    started_at: Seconds
+    fingerprint: Fingerprint = Fingerprint("")
+
+
+@dataclass
+class Tables:
+    """Everything a daemon's decisions read."""
+
+    configuration: ConfigurationTables = field(default_factory=ConfigurationTables)
+    directory: DirectoryTables = field(default_factory=DirectoryTables)
+    in_flight: dict[RequestId, InFlight] = field(default_factory=dict)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: HTTP, gRPC, disk and the tick loop."""
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault-injecting proxy and load tool."""
