--- /dev/null
+++ b/packages/core/src/bergamotwood_core/budget.py
@@ -0,0 +1,68 @@
+"""Limit on ratings: a token bucket that slows down when it is refused."""
+
+from bergamotwood_core.clock import Seconds
+
+# Requests that the moving average of the request rate remembers.
+RATE_MEMORY = 100.0
+# Factor on the rate after a refusal, and its recovery per second.
+REFUSAL_FACTOR = 0.5
+RECOVERY_PER_SECOND = 0.01
+LEAST_FACTOR = 0.02
+
+
+class RatingBudget:
+    """Ratings that this entry may ask for now.
+
+    Parameters
+    ----------
+    per_second : float
+        Tokens added each second.
+    burst : float
+        Tokens held at most.
+    """
+
+    def __init__(self, per_second: float, burst: float) -> None:
+        self.per_second = per_second
+        self.burst = burst
+        self._tokens = burst
+        self._factor = 1.0
+        self._filled_at: Seconds | None = None
+        self._requested_at: Seconds | None = None
+        self._interval = 0.0
+
+    @property
+    def share(self) -> float:
+        """Ratings that can be had for each request, at most."""
+        if self._interval <= 0.0:
+            return self.burst
+        return self.per_second * self._factor * self._interval
+
+    def count_request(self, now: Seconds) -> None:
+        """Learn the rate of requests."""
+        if self._requested_at is not None:
+            gap = now - self._requested_at
+            weight = 1.0 / RATE_MEMORY if self._interval else 1.0
+            self._interval += weight * (gap - self._interval)
+        self._requested_at = now
+
+    def take(self, now: Seconds) -> bool:
+        """Take one token, if there is one."""
+        self._fill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def refuse(self, now: Seconds) -> None:
+        """Note that the service refused a rating."""
+        self._fill(now)
+        self._tokens = 0.0
+        self._factor = max(self._factor * REFUSAL_FACTOR, LEAST_FACTOR)
+
+    def _fill(self, now: Seconds) -> None:
+        if self._filled_at is not None:
+            gap = max(now - self._filled_at, 0.0)
+            self._factor = min(1.0, self._factor + RECOVERY_PER_SECOND * gap)
+            self._tokens += gap * self.per_second * self._factor
+            self._tokens = min(self._tokens, self.burst)
+        self._filled_at = now
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/comparison.py
@@ -0,0 +1,174 @@
+"""Comparison of a candidate's outcomes with those of the current version."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from math import sqrt
+
+from bergamotwood_core.estimate import SCORE_BINS
+from bergamotwood_core.outcome import LATENCY_BINS, ArmCounts
+from bergamotwood_core.sequential import Loss, bet_above, bet_below
+
+# Share of the current version's first tokens that count as slow, at most.
+SLOW_SHARE = 0.1
+# Standard errors that a baseline is raised by, as it is measured too.
+BASELINE_ERRORS = 1.0
+# Outcomes of the current version that make a baseline.
+MIN_BASELINE = 20
+
+
+class Metric(StrEnum):
+    """What is compared."""
+
+    FAILURES = "failures"
+    LATENCY = "latency"
+    QUALITY = "quality"
+
+
+# Loss above the current version's that is never held against a candidate.
+TOLERANCES = {Metric.FAILURES: 0.005, Metric.LATENCY: 0.03, Metric.QUALITY: 0.01}
+
+
+@dataclass(frozen=True, slots=True)
+class Baseline:
+    """Loss of the current version on one metric.
+
+    Parameters
+    ----------
+    metric : Metric
+        What is compared.
+    mean, error : float
+        Mean loss and its standard error.
+    slow_bin : int
+        First latency bin that counts as slow.
+    """
+
+    metric: Metric
+    mean: float
+    error: float
+    slow_bin: int
+
+    @property
+    def bound(self) -> float:
+        """Mean loss that a candidate may have."""
+        raised = self.mean + BASELINE_ERRORS * self.error
+        return raised + TOLERANCES[self.metric]
+
+
+def list_baselines(current: ArmCounts) -> list[Baseline]:
+    """Baseline of each metric that the current version has outcomes for."""
+    slow_bin = _find_slow_bin(current)
+    baselines: list[Baseline] = []
+    for metric in Metric:
+        losses = list_losses(metric, current, ArmCounts(), slow_bin, settled=True)
+        count = sum(loss.count for loss in losses)
+        if count < MIN_BASELINE:
+            continue
+        mean = sum(loss.value * loss.count for loss in losses) / count
+        squares = sum(loss.value**2 * loss.count for loss in losses) / count
+        error = sqrt(max(squares - mean**2, 0.0) / count)
+        baselines.append(Baseline(metric, mean, error, slow_bin))
+    return baselines
+
+
+def bet_on_harm(baseline: Baseline, candidate: ArmCounts, since: ArmCounts) -> float:
+    """Capital against the claim that the candidate is no worse.
+
+    Requests in flight count as good, so that failures that end early don't bias it.
+    """
+    losses = list_losses(baseline.metric, candidate, since, baseline.slow_bin)
+    return bet_above(losses, baseline.bound)
+
+
+def bet_on_safety(baseline: Baseline, candidate: ArmCounts, margin: float) -> float:
+    """Capital against the claim that the candidate is worse by a margin."""
+    losses = list_losses(
+        baseline.metric, candidate, ArmCounts(), baseline.slow_bin, settled=True
+    )
+    return bet_below(losses, baseline.mean + margin)
+
+
+def list_losses(
+    metric: Metric,
+    arm: ArmCounts,
+    since: ArmCounts,
+    slow_bin: int,
+    settled: bool = False,
+) -> list[Loss]:
+    """Losses of one version on a metric.
+
+    Parameters
+    ----------
+    metric : Metric
+        Which loss.
+    arm, since : ArmCounts
+        Counts now and at an earlier time; the losses are those in between.
+    slow_bin : int
+        First latency bin that counts as slow.
+    settled : bool
+        Whether only finished requests count.
+
+    Returns
+    -------
+    list of Loss
+        Losses from 0 to 1.
+    """
+    trials = arm.finished if settled else arm.started
+    trials -= since.finished
+    match metric:
+        case Metric.FAILURES:
+            return _split(arm.failed - since.failed, trials)
+        case Metric.LATENCY:
+            slow = sum(arm.latencies[slow_bin:]) - sum(since.latencies[slow_bin:])
+            failed = arm.failed - since.failed
+            return _split(slow, max(trials - failed, 0))
+        case Metric.QUALITY:
+            return [
+                Loss(1.0 - (index + 0.5) / SCORE_BINS, count - before)
+                for index, (count, before) in enumerate(
+                    zip(arm.scores, since.scores, strict=True)
+                )
+            ]
+
+
+def _split(bad: int, trials: int) -> list[Loss]:
+    return [Loss(1.0, bad), Loss(0.0, max(trials - bad, 0))]
+
+
+def _find_slow_bin(current: ArmCounts) -> int:
+    allowed = SLOW_SHARE * sum(current.latencies)
+    slow = 0
+    for index in range(LATENCY_BINS - 1, -1, -1):
+        slow += current.latencies[index]
+        if slow > allowed:
+            return index + 1
+    return 0
+
+
+def find_harm(
+    baselines: Sequence[Baseline],
+    candidate: ArmCounts,
+    starts: Sequence[tuple[float, ArmCounts]],
+    false_stop_rate: float,
+) -> Metric | None:
+    """Metric on which the candidate is shown to be worse, if there is one.
+
+    Parameters
+    ----------
+    baselines : sequence of Baseline
+        The current version.
+    candidate : ArmCounts
+        The candidate.
+    starts : sequence of tuple
+        Weights, 1 in all, and counts from which the tests start.
+    false_stop_rate : float
+        Chance, at any time, of stopping a candidate that is no worse.
+    """
+    limit = len(Metric) / false_stop_rate
+    for baseline in baselines:
+        capital = 0.0
+        for weight, since in starts:
+            capital += weight * bet_on_harm(baseline, candidate, since)
+        if capital >= limit:
+            return baseline.metric
+    return None
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/rollout.py
@@ -0,0 +1,336 @@
+"""Roll-outs: share of new sessions, sequential tests and verdicts."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from math import ceil
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.comparison import (
+    Baseline,
+    Metric,
+    bet_on_safety,
+    find_harm,
+    list_baselines,
+)
+from bergamotwood_core.configuration import Model, Rollout
+from bergamotwood_core.ids import RolloutId, TicketNumber, VersionId
+from bergamotwood_core.outcome import ArmCounts, RolloutEvidence, RolloutReport
+from bergamotwood_core.states import RolloutState, VersionState
+from bergamotwood_core.tables import (
+    ConfigurationTables,
+    DirectoryTables,
+    RolloutProgress,
+)
+
+# Loss above the current version's that the first stage has to rule out, and the
+# factor on it for each later stage.
+FIRST_MARGIN = 0.1
+MARGIN_FACTOR = 0.7
+# Chance of passing a stage with a candidate that is worse by the margin.
+PASS_RATE = 0.05
+# Time that a stage lasts at least, so that delayed reports arrive.
+MIN_STAGE_SECONDS = 60.0
+# Requests between two starting points of the tests, and how many are kept.
+START_SPACING = 25
+MAX_STARTS = 16
+# Weight of the test that runs from the beginning.
+FIRST_START_WEIGHT = 0.5
+# Share of the endpoints that a stage's share of traffic needs.
+READY_SHARE = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """The roll-out stays where it is."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Advance:
+    """The roll-out goes to a stage."""
+
+    stage: int
+
+
+@dataclass(frozen=True, slots=True)
+class Complete:
+    """The candidate has the full share for good."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The candidate gets no new sessions."""
+
+    reason: str
+
+
+Verdict = Hold | Advance | Complete | Stop
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressChange:
+    """Progress that the leader commits to the log."""
+
+    rollout: RolloutId
+    progress: RolloutProgress
+
+
+@dataclass(slots=True)
+class RolloutWatch:
+    """What the leader holds about one roll-out; lost with its leadership.
+
+    Parameters
+    ----------
+    evidence : RolloutEvidence
+        Counts from the entries.
+    stage, stage_at : int, Seconds
+        The stage, and when this leader first saw it.
+    starts : list of tuple
+        Order and candidate's counts of earlier times, from which the tests run too.
+    start_count : int
+        Starting points taken so far.
+    """
+
+    evidence: RolloutEvidence
+    stage: int = -1
+    stage_at: Seconds = Seconds(0.0)
+    starts: list[tuple[int, ArmCounts]] = field(default_factory=list)
+    start_count: int = 0
+
+
+def choose_version(
+    model: Model,
+    rollout: Rollout | None,
+    progress: RolloutProgress | None,
+    draw: float,
+    ready: bool = True,
+) -> VersionId:
+    """Version for a new session.
+
+    Parameters
+    ----------
+    model : Model
+        The model asked for.
+    rollout, progress : Rollout, RolloutProgress or None
+        The model's roll-out, if there is one.
+    draw : float
+        Uniform random number, 0 to 1.
+    ready : bool
+        Whether an endpoint has the candidate loaded.
+
+    Returns
+    -------
+    VersionId
+        Candidate or current version.
+    """
+    current = VersionId(model.current)
+    if rollout is None or progress is None or not ready:
+        return current
+    if rollout.state is RolloutState.STOPPED:
+        return current
+    if progress.state is RolloutState.STOPPED or not _is_serving(model, rollout):
+        return current
+    candidate = VersionId(rollout.candidate)
+    if progress.state is RolloutState.COMPLETED:
+        return candidate
+    share = rollout.stages[min(progress.stage, len(rollout.stages) - 1)]
+    return candidate if draw < share else current
+
+
+def judge_rollout(
+    rollout: Rollout,
+    progress: RolloutProgress,
+    watch: RolloutWatch,
+    now: Seconds,
+    ratings_expected: bool = True,
+) -> Verdict:
+    """Judge the evidence about a running roll-out.
+
+    Parameters
+    ----------
+    rollout, progress : Rollout, RolloutProgress
+        The roll-out and its replicated progress.
+    watch : RolloutWatch
+        Evidence and starting points; a starting point may be added.
+    now : Seconds
+        The time.
+    ratings_expected : bool
+        Whether stages wait for ratings.
+
+    Returns
+    -------
+    Verdict
+        Stop as soon as a test shows that the candidate is worse; advance when
+        the tests rule out that it is worse by the stage's margin.
+    """
+    if watch.stage != progress.stage:
+        watch.stage = progress.stage
+        watch.stage_at = now
+    candidate = watch.evidence.sum_candidate()
+    current = watch.evidence.sum_current()
+    baselines = list_baselines(current)
+    harm = find_harm(baselines, candidate, _list_starts(watch), rollout.false_stop_rate)
+    if harm is not None:
+        return Stop(f"worse than the current version: {harm}")
+    _add_start(watch, candidate)
+    if now - watch.stage_at < MIN_STAGE_SECONDS:
+        return Hold("waiting for reports")
+    missing = _find_missing(progress.stage, baselines, candidate, ratings_expected)
+    if missing is not None:
+        return Hold(missing)
+    if progress.stage + 1 >= len(rollout.stages):
+        return Complete()
+    return Advance(progress.stage + 1)
+
+
+def advance_rollouts(
+    configuration: ConfigurationTables,
+    directory: DirectoryTables,
+    watches: dict[RolloutId, RolloutWatch],
+    now: Seconds,
+    ratings_expected: bool = True,
+) -> list[ProgressChange]:
+    """Judge every running roll-out; run each tick by the control leader.
+
+    Parameters
+    ----------
+    configuration : ConfigurationTables
+        Roll-outs and their progress.
+    directory : DirectoryTables
+        Endpoints, to know how many have a version loaded.
+    watches : dict
+        The leader's evidence; entries are added and dropped here.
+    now : Seconds
+        The time.
+    ratings_expected : bool
+        Whether stages wait for ratings.
+
+    Returns
+    -------
+    list of ProgressChange
+        What is to be committed to the log.
+    """
+    for rollout_id in watches.keys() - configuration.rollouts.keys():
+        del watches[rollout_id]
+    changes: list[ProgressChange] = []
+    for rollout_id, rollout in configuration.rollouts.items():
+        progress = configuration.progress.get(rollout_id)
+        if progress is None or not _is_running(rollout, progress):
+            continue
+        watch = _find_watch(watches, rollout_id, progress.ticket)
+        verdict = judge_rollout(rollout, progress, watch, now, ratings_expected)
+        ready = _is_ready(configuration, directory, rollout, verdict)
+        exposed = watch.evidence.sum_candidate().started
+        change = _apply_verdict(progress, verdict if ready else Hold(""), exposed)
+        if change is not None:
+            changes.append(ProgressChange(rollout_id, change))
+    return changes
+
+
+def merge_reports(
+    watches: dict[RolloutId, RolloutWatch], reports: Sequence[RolloutReport]
+) -> None:
+    """Take the entries' reports into the leader's evidence."""
+    for report in reports:
+        watch = watches.get(report.rollout)
+        if watch is not None:
+            watch.evidence.merge(report)
+
+
+def _find_watch(
+    watches: dict[RolloutId, RolloutWatch], rollout: RolloutId, ticket: TicketNumber
+) -> RolloutWatch:
+    watch = watches.get(rollout)
+    if watch is None or watch.evidence.ticket != ticket:
+        watch = watches[rollout] = RolloutWatch(RolloutEvidence(ticket))
+    return watch
+
+
+def _apply_verdict(
+    progress: RolloutProgress, verdict: Verdict, exposed: int
+) -> RolloutProgress | None:
+    exposed = max(progress.exposed, exposed)
+    match verdict:
+        case Stop(reason):
+            state = RolloutState.STOPPED
+            return replace(progress, state=state, reason=reason, exposed=exposed)
+        case Advance(stage):
+            return replace(progress, stage=stage, exposed=exposed)
+        case Complete():
+            return replace(progress, state=RolloutState.COMPLETED, exposed=exposed)
+        case Hold():
+            return None
+
+
+def _is_running(rollout: Rollout, progress: RolloutProgress) -> bool:
+    if rollout.state is not RolloutState.RUNNING:
+        return False
+    return progress.state is RolloutState.RUNNING
+
+
+def _is_serving(model: Model, rollout: Rollout) -> bool:
+    return any(
+        version.id == rollout.candidate and version.state is VersionState.SERVING
+        for version in model.versions
+    )
+
+
+def _is_ready(
+    configuration: ConfigurationTables,
+    directory: DirectoryTables,
+    rollout: Rollout,
+    verdict: Verdict,
+) -> bool:
+    if not isinstance(verdict, Advance):
+        return True
+    model = configuration.models.get(rollout.model)
+    if model is None:
+        return False
+    current = _count_loaded(directory, VersionId(model.current))
+    loaded = _count_loaded(directory, VersionId(rollout.candidate))
+    needed = ceil(READY_SHARE * rollout.stages[verdict.stage] * current)
+    return loaded >= max(needed, 1)
+
+
+def _count_loaded(directory: DirectoryTables, version: VersionId) -> int:
+    return sum(
+        endpoint.serving and version in endpoint.announcement.versions
+        for endpoint in directory.endpoints.values()
+    )
+
+
+def _find_missing(
+    stage: int,
+    baselines: Sequence[Baseline],
+    candidate: ArmCounts,
+    ratings_expected: bool,
+) -> str | None:
+    margin = FIRST_MARGIN * MARGIN_FACTOR**stage
+    known = {baseline.metric: baseline for baseline in baselines}
+    for metric in Metric:
+        if metric is Metric.QUALITY and not ratings_expected:
+            continue
+        baseline = known.get(metric)
+        if baseline is None:
+            return f"waiting for {metric} of the current version"
+        if bet_on_safety(baseline, candidate, margin) < 1.0 / PASS_RATE:
+            return f"waiting for {metric} of the candidate"
+    return None
+
+
+def _list_starts(watch: RolloutWatch) -> list[tuple[float, ArmCounts]]:
+    starts = [(FIRST_START_WEIGHT, ArmCounts())]
+    for order, counts in watch.starts:
+        weight = (1.0 - FIRST_START_WEIGHT) / (order * (order + 1.0))
+        starts.append((weight, counts))
+    return starts
+
+
+def _add_start(watch: RolloutWatch, candidate: ArmCounts) -> None:
+    newest = watch.starts[-1][1].started if watch.starts else 0
+    if candidate.started - newest < START_SPACING:
+        return
+    watch.start_count += 1
+    watch.starts.append((watch.start_count, candidate))
+    del watch.starts[:-MAX_STARTS]
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/usage.py
@@ -0,0 +1,63 @@
+"""Size, speed and price of answers, learned from those that were given."""
+
+from dataclasses import dataclass
+
+from bergamotwood_core.ids import VersionId
+
+# Output tokens assumed for a version that has answered nothing yet.
+DEFAULT_OUTPUT_TOKENS = 300.0
+DEFAULT_TOKEN_SECONDS = 0.03
+# Answers that the moving averages of usage remember.
+USAGE_MEMORY = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A version that may answer.
+
+    Parameters
+    ----------
+    version : VersionId
+        The version.
+    input_price, output_price : float
+        Cost units per 1,000 prompt and generated tokens.
+    first_token_seconds : float
+        Expected time to the first token, as placement sees it now.
+    """
+
+    version: VersionId
+    input_price: float
+    output_price: float
+    first_token_seconds: float
+
+    def price(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Cost units of one answer."""
+        cost = self.input_price * prompt_tokens + self.output_price * output_tokens
+        return cost / 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What one answer took."""
+
+    prompt_tokens: int
+    output_tokens: int
+    first_token_seconds: float
+    total_seconds: float
+
+
+@dataclass(slots=True)
+class UsageAverage:
+    """Moving averages of the answers of one version to one class."""
+
+    output_tokens: float = DEFAULT_OUTPUT_TOKENS
+    decode_seconds: float = DEFAULT_OUTPUT_TOKENS * DEFAULT_TOKEN_SECONDS
+    count: int = 0
+
+    def add(self, usage: Usage) -> None:
+        """Take one answer in."""
+        self.count += 1
+        weight = 1.0 / min(self.count, USAGE_MEMORY)
+        decode = max(usage.total_seconds - usage.first_token_seconds, 0.0)
+        self.output_tokens += weight * (usage.output_tokens - self.output_tokens)
+        self.decode_seconds += weight * (decode - self.decode_seconds)
