Add stand-ins of engine, plain service, rating service and weight store

The daemon needs endpoints to announce themselves and answer, and the scenarios need records of what each endpoint ran. Answers are exact functions of version and prompt, so that a caller's transcript can be checked without the daemon's word.

--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/answer.py
@@ -0,0 +1,117 @@
+"""Answers of the engine stand-in, exact functions of version and prompt."""
+
+from hashlib import sha256
+from re import compile as compile_pattern
+
+from msgspec import json
+
+WORDS = [
+    "amber",
+    "birch",
+    "clover",
+    "delta",
+    "ember",
+    "fern",
+    "garnet",
+    "harbour",
+    "iris",
+    "jade",
+    "kelp",
+    "lantern",
+    "maple",
+    "nectar",
+    "orchid",
+    "pebble",
+    "quartz",
+    "river",
+    "saffron",
+    "thistle",
+    "umber",
+    "violet",
+    "willow",
+]
+SHORTEST_ANSWER = 16
+ANSWER_SPREAD = 48
+QUALITY_SPREAD = 0.3
+QUALITY_MARKER = compile_pattern(r"quality=([01]\.\d{3})")
+
+
+def digest_messages(messages: list[dict]) -> bytes:
+    """Digest the messages of a chat, whatever the order of their fields."""
+    return sha256(json.encode(messages, order="sorted")).digest()
+
+
+def join_prompt(messages: list[dict]) -> str:
+    """Join the text of all messages."""
+    return "\n".join(_read_text(message.get("content")) for message in messages)
+
+
+def _read_text(content: object) -> str:
+    """Read the text of one message's content, plain or in parts."""
+    match content:
+        case str():
+            return content
+        case list():
+            return " ".join(part.get("text", "") for part in content)
+        case _:
+            return ""
+
+
+def grade_answer(quality: float, messages: list[dict]) -> float:
+    """Quality of a version's answer to one prompt, by the prompt's difficulty.
+
+    Parameters
+    ----------
+    quality : float
+        Mean quality of the version, 0 to 1.
+    messages : list of dict
+        The chat; its digest sets the difficulty.
+    """
+    difficulty = int.from_bytes(digest_messages(messages)[:4]) / 2**32 - 0.5
+    return min(1.0, max(0.0, quality - QUALITY_SPREAD * difficulty))
+
+
+def make_answer(
+    version: str, messages: list[dict], grade: float, limit: int | None = None
+) -> list[str]:
+    """Make the tokens of an answer.
+
+    Parameters
+    ----------
+    version : str
+        `model:version` that answers.
+    messages : list of dict
+        The chat.
+    grade : float
+        Quality of this answer, carried in its text.
+    limit : int, optional
+        Exact number of tokens; else it follows from the prompt.
+
+    Returns
+    -------
+    list of str
+        At least two tokens: version and quality, then words.
+    """
+    seed = sha256(version.encode() + digest_messages(messages)).digest()
+    count = limit or SHORTEST_ANSWER + seed[0] % ANSWER_SPREAD
+    tokens = [f"{version}", f" quality={grade:.3f}"]
+    state = int.from_bytes(seed)
+    for position in range(max(0, count - len(tokens))):
+        state = (state * 6364136223846793005 + position + 1) % 2**256
+        tokens.append(" " + WORDS[(state >> 200) % len(WORDS)])
+    return tokens
+
+
+def read_grade(answer: str) -> float | None:
+    """Read the quality that an answer carries, None when it has none."""
+    found = QUALITY_MARKER.search(answer)
+    return float(found.group(1)) if found else None
+
+
+def check_answer(answer: str, messages: list[dict], limit: int | None) -> bool:
+    """Whether a text is the whole answer of the version that it names."""
+    grade = read_grade(answer)
+    if grade is None:
+        return False
+    version = answer.split(" ", 1)[0]
+    return answer == "".join(make_answer(version, messages, grade, limit))
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/batch.py
@@ -0,0 +1,116 @@
+"""Continuous batching of the engine stand-in: slots, prefill and prefix cache."""
+
+from collections import OrderedDict
+from heapq import heappop, heappush
+from itertools import count
+
+from gevent import sleep
+from gevent.event import Event
+from msgspec import Struct
+from xxhash import xxh64_intdigest
+
+BLOCK_WORDS = 64
+CACHED_SHARE = 0.1
+
+
+class Speed(Struct, frozen=True):
+    """Speeds of an engine.
+
+    Parameters
+    ----------
+    token_seconds : float
+        Time for one token of a batch of one.
+    batch_growth : float
+        Share by which each further request of the batch lengthens it.
+    prefill_seconds : float
+        Time for one prompt token that is not cached.
+    """
+
+    token_seconds: float = 0.004
+    batch_growth: float = 0.05
+    prefill_seconds: float = 0.00002
+
+
+class PrefixCache:
+    """Hashes of prompt prefixes, block by block, the oldest dropped first.
+
+    Parameters
+    ----------
+    capacity : int
+        Blocks of `BLOCK_WORDS` words that fit.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def take(self, version: str, words: list[str]) -> int:
+        """Count the cached words at the start of a prompt, and cache all of it."""
+        cached = 0
+        broken = False
+        digest = xxh64_intdigest(version.encode())
+        for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+            block = " ".join(words[start : start + BLOCK_WORDS])
+            digest = xxh64_intdigest(block.encode(), seed=digest)
+            broken = broken or digest not in self._blocks
+            cached += 0 if broken else BLOCK_WORDS
+            self._store(digest)
+        return cached
+
+    def _store(self, digest: int) -> None:
+        """Put a block at the young end of the cache."""
+        self._blocks[digest] = None
+        self._blocks.move_to_end(digest)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+
+
+class Batch:
+    """Requests that an engine runs at once, and those that wait for a slot.
+
+    Parameters
+    ----------
+    capacity : int
+        Requests of one batch.
+    speed : Speed
+        How fast it goes.
+    """
+
+    def __init__(self, capacity: int, speed: Speed) -> None:
+        self._capacity = capacity
+        self._speed = speed
+        self._queue: list[tuple[int, int, Event]] = []
+        self._order = count()
+        self.running = 0
+
+    @property
+    def load(self) -> int:
+        """Requests running or waiting."""
+        return self.running + len(self._queue)
+
+    def enter(self, priority: int) -> None:
+        """Wait for a slot; a lower priority number goes first."""
+        if self.running < self._capacity:
+            self.running += 1
+            return
+        granted = Event()
+        heappush(self._queue, (priority, next(self._order), granted))
+        granted.wait()
+
+    def leave(self) -> None:
+        """Give a slot back, or hand it to the next that waits."""
+        if not self._queue:
+            self.running -= 1
+            return
+        _, _, granted = heappop(self._queue)
+        granted.set()
+
+    def prefill(self, words: int, cached: int) -> None:
+        """Spend the time that a prompt takes."""
+        work = words - cached * (1.0 - CACHED_SHARE)
+        sleep(work * self._speed.prefill_seconds)
+
+    def step(self) -> None:
+        """Spend the time of one token in the batch of now."""
+        growth = 1.0 + self._speed.batch_growth * (self.running - 1)
+        sleep(self._speed.token_seconds * growth)
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/loader.py
@@ -0,0 +1,86 @@
+"""Loading of versions by an engine stand-in, on orders that carry a fencing token."""
+
+from gevent import sleep
+from geventhttpclient import HTTPClient
+from msgspec import Struct
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.web import Answer, make_error, make_json
+
+TIMEOUT_SECONDS = 30.0
+DEFAULT_RETRY_SECONDS = 0.2
+LOAD_ATTEMPTS = 50
+
+
+class Order(Struct):
+    """An order to an engine; `term` and `index` are its fencing token."""
+
+    order: str
+    version: str
+    term: int
+    index: int
+
+
+class Loader:
+    """Versions that an engine has loaded.
+
+    Parameters
+    ----------
+    versions : tuple of str
+        Loaded at the start.
+    weights : Address or None
+        The weight store; without one a version is there at once.
+    checks_fencing : bool
+        Whether orders with an old fencing token are refused.
+    """
+
+    def __init__(
+        self,
+        versions: tuple[str, ...],
+        weights: Address | None,
+        checks_fencing: bool,
+    ) -> None:
+        self.versions = dict.fromkeys(versions)
+        self._weights = weights
+        self._checks_fencing = checks_fencing
+        self._newest = (0, 0)
+
+    def take(self, order: Order) -> Answer:
+        """Carry out an order, or refuse it."""
+        token = (order.term, order.index)
+        if self._checks_fencing and token < self._newest:
+            return make_error(409, f"fencing token {token} is older than newest")
+        self._newest = max(self._newest, token)
+        match order.order:
+            case "load":
+                return self._load(order.version)
+            case "unload":
+                self.versions.pop(order.version, None)
+                return make_json({"versions": list(self.versions)})
+            case _:
+                return make_error(400, f"unknown order {order.order}")
+
+    def _load(self, version: str) -> Answer:
+        """Fetch a version's weights unless they are there."""
+        if version in self.versions:
+            return make_json({"versions": list(self.versions)})
+        if self._weights is not None and not self._fetch(self._weights, version):
+            return make_error(500, f"weight store did not give {version}")
+        self.versions[version] = None
+        return make_json({"versions": list(self.versions)})
+
+    def _fetch(self, store: Address, version: str) -> bool:
+        """Fetch weights, waiting when the store is at its limit."""
+        client = HTTPClient(store.host, store.port, network_timeout=TIMEOUT_SECONDS)
+        try:
+            for _ in range(LOAD_ATTEMPTS):
+                response = client.get(f"/v1/weights/{version}")
+                response.read()
+                if response.status_code != 429:
+                    return response.status_code == 200
+                sleep(float(response.get("Retry-After", DEFAULT_RETRY_SECONDS)))
+            return False
+        except OSError:
+            return False
+        finally:
+            client.close()
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/process.py
@@ -0,0 +1,74 @@
+"""Life of a stand-in process: start, announce, stop on a signal."""
+
+from signal import SIGINT, SIGTERM
+from sys import stdout
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from msgspec import json
+
+from bergamotwood_fakes.announcer import Announcer
+from bergamotwood_fakes.recorder import Recorder
+
+IDLE_CHECK_SECONDS = 0.05
+STOP_SECONDS = 1.0
+
+
+def print_started(identity: str, kind: str, port: int) -> None:
+    """Print the one line that tells the starter which port was taken."""
+    line = json.encode({"id": identity, "kind": kind, "port": port})
+    stdout.write(line.decode() + "\n")
+    stdout.flush()
+
+
+def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = Event()
+    for number in (SIGTERM, SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    stopped.wait()
+
+
+def run_plain(server: WSGIServer, identity: str, kind: str) -> None:
+    """Run a stand-in that announces nothing until it is told to stop."""
+    server.start()
+    print_started(identity, kind, server.server_port)
+    wait_for_stop()
+    server.stop(timeout=STOP_SECONDS)
+
+
+def run_endpoint(
+    server: WSGIServer,
+    announcer: Announcer,
+    identity: str,
+    kind: str,
+    recorder: Recorder,
+    leave_seconds: float,
+) -> None:
+    """Run an endpoint; on a signal it leaves, finishes its work and ends.
+
+    Parameters
+    ----------
+    server : WSGIServer
+        Its server, listening.
+    announcer : Announcer
+        Speaks for it.
+    identity, kind : str
+        Printed with the port.
+    recorder : Recorder
+        Knows the runs that are not over.
+    leave_seconds : float
+        How long it goes on to serve after it said that it leaves.
+    """
+    server.start()
+    print_started(identity, kind, server.server_port)
+    announcing = gevent.spawn(announcer.run)
+    wait_for_stop()
+    recorder.leaving = True
+    announcer.leave()
+    gevent.sleep(leave_seconds)
+    while recorder.running:
+        gevent.sleep(IDLE_CHECK_SECONDS)
+    announcing.kill()
+    server.stop(timeout=STOP_SECONDS)
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/rating.py
@@ -0,0 +1,97 @@
+"""Stand-in of the rating service: `python -m bergamotwood_fakes.rating`."""
+
+from random import Random
+
+from click import command, option
+from gevent import sleep
+from msgspec import DecodeError, Struct, ValidationError, json
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.answer import read_grade
+from bergamotwood_fakes.limit import RateLimit
+from bergamotwood_fakes.option import LISTEN
+from bergamotwood_fakes.process import run_plain
+from bergamotwood_fakes.web import (
+    Answer,
+    Environ,
+    StartResponse,
+    make_error,
+    make_json,
+    make_server,
+    read_body,
+)
+
+
+class RatingRequest(Struct):
+    """An answer to be rated."""
+
+    request: str
+    workspace: str
+    request_class: str
+    version: str
+    answer: str
+
+
+class Rating:
+    """Rates answers by the quality that they carry, with some noise.
+
+    Parameters
+    ----------
+    limit : RateLimit
+        Ratings a second.
+    seconds : float
+        Time of one rating.
+    noise : float
+        Standard deviation of the score.
+    seed : int
+        Of the noise.
+    """
+
+    def __init__(
+        self, limit: RateLimit, seconds: float, noise: float, seed: int
+    ) -> None:
+        self._limit = limit
+        self._seconds = seconds
+        self._noise = noise
+        self._random = Random(seed)
+
+    def answer(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one HTTP request (a WSGI application)."""
+        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
+            case "POST", "/v1/ratings":
+                return self._rate(environ).send(start_response)
+            case _:
+                return make_error(404, "no such path").send(start_response)
+
+    def _rate(self, environ: Environ) -> Answer:
+        """Rate one answer."""
+        try:
+            request = json.decode(read_body(environ), type=RatingRequest)
+        except (DecodeError, ValidationError) as error:
+            return make_error(400, str(error))
+        wait = self._limit.take()
+        if wait:
+            return make_error(429, "limit of ratings", retry_after=wait)
+        sleep(self._seconds)
+        grade = read_grade(request.answer) or 0.0
+        score = grade + self._random.gauss(0.0, self._noise)
+        return make_json({"score": min(1.0, max(0.0, score))})
+
+
+@command()
+@LISTEN
+@option("--rate", type=float, default=20.0, show_default=True, help="A second.")
+@option("--burst", type=int, default=20, show_default=True)
+@option("--seconds", type=float, default=0.02, show_default=True)
+@option("--noise", type=float, default=0.05, show_default=True)
+@option("--seed", type=int, default=1, show_default=True)
+def main(
+    listen: Address, rate: float, burst: int, seconds: float, noise: float, seed: int
+) -> None:
+    """Run a rating service stand-in until SIGTERM."""
+    rating = Rating(RateLimit(rate, burst), seconds, noise, seed)
+    run_plain(make_server(listen, rating.answer), "rating", "rating")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/recorder.py
@@ -0,0 +1,71 @@
+"""Recorder of the runs of one endpoint."""
+
+from hashlib import sha256
+from itertools import count
+from pathlib import Path
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from bergamotwood_core.ids import EndpointId, Incarnation
+from bergamotwood_fakes.record import Event, Record, RecordFile, read_clock
+from bergamotwood_fakes.web import Environ, read_header
+
+
+class Identity(Struct, frozen=True):
+    """Which endpoint, and which start of it."""
+
+    id: EndpointId
+    incarnation: Incarnation
+
+
+class Recorder:
+    """Numbers the runs of an endpoint and records their starts and ends.
+
+    Parameters
+    ----------
+    identity : Identity
+        Whose runs.
+    path : Path or None
+        File of the records.
+    """
+
+    def __init__(self, identity: Identity, path: Path | None) -> None:
+        self._identity = identity
+        self._file = RecordFile(path)
+        self._numbers = count(1)
+        self.running = 0
+        self.leaving = False
+
+    def start(self, environ: Environ, body: bytes, version: str) -> Record:
+        """Record that a request starts to run."""
+        record = Record(
+            event=Event.START,
+            time=read_clock(),
+            endpoint=self._identity.id,
+            incarnation=self._identity.incarnation,
+            run=next(self._numbers),
+            request=read_header(environ, "X-Request-Id"),
+            key=read_header(environ, "Idempotency-Key"),
+            version=version,
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            fingerprint=sha256(body).hexdigest(),
+            leaving=self.leaving,
+        )
+        self.running += 1
+        self._file.write(record)
+        return record
+
+    def end(self, started: Record, tokens: int, finished: bool) -> None:
+        """Record that a run is over; an unfinished one was cancelled."""
+        record = replace(
+            started,
+            event=Event.END,
+            time=read_clock(),
+            tokens=tokens,
+            finished=finished,
+            cancelled=not finished,
+        )
+        self.running -= 1
+        self._file.write(record)
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/weights.py
@@ -0,0 +1,65 @@
+"""Stand-in of the weight store: `python -m bergamotwood_fakes.weights`."""
+
+from click import command, option
+from gevent import sleep
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.limit import RateLimit
+from bergamotwood_fakes.option import LISTEN
+from bergamotwood_fakes.process import run_plain
+from bergamotwood_fakes.web import (
+    Answer,
+    Environ,
+    StartResponse,
+    make_error,
+    make_json,
+    make_server,
+)
+
+PATH = "/v1/weights/"
+
+
+class WeightStore:
+    """Gives the weights of versions, slowly and with a limit.
+
+    Parameters
+    ----------
+    limit : RateLimit
+        Downloads a second.
+    seconds : float
+        Time of one download.
+    """
+
+    def __init__(self, limit: RateLimit, seconds: float) -> None:
+        self._limit = limit
+        self._seconds = seconds
+
+    def answer(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one HTTP request (a WSGI application)."""
+        path = environ["PATH_INFO"]
+        if environ["REQUEST_METHOD"] != "GET" or not path.startswith(PATH):
+            return make_error(404, "no such path").send(start_response)
+        return self._download(path.removeprefix(PATH)).send(start_response)
+
+    def _download(self, version: str) -> Answer:
+        """Give one version's weights."""
+        wait = self._limit.take()
+        if wait:
+            return make_error(429, "limit of downloads", retry_after=wait)
+        sleep(self._seconds)
+        return make_json({"version": version})
+
+
+@command()
+@LISTEN
+@option("--rate", type=float, default=2.0, show_default=True, help="A second.")
+@option("--burst", type=int, default=2, show_default=True)
+@option("--seconds", type=float, default=0.3, show_default=True)
+def main(listen: Address, rate: float, burst: int, seconds: float) -> None:
+    """Run a weight store stand-in until SIGTERM."""
+    store = WeightStore(RateLimit(rate, burst), seconds)
+    run_plain(make_server(listen, store.answer), "weights", "weights")
+
+
+if __name__ == "__main__":
+    main()
