Add the fault-injecting proxy

Scenarios need faults between any two named processes on loopback: added delay, dropped dials, cuts, silence, half-open connections and partitions. The process that dialled is found by its socket, so that one port for each target is enough and the daemons' settings need no word of the proxy.

--- a/packages/fakes/src/bergamotwood_fakes/launch.py
+++ b/packages/fakes/src/bergamotwood_fakes/launch.py
@@ -2,9 +2,9 @@
 
 from os import environ
 from pathlib import Path
-from subprocess import PIPE, Popen
 from sys import executable, path
 
+from gevent.subprocess import PIPE, Popen
 from msgspec import Struct, json
 
 
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/proxy.py
@@ -0,0 +1,167 @@
+"""Fault-injecting TCP proxy: `python -m bergamotwood_fakes.proxy`."""
+
+from random import Random
+
+import gevent
+from click import command, option
+from gevent.server import StreamServer
+from gevent.socket import create_connection, socket
+from msgspec import DecodeError, Struct, ValidationError, json
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.link import Link
+from bergamotwood_fakes.option import LISTEN
+from bergamotwood_fakes.peername import find_owner
+from bergamotwood_fakes.process import run_plain
+from bergamotwood_fakes.rule import Action, Rule, RuleTable
+from bergamotwood_fakes.web import (
+    Answer,
+    Environ,
+    StartResponse,
+    make_error,
+    make_json,
+    make_server,
+    open_listener,
+    read_body,
+)
+
+DIAL_SECONDS = 2.0
+UNKNOWN = "caller"
+
+
+class Target(Struct):
+    """A process to be reached through the proxy."""
+
+    name: str
+    address: Address
+
+
+class Process(Struct):
+    """A process whose connections are told apart."""
+
+    name: str
+    pid: int
+
+
+class Proxy:
+    """Listens for each target and carries its connections under the rules.
+
+    Parameters
+    ----------
+    seed : int
+        Of delays and drops.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = Random(seed)
+        self._rules = RuleTable()
+        self._links: set[Link] = set()
+        self._processes: dict[str, int] = {}
+        self._servers: list[StreamServer] = []
+
+    def answer(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one request of the control interface (a WSGI application)."""
+        try:
+            return self._control(environ).send(start_response)
+        except (DecodeError, ValidationError) as error:
+            return make_error(400, str(error)).send(start_response)
+
+    def _control(self, environ: Environ) -> Answer:
+        """Carry out one request of the control interface."""
+        body = read_body(environ)
+        match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
+            case "POST", "/targets":
+                return make_json({"port": self._listen(json.decode(body, type=Target))})
+            case "POST", "/processes":
+                process = json.decode(body, type=Process)
+                self._processes[process.name] = process.pid
+                return make_json(process)
+            case "POST", "/rules":
+                return make_json({"id": self._enforce(json.decode(body, type=Rule))})
+            case "DELETE", "/rules":
+                self._rules.clear()
+                return make_json({})
+            case "DELETE", path if path.startswith("/rules/"):
+                removed = self._rules.remove(int(path.removeprefix("/rules/")))
+                return make_json({}, 200 if removed else 404)
+            case "GET", "/links":
+                pairs = [(link.source, link.target) for link in self._links]
+                return make_json(pairs)
+            case _:
+                return make_error(404, "no such path")
+
+    def _listen(self, target: Target) -> int:
+        """Open a port that leads to a target."""
+
+        def handle(near: socket, peer: tuple[str, int]) -> None:
+            self._connect(near, peer[1], server.server_port, target)
+
+        listener = open_listener(Address("127.0.0.1", 0))
+        server = StreamServer(listener, handle)
+        server.start()
+        self._servers.append(server)
+        return server.server_port
+
+    def _connect(self, near: socket, peer: int, port: int, target: Target) -> None:
+        """Carry a new connection until it ends."""
+        source = find_owner(self._processes, peer, port) or UNKNOWN
+        if self._refuses(source, target.name):
+            near.close()
+            return
+        far = _dial(target.address)
+        if far is None:
+            near.close()
+            return
+        link = Link(source, target.name, self._rules, self._random, near, far)
+        silence = self._rules.find(Action.SILENCE, source, target.name)
+        if silence is not None and silence.new_too:
+            link.lose()
+        self._links.add(link)
+        try:
+            link.run()
+        finally:
+            self._links.discard(link)
+
+    def _refuses(self, source: str, target: str) -> bool:
+        """Whether a rule refuses a new connection."""
+        if self._rules.find(Action.CUT, source, target):
+            return True
+        drop = self._rules.find(Action.DROP, source, target)
+        return drop is not None and self._random.random() < drop.share
+
+    def _enforce(self, rule: Rule) -> int:
+        """Put a rule in force, also for the connections that are open."""
+        for link in list(self._links):
+            if not rule.concerns(link.source, link.target):
+                continue
+            match rule.action:
+                case Action.CUT:
+                    link.cut()
+                case Action.SILENCE:
+                    link.lose()
+                case Action.HALF_OPEN:
+                    link.open_half()
+        return self._rules.add(rule)
+
+
+def _dial(address: Address) -> socket | None:
+    """Dial a target, None when it does not answer."""
+    try:
+        return create_connection((address.host, address.port), DIAL_SECONDS)
+    except OSError:
+        return None
+
+
+@command()
+@LISTEN
+@option("--seed", type=int, default=1, show_default=True)
+def main(listen: Address, seed: int) -> None:
+    """Run a fault-injecting proxy until SIGTERM."""
+    proxy = Proxy(seed)
+    server = make_server(listen, proxy.answer)
+    gevent.get_hub().NOT_ERROR += (ConnectionError,)
+    run_plain(server, "proxy", "proxy")
+
+
+if __name__ == "__main__":
+    main()
