Add first forms of the decisions on placement, limits, poison requests and streams

The daemon needs their interfaces to go on. check_dispatch takes no time of its own: all that it checks is state. Endpoint gets two columns for silence, and DirectoryTables the pools by version with a membership counter that the directory raises when an endpoint comes, goes, moves or changes its versions.

--- /dev/null
+++ b/packages/core/src/bergamotwood_core/admission.py
@@ -0,0 +1,387 @@
+"""Admission control: fair shares, priorities and early refusal."""
+
+from dataclasses import dataclass, field
+from itertools import count
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Workspace
+from bergamotwood_core.errors import Code
+from bergamotwood_core.ids import RequestId, WorkspaceId
+from bergamotwood_core.states import Priority
+
+DEFAULT_POOL = ""
+# Weight of the newest running time in the moving average.
+SERVICE_WEIGHT = 0.1
+MIN_RETRY_AFTER_SECONDS = 0.1
+MAX_RETRY_AFTER_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Bounds of admission at one entry.
+
+    Parameters
+    ----------
+    limit : int
+        Requests run at once in a pool whose limit was not set.
+    max_queued : int
+        Requests of one workspace that wait for one pool.
+    max_wait_seconds : float
+        Longest expected wait that is worth queueing for.
+    service_seconds : float
+        How long a request runs, until that is measured.
+    """
+
+    limit: int = 64
+    max_queued: int = 256
+    max_wait_seconds: float = 10.0
+    service_seconds: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request runs now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits; `release` or `expire` names it later.
+
+    Parameters
+    ----------
+    displaced : tuple of RequestId
+        Requests of lower priority that lost their place and are refused now.
+    """
+
+    displaced: tuple[RequestId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is refused and did not run.
+
+    Parameters
+    ----------
+    code : Code
+        Why.
+    retry_after : float
+        Seconds after which a retry is worth trying.
+    """
+
+    code: Code
+    retry_after: float
+
+
+Decision = Admitted | Queued | Refused
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A request in a queue."""
+
+    id: RequestId
+    priority: Priority
+    order: int
+    deadline: Seconds
+
+
+@dataclass(slots=True)
+class _Running:
+    """A request that holds a slot."""
+
+    pool: str
+    workspace: WorkspaceId
+    since: Seconds
+
+
+@dataclass(slots=True)
+class _Row:
+    """One workspace in one pool; the queue is in the order of service."""
+
+    workspace: Workspace
+    in_flight: int = 0
+    queue: list[_Waiting] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _PoolState:
+    """Slots and queues of one pool."""
+
+    limit: int
+    service_seconds: float
+    in_flight: int = 0
+    rows: dict[WorkspaceId, _Row] = field(default_factory=dict)
+
+
+class Admission:
+    """Shares the slots of each pool fairly among workspaces.
+
+    A free slot goes to the workspace that holds the least for its share; inside
+    a workspace the higher priority goes first, then the older request.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+        Bounds.
+    """
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self.settings = settings
+        self._pools: dict[str, _PoolState] = {}
+        self._running: dict[RequestId, _Running] = {}
+        self._queued: dict[RequestId, tuple[str, WorkspaceId]] = {}
+        self._in_flight: dict[WorkspaceId, int] = {}
+        self._order = count()
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._queued)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that hold a slot."""
+        return len(self._running)
+
+    def offer(
+        self,
+        request: RequestId,
+        workspace: Workspace,
+        priority: Priority,
+        deadline: Seconds,
+        now: Seconds,
+        pool: str = DEFAULT_POOL,
+    ) -> Decision:
+        """Admit, queue or refuse a request.
+
+        Parameters
+        ----------
+        request : RequestId
+            Its id.
+        workspace : Workspace
+            Whose it is, with share and limit.
+        priority : Priority
+            Rank inside the workspace.
+        deadline : Seconds
+            Last moment at which starting it is still of use.
+        now : Seconds
+            Time of the offer.
+        pool : str
+            What it needs capacity of.
+        """
+        state = self._find_pool(pool)
+        row = state.rows.setdefault(workspace.key, _Row(workspace))
+        row.workspace = workspace
+        waiting = _Waiting(request, priority, next(self._order), deadline)
+        if not _count_ahead(row, waiting) and self._has_room(state, row):
+            self._start(pool, state, row, request, now)
+            return Admitted()
+        wait = _estimate_wait(state, row, _count_ahead(row, waiting))
+        if now + wait > deadline:
+            return self._refuse(Code.DEADLINE_EXCEEDED, state, row)
+        if wait > self.settings.max_wait_seconds:
+            return self._refuse(self._explain(row), state, row)
+        return self._enqueue(pool, state, row, waiting)
+
+    def release(self, request: RequestId, now: Seconds) -> tuple[RequestId, ...]:
+        """Give a slot back.
+
+        Returns
+        -------
+        tuple of RequestId
+            Queued requests that run now.
+        """
+        running = self._running.pop(request, None)
+        if running is None:
+            return ()
+        state = self._pools[running.pool]
+        state.in_flight -= 1
+        state.rows[running.workspace].in_flight -= 1
+        self._in_flight[running.workspace] -= 1
+        change = now - running.since - state.service_seconds
+        state.service_seconds += SERVICE_WEIGHT * change
+        return self._admit_queued(now)
+
+    def cancel(self, request: RequestId, now: Seconds) -> tuple[RequestId, ...]:
+        """Forget a request whose caller has gone, wherever it stands.
+
+        Returns
+        -------
+        tuple of RequestId
+            Queued requests that run now.
+        """
+        if request in self._queued:
+            self._drop(request)
+            return ()
+        return self.release(request, now)
+
+    def expire(self, now: Seconds) -> tuple[RequestId, ...]:
+        """Give up queued requests that can no longer be of use.
+
+        Returns
+        -------
+        tuple of RequestId
+            They are to be refused at once.
+        """
+        late = [
+            waiting.id
+            for state in self._pools.values()
+            for row in state.rows.values()
+            for waiting in row.queue
+            if waiting.deadline <= now
+        ]
+        for request in late:
+            self._drop(request)
+        return tuple(late)
+
+    def set_limit(self, pool: str, limit: int, now: Seconds) -> tuple[RequestId, ...]:
+        """Set how many requests run at once in a pool.
+
+        Returns
+        -------
+        tuple of RequestId
+            Queued requests that run now.
+        """
+        self._find_pool(pool).limit = max(1, limit)
+        return self._admit_queued(now)
+
+    def estimate_retry_after(self, pool: str = DEFAULT_POOL) -> float:
+        """Estimate in how many seconds the pool's queue is worked off."""
+        state = self._find_pool(pool)
+        waiting = sum(len(row.queue) for row in state.rows.values())
+        return _clip((waiting + 1) * state.service_seconds / state.limit)
+
+    def _find_pool(self, pool: str) -> _PoolState:
+        """Find or make the state of a pool."""
+        state = self._pools.get(pool)
+        if state is None:
+            state = _PoolState(self.settings.limit, self.settings.service_seconds)
+            self._pools[pool] = state
+        return state
+
+    def _has_room(self, state: _PoolState, row: _Row) -> bool:
+        """Whether the pool and the workspace may run one more."""
+        running = self._in_flight.get(row.workspace.key, 0)
+        return state.in_flight < state.limit and running < row.workspace.max_in_flight
+
+    def _start(
+        self,
+        pool: str,
+        state: _PoolState,
+        row: _Row,
+        request: RequestId,
+        now: Seconds,
+    ) -> None:
+        """Give a slot to a request."""
+        workspace = row.workspace.key
+        state.in_flight += 1
+        row.in_flight += 1
+        self._in_flight[workspace] = self._in_flight.get(workspace, 0) + 1
+        self._running[request] = _Running(pool, workspace, now)
+
+    def _enqueue(
+        self, pool: str, state: _PoolState, row: _Row, waiting: _Waiting
+    ) -> Queued | Refused:
+        """Put a request in its workspace's queue, at the place of its priority."""
+        displaced: tuple[RequestId, ...] = ()
+        if len(row.queue) >= self.settings.max_queued:
+            last = row.queue[-1]
+            if last.priority <= waiting.priority:
+                return self._refuse(self._explain(row), state, row)
+            self._drop(last.id)
+            displaced = (last.id,)
+        row.queue.insert(_count_ahead(row, waiting), waiting)
+        self._queued[waiting.id] = (pool, row.workspace.key)
+        return Queued(displaced)
+
+    def _admit_queued(self, now: Seconds) -> tuple[RequestId, ...]:
+        """Fill the free slots from the queues."""
+        started: list[RequestId] = []
+        for pool, state in self._pools.items():
+            while (row := self._choose_row(state)) is not None:
+                waiting = row.queue.pop(0)
+                del self._queued[waiting.id]
+                self._start(pool, state, row, waiting.id, now)
+                started.append(waiting.id)
+        return tuple(started)
+
+    def _choose_row(self, state: _PoolState) -> _Row | None:
+        """Choose the workspace that holds the least for its share."""
+        rows = [
+            row
+            for row in state.rows.values()
+            if row.queue and self._has_room(state, row)
+        ]
+        return min(
+            rows,
+            key=lambda row: (row.in_flight / row.workspace.share, row.queue[0].order),
+            default=None,
+        )
+
+    def _drop(self, request: RequestId) -> None:
+        """Take a request out of its queue."""
+        pool, workspace = self._queued.pop(request)
+        row = self._pools[pool].rows[workspace]
+        row.queue = [waiting for waiting in row.queue if waiting.id != request]
+
+    def _explain(self, row: _Row) -> Code:
+        """Say whether the workspace's own limit or the load is in the way."""
+        running = self._in_flight.get(row.workspace.key, 0)
+        if running >= row.workspace.max_in_flight:
+            return Code.WORKSPACE_LIMIT
+        return Code.OVERLOADED
+
+    def _refuse(self, code: Code, state: _PoolState, row: _Row) -> Refused:
+        """Refuse, with the time until the workspace's queue is worked off."""
+        return Refused(code, _clip(_estimate_wait(state, row, len(row.queue))))
+
+
+def compute_limit(
+    capacity: float, reported_load: float, in_flight: int, entries: int
+) -> int:
+    """Compute how many requests one entry may run at once in a pool.
+
+    Parameters
+    ----------
+    capacity : float
+        Requests that all endpoints of the pool run at once.
+    reported_load : float
+        Requests that they run or queue now, from all entries.
+    in_flight : int
+        Requests of this entry among them.
+    entries : int
+        Live entries, this one included.
+
+    Returns
+    -------
+    int
+        The entry's even part, or more while endpoints have room to spare.
+    """
+    share = capacity / max(1, entries)
+    spare = (capacity - reported_load) / max(1, entries)
+    return max(1, round(max(share, in_flight + spare)))
+
+
+def _count_ahead(row: _Row, waiting: _Waiting) -> int:
+    """Count the queued requests of the workspace that go first."""
+    for position, other in enumerate(row.queue):
+        if (other.priority, other.order) > (waiting.priority, waiting.order):
+            return position
+    return len(row.queue)
+
+
+def _estimate_wait(state: _PoolState, row: _Row, ahead: int) -> float:
+    """Estimate how long a request with so many ahead of it waits, in seconds."""
+    active = sum(
+        other.workspace.share
+        for other in state.rows.values()
+        if other.queue or other.in_flight or other is row
+    )
+    slots = max(1.0, state.limit * row.workspace.share / active)
+    slots = min(slots, row.workspace.max_in_flight)
+    return (ahead + 1) * state.service_seconds / slots
+
+
+def _clip(seconds: float) -> float:
+    """Keep a retry delay within its bounds."""
+    return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/dispatch.py
@@ -0,0 +1,113 @@
+"""The last check before an attempt is sent to an endpoint."""
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import AuthorizationError, Code, RefusedError
+from bergamotwood_core.ids import EndpointId, Fingerprint, VersionId, WorkspaceId
+from bergamotwood_core.quarantine import Isolated, Ordinary, require_clearance
+from bergamotwood_core.states import VersionState
+from bergamotwood_core.tables import (
+    ConfigurationTables,
+    DirectoryTables,
+    Endpoint,
+    Tables,
+)
+from bergamotwood_core.target import ServiceTarget, Target, VersionTarget
+
+MAX_CONFIG_AGE_SECONDS = 5.0
+
+
+def check_dispatch(
+    tables: Tables,
+    workspace: WorkspaceId,
+    target: Target,
+    endpoint: EndpointId,
+    config_age: Seconds,
+    max_config_age: Seconds,
+    fingerprint: Fingerprint,
+) -> Ordinary | Isolated:
+    """Check everything that may have changed since a request was admitted.
+
+    Every attempt is new work: a cascade step, a retry, a hedge and a resumed
+    stream each need their own check.
+
+    Parameters
+    ----------
+    tables : Tables
+        Configuration and directory as they are now.
+    workspace : WorkspaceId
+        Whose request.
+    target : Target
+        Version or service that the attempt runs.
+    endpoint : EndpointId
+        Where it would be sent.
+    config_age, max_config_age : Seconds
+        Age of the configuration in force here, and its bound.
+    fingerprint : Fingerprint
+        The request's.
+
+    Returns
+    -------
+    Ordinary or Isolated
+        How the attempt may run.
+
+    Raises
+    ------
+    AuthorizationError
+        When the workspace may not use the target.
+    RefusedError
+        When the configuration is stale, the version withdrawn, the endpoint gone,
+        leaving or without the target, or the request quarantined.
+    """
+    if config_age > max_config_age:
+        detail = f"configuration is {config_age:.1f} s old"
+        raise RefusedError(detail, Code.CONFIG_STALE, retry_after=1.0)
+    _check_rights(tables.configuration, workspace, target)
+    _check_endpoint(tables.directory, target, endpoint)
+    return require_clearance(tables.configuration.suspects, fingerprint)
+
+
+def _check_rights(
+    tables: ConfigurationTables, workspace: WorkspaceId, target: Target
+) -> None:
+    """Check that the workspace may use the target now."""
+    entity = tables.workspaces.get(workspace)
+    if entity is None:
+        raise AuthorizationError(f"workspace {workspace} is gone", Code.FORBIDDEN)
+    match target:
+        case VersionTarget(version):
+            if version not in entity.versions:
+                detail = f"workspace {workspace} may not use {version}"
+                raise AuthorizationError(detail, Code.MODEL_NOT_ALLOWED)
+            _check_version(tables, version)
+        case ServiceTarget(service):
+            if service not in entity.services or service not in tables.services:
+                detail = f"workspace {workspace} may not use service {service}"
+                raise AuthorizationError(detail, Code.FORBIDDEN)
+
+
+def _check_version(tables: ConfigurationTables, version: VersionId) -> None:
+    """Check that a version still takes new work."""
+    entity = tables.versions.get(version)
+    if entity is None or entity.state is VersionState.WITHDRAWN:
+        raise RefusedError(f"version {version} is withdrawn", Code.VERSION_WITHDRAWN)
+
+
+def _check_endpoint(
+    directory: DirectoryTables, target: Target, id_: EndpointId
+) -> None:
+    """Check that an endpoint still takes work for the target."""
+    endpoint = directory.endpoints.get(id_)
+    if endpoint is None or not endpoint.serving:
+        raise _refuse_endpoint(f"endpoint {id_} has left")
+    if not _runs_target(endpoint, target):
+        raise _refuse_endpoint(f"endpoint {id_} has not loaded {target.name}")
+
+
+def _runs_target(endpoint: Endpoint, target: Target) -> bool:
+    """Whether the endpoint announced the target."""
+    return target.name in endpoint.announcement.versions
+
+
+def _refuse_endpoint(detail: str) -> RefusedError:
+    """Make the refusal of an endpoint; another one may do."""
+    return RefusedError(detail, Code.NO_ENDPOINT)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/pool.py
@@ -0,0 +1,46 @@
+"""Pools: the endpoints of a version or service, by data centre."""
+
+from numpy import array, uint64
+from xxhash import xxh3_64_intdigest
+
+from bergamotwood_core.tables import DirectoryTables, Endpoint, Pool, PoolKey
+
+
+def find_pool(tables: DirectoryTables, key: PoolKey) -> Pool:
+    """Find a pool, made anew after a change of membership.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Endpoints, and the pools made from them.
+    key : PoolKey
+        Which pool.
+    """
+    size = len(tables.endpoints)
+    if tables.pools_membership != tables.membership or tables.pools_size != size:
+        tables.pools.clear()
+        tables.pools_membership = tables.membership
+        tables.pools_size = size
+    pool = tables.pools.get(key)
+    if pool is None:
+        pool = _make_pool(tables, key)
+        tables.pools[key] = pool
+    return pool
+
+
+def _make_pool(tables: DirectoryTables, key: PoolKey) -> Pool:
+    """Collect the endpoints of a pool."""
+    members = [
+        endpoint.id for endpoint in tables.endpoints.values() if _belongs(endpoint, key)
+    ]
+    members.sort()
+    hashes = [xxh3_64_intdigest(member.encode()) for member in members]
+    return Pool(tuple(members), array(hashes, dtype=uint64))
+
+
+def _belongs(endpoint: Endpoint, key: PoolKey) -> bool:
+    """Whether an endpoint is in a pool."""
+    announcement = endpoint.announcement
+    if not endpoint.serving or key.name not in announcement.versions:
+        return False
+    return (announcement.data_centre in key.data_centres) is not key.elsewhere
--- a/packages/core/src/bergamotwood_core/tables.py
+++ b/packages/core/src/bergamotwood_core/tables.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from numpy import uint64
+from numpy.typing import NDArray
+
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import (
     Cascade,
@@ -13,6 +16,7 @@
 )
 from bergamotwood_core.ids import (
     CascadeName,
+    DataCentre,
     EndpointId,
     Fingerprint,
     InstanceId,
@@ -49,6 +53,10 @@
         Failures in a row.
     ejected_until : Seconds
         Gets no new work before, because of failures.
+    waiting : int
+        Attempts of this daemon that have no first token yet.
+    waiting_since : Seconds
+        Since when it has sent no first token, while some attempt waited.
     """
 
     announcement: Announcement
@@ -58,6 +66,8 @@
     first_token_seconds: float = 0.0
     failures: int = 0
     ejected_until: Seconds = Seconds(0.0)
+    waiting: int = 0
+    waiting_since: Seconds = Seconds(0.0)
 
     @property
     def id(self) -> EndpointId:
@@ -127,12 +137,56 @@
     suspects: dict[Fingerprint, Suspect] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class PoolKey:
+    """Which endpoints a pool holds.
+
+    Parameters
+    ----------
+    name : str
+        Version or service that they run.
+    data_centres : tuple of DataCentre
+        Where they are.
+    elsewhere : bool
+        Whether they are in any data centre but these.
+    """
+
+    name: str
+    data_centres: tuple[DataCentre, ...]
+    elsewhere: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Endpoints of one pool, with a hash of each id."""
+
+    endpoints: tuple[EndpointId, ...]
+    hashes: NDArray[uint64]
+
+
 @dataclass
 class DirectoryTables:
-    """Soft state: who is there now."""
+    """Soft state: who is there now.
+
+    Parameters
+    ----------
+    endpoints, entries : dict
+        Rows by id.
+    membership : int
+        Raised whenever an endpoint comes, goes, moves or changes its versions;
+        the pools are made anew then.
+    pools : dict
+        Pools made since, by key.
+    pools_membership, pools_size : int
+        Membership and number of endpoints that the pools were made from.
+    """
 
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
     entries: dict[InstanceId, Entry] = field(default_factory=dict)
+    membership: int = 0
+    pools: dict[PoolKey, Pool] = field(default_factory=dict)
+    pools_membership: int = -1
+    pools_size: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/core/test_quarantine.py
@@ -0,0 +1,64 @@
+from bergamotwood_core.ids import EndpointId, Fingerprint, WorkspaceId
+from bergamotwood_core.quarantine import (
+    Failure,
+    Isolated,
+    Isolation,
+    Ordinary,
+    Quarantined,
+    check_fingerprint,
+    fingerprint_request,
+    is_crash,
+)
+from bergamotwood_core.tables import Suspect
+
+KUBWA = WorkspaceId("kubwa")
+A, B = EndpointId("a"), EndpointId("b")
+
+
+def test_the_fingerprint_tells_workspace_path_and_body_apart():
+    prints = {
+        fingerprint_request(WorkspaceId(workspace), path, body)
+        for workspace, path, body in [
+            ("kubwa", "/v1/chat", b"x"),
+            ("kubwa", "/v1/cha", b"tx"),
+            ("kubwa/", "v1/chat", b"x"),
+            ("colofn", "/v1/chat", b"x"),
+            ("kubwa", "/v1/chat", b"y"),
+        ]
+    }
+    assert len(prints) == 5
+    again = fingerprint_request(KUBWA, "/v1/chat", b"x")
+    assert again in prints
+
+
+def test_two_crashes_quarantine():
+    suspects = {Fingerprint("one"): Suspect(1, A), Fingerprint("two"): Suspect(2, B)}
+    assert check_fingerprint(suspects, Fingerprint("none")) == Ordinary()
+    assert check_fingerprint(suspects, Fingerprint("one")) == Isolated(A)
+    assert check_fingerprint(suspects, Fingerprint("two")) == Quarantined(2)
+
+
+def test_an_endpoint_runs_one_suspect_at_a_time():
+    isolation = Isolation()
+    first, second = Fingerprint("first"), Fingerprint("second")
+    assert isolation.start(first, A)
+    assert not isolation.start(second, A)
+    assert not isolation.start(first, B)
+    isolation.stop(second, A)
+    assert isolation.endpoints == {A}
+    isolation.stop(first, A)
+    assert isolation.start(second, A)
+
+
+def test_a_pooled_connection_closed_between_requests_is_no_crash():
+    idle_close = Failure(running=False, pooled=True, answered=False, reset=True)
+    assert not is_crash(idle_close, incarnation_changed=True, probe_failed=True)
+
+
+def test_a_reset_alone_is_no_crash():
+    reset = Failure(running=True, pooled=False, answered=True, reset=True)
+    assert not is_crash(reset, incarnation_changed=False, probe_failed=False)
+    assert is_crash(reset, incarnation_changed=True, probe_failed=False)
+    assert is_crash(reset, incarnation_changed=False, probe_failed=True)
+    silent = Failure(running=True, pooled=False, answered=True, reset=False)
+    assert not is_crash(silent, incarnation_changed=False, probe_failed=True)
--- /dev/null
+++ b/tests/core/test_stream.py
@@ -0,0 +1,127 @@
+from random import Random
+
+import pytest
+
+from bergamotwood_core.errors import Code, EndpointError
+from bergamotwood_core.ids import RequestId
+from bergamotwood_core.stream import Chunk, StreamAssembler, StreamLimits, Usage
+
+REQUEST = RequestId("r1")
+
+
+def make_chunks(count: int, words: str = "w") -> list[Chunk]:
+    """Make a whole answer: tokens, then the finish reason, then the usage."""
+    chunks = [Chunk(REQUEST, index, f"{words}{index} ") for index in range(count)]
+    chunks.append(Chunk(REQUEST, count, finish_reason="stop"))
+    chunks.append(Chunk(REQUEST, count + 1, usage=Usage(3, count)))
+    return chunks
+
+
+def read_text(chunks) -> str:
+    return "".join(chunk.content for chunk in chunks)
+
+
+def test_any_order_with_repeats_gives_the_whole_answer():
+    rng = Random(5)
+    for _ in range(200):
+        chunks = make_chunks(20)
+        sent = chunks + rng.sample(chunks, 6)
+        rng.shuffle(sent)
+        assembler = StreamAssembler(REQUEST)
+        got = [ready for chunk in sent for ready in assembler.accept(chunk)]
+        assert got == chunks
+        assert assembler.finish(done_seen=True) == Usage(3, 20)
+        assert assembler.complete
+
+
+def test_a_chunk_of_another_request_is_an_error():
+    assembler = StreamAssembler(REQUEST)
+    with pytest.raises(EndpointError) as caught:
+        assembler.accept(Chunk(RequestId("r2"), 0, "theirs"))
+    assert caught.value.code is Code.STREAM_BROKEN
+
+
+@pytest.mark.parametrize("missing", range(7))
+def test_an_answer_that_lacks_a_chunk_is_never_whole(missing):
+    chunks = make_chunks(5)
+    assembler = StreamAssembler(REQUEST)
+    for chunk in chunks[:missing] + chunks[missing + 1 :]:
+        assembler.accept(chunk)
+    with pytest.raises(EndpointError):
+        assembler.finish(done_seen=True)
+    assert not assembler.complete
+
+
+def test_a_stream_cut_exactly_before_its_end_marker_is_not_whole():
+    assembler = StreamAssembler(REQUEST)
+    for chunk in make_chunks(5):
+        assembler.accept(chunk)
+    with pytest.raises(EndpointError):
+        assembler.finish(done_seen=False)
+    assert not assembler.complete
+
+
+def test_usage_that_counts_other_tokens_is_an_error():
+    assembler = StreamAssembler(REQUEST)
+    for chunk in make_chunks(5)[:-1]:
+        assembler.accept(chunk)
+    assembler.accept(Chunk(REQUEST, 6, usage=Usage(3, 6)))
+    with pytest.raises(EndpointError):
+        assembler.finish(done_seen=True)
+
+
+def test_a_chunk_after_the_end_is_an_error():
+    assembler = StreamAssembler(REQUEST)
+    for chunk in make_chunks(2):
+        assembler.accept(chunk)
+    assembler.finish(done_seen=True)
+    with pytest.raises(EndpointError):
+        assembler.accept(Chunk(REQUEST, 4, "more"))
+
+
+def test_a_token_after_the_finish_reason_is_an_error():
+    assembler = StreamAssembler(REQUEST)
+    assembler.accept(Chunk(REQUEST, 0, "last", finish_reason="stop"))
+    with pytest.raises(EndpointError):
+        assembler.accept(Chunk(REQUEST, 1, "more"))
+
+
+def test_resume_drops_what_the_old_endpoint_sent_early():
+    old = make_chunks(6, "old")
+    new = make_chunks(6, "new")
+    assembler = StreamAssembler(REQUEST)
+    got = [*assembler.accept(old[0]), *assembler.accept(old[1])]
+    assert assembler.accept(old[3]) == ()
+    attempt = assembler.resume()
+    assert assembler.next_index == 2
+    assert assembler.accept(old[2], attempt=0) == ()
+    for chunk in new[2:]:
+        got.extend(assembler.accept(chunk, attempt))
+    assembler.finish(done_seen=True)
+    assert read_text(got) == "old0 old1 new2 new3 new4 new5 "
+
+
+def test_what_a_stream_holds_is_bounded():
+    assembler = StreamAssembler(REQUEST, StreamLimits(max_held=4, max_repeats=3))
+    assert assembler.accept(Chunk(REQUEST, 4, "early")) == ()
+    with pytest.raises(EndpointError):
+        assembler.accept(Chunk(REQUEST, 5, "too early"))
+
+
+def test_a_stream_of_repeats_alone_is_broken():
+    assembler = StreamAssembler(REQUEST, StreamLimits(max_repeats=3))
+    chunk = Chunk(REQUEST, 0, "a")
+    assembler.accept(chunk)
+    for _ in range(3):
+        assert assembler.accept(chunk) == ()
+    with pytest.raises(EndpointError):
+        assembler.accept(chunk)
+
+
+def test_an_answer_without_end_is_cut_off():
+    assembler = StreamAssembler(REQUEST, StreamLimits(max_tokens=3))
+    for index in range(3):
+        assembler.accept(Chunk(REQUEST, index, "x"))
+    with pytest.raises(EndpointError) as caught:
+        assembler.accept(Chunk(REQUEST, 3, "x"))
+    assert caught.value.code is Code.ANSWER_TOO_LARGE
