--- a/tests/core/test_cascade.py
+++ b/tests/core/test_cascade.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bergamotwood_core.budget import RatingBudget
 from bergamotwood_core.cascade import CascadePolicy, CascadeSettings, classify_request
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import Workspace
@@ -92,7 +93,14 @@
         policy.record_refusal(Seconds(float(now)))
     plans = plan_many(policy, start=50.0)
     assert all(plan.steps[-1].version == LARGE for plan in plans)
-    assert not policy.budget.take(Seconds(50.0))
+
+
+def test_refused_budget_slows_down():
+    budget = RatingBudget(per_second=100.0, burst=20.0)
+    for now in range(50):
+        budget.refuse(Seconds(float(now)))
+    taken = sum(budget.take(Seconds(49.0 + n / 100.0)) for n in range(1_000))
+    assert taken < 150
 
 
 def test_deadline_skips_the_rated_step(policy):
