--- a/packages/core/src/bergamotwood_core/configuration.py
+++ b/packages/core/src/bergamotwood_core/configuration.py
@@ -26,9 +26,9 @@
 
 
 class Entity(BaseModel):
-    """Base of the configuration entities: immutable, unknown fields refused."""
+    """Base of the entities: immutable, unknown fields and infinities refused."""
 
-    model_config = ConfigDict(frozen=True, extra="forbid")
+    model_config = ConfigDict(frozen=True, extra="forbid", allow_inf_nan=False)
 
 
 class Version(Entity):
--- a/packages/core/src/bergamotwood_core/states.py
+++ b/packages/core/src/bergamotwood_core/states.py
@@ -40,6 +40,27 @@
     STOPPED = "stopped"
 
 
+class TicketOutcome(StrEnum):
+    """What became of a ticket."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    CONFLICT = "conflict"
+    STALE = "stale"
+    INVALID = "invalid"
+
+
+class BillOutcome(StrEnum):
+    """What became of a bill, or of the end of a claim."""
+
+    RECORDED = "recorded"
+    DUPLICATE = "duplicate"
+    CONFLICT = "conflict"
+    EXPIRED = "expired"
+    FULL = "full"
+    INVALID = "invalid"
+
+
 class ClaimState(StrEnum):
     """State of a non-idempotent request in the ledger."""
 
--- a/packages/core/src/bergamotwood_core/tables.py
+++ b/packages/core/src/bergamotwood_core/tables.py
@@ -15,11 +15,13 @@
     CascadeName,
     EndpointId,
     Fingerprint,
+    Incarnation,
     InstanceId,
     LogIndex,
     ModelName,
     RequestId,
     RolloutId,
+    Sequence,
     ServiceName,
     TicketNumber,
     VersionId,
@@ -127,12 +129,34 @@
     suspects: dict[Fingerprint, Suspect] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Departure:
+    """Last word of an endpoint or entry that is no longer in its table.
+
+    Parameters
+    ----------
+    incarnation, sequence : int
+        Order of that word; an older one is late and ignored.
+    leaving : bool
+        Whether it said that it leaves, which is final for the incarnation.
+    at : Seconds
+        When it was taken out of the table.
+    """
+
+    incarnation: Incarnation
+    sequence: Sequence
+    leaving: bool
+    at: Seconds
+
+
 @dataclass
 class DirectoryTables:
-    """Soft state: who is there now."""
+    """Soft state: who is there now, and the last word of those who left."""
 
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
     entries: dict[InstanceId, Entry] = field(default_factory=dict)
+    departed_endpoints: dict[EndpointId, Departure] = field(default_factory=dict)
+    departed_entries: dict[InstanceId, Departure] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
