--- /dev/null
+++ b/benchmarks/answers.py
@@ -0,0 +1,110 @@
+"""Answers of stand-in engines and scores of a stand-in rating service."""
+
+from dataclasses import dataclass
+
+import numpy as np
+from scipy.special import ndtri
+
+from benchmarks.workloads import (
+    GOOD_PRECISION,
+    GOOD_QUALITY,
+    POOR_PRECISION,
+    POOR_QUALITY,
+    SHARED_DIFFICULTY,
+    Drift,
+    Floats,
+    RatingTerms,
+    Workload,
+    move_chances,
+)
+
+# Spread of the logarithm of token counts and of times.
+SIZE_SPREAD = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Answers:
+    """What every version would answer to every request of a run.
+
+    Parameters
+    ----------
+    classes : ndarray
+        Class index of each request.
+    times : ndarray
+        Arrival times in seconds.
+    prompts : ndarray
+        Prompt tokens.
+    outputs, qualities, first_scores, second_scores : ndarray
+        Output tokens, true quality, and two independent scores by request and version.
+    first_tokens, totals : ndarray
+        Seconds to the first token and to the end, by request and version.
+    costs : ndarray
+        Cost units by request and version.
+    chances : ndarray
+        True chance of a good answer by request, class and version.
+    """
+
+    classes: np.ndarray
+    times: Floats
+    prompts: Floats
+    outputs: Floats
+    qualities: Floats
+    first_scores: Floats
+    second_scores: Floats
+    first_tokens: Floats
+    totals: Floats
+    costs: Floats
+    chances: Floats
+
+
+def draw_qualities(chances: Floats, rng: np.random.Generator) -> Floats:
+    """Draw the true quality of one answer for each request and version."""
+    shared = rng.standard_normal((chances.shape[0], 1)) * np.sqrt(SHARED_DIFFICULTY)
+    own = rng.standard_normal(chances.shape) * np.sqrt(1.0 - SHARED_DIFFICULTY)
+    good = shared + own < ndtri(chances)
+    means = np.where(good, GOOD_QUALITY, POOR_QUALITY)
+    precision = np.where(good, GOOD_PRECISION, POOR_PRECISION)
+    return rng.beta(means * precision, (1.0 - means) * precision)
+
+
+def draw_scores(
+    qualities: Floats, terms: RatingTerms, rng: np.random.Generator
+) -> Floats:
+    """Draw a score for each answer, with the true quality as its mean."""
+    bounded = np.clip(qualities, 1e-3, 1.0 - 1e-3)
+    return rng.beta(bounded * terms.precision, (1.0 - bounded) * terms.precision)
+
+
+def draw_answers(
+    workload: Workload, drift: Drift, terms: RatingTerms, count: int, seed: int
+) -> Answers:
+    """Draw a whole run."""
+    rng = np.random.default_rng(seed)
+    shares = [traits.share for traits in workload.classes]
+    classes = rng.choice(len(shares), size=count, p=shares)
+    chances = move_chances(workload, drift, count, rng)
+    qualities = draw_qualities(chances[np.arange(count), classes], rng)
+    shape = qualities.shape
+    sizes = np.array([traits.prompt_tokens for traits in workload.classes])
+    prompts = np.round(sizes[classes] * rng.lognormal(0.0, SIZE_SPREAD, count))
+    lengths = np.array([traits.output_tokens for traits in workload.classes])
+    outputs = lengths[classes][:, None] * rng.lognormal(0.0, SIZE_SPREAD, shape)
+    outputs = np.round(outputs)
+    first = np.array([v.first_token_seconds for v in workload.versions])
+    speeds = np.array([v.token_seconds for v in workload.versions])
+    first_tokens = first[None, :] * rng.lognormal(0.0, SIZE_SPREAD, shape)
+    inputs = np.array([v.input_price for v in workload.versions])
+    prices = np.array([v.output_price for v in workload.versions])
+    return Answers(
+        classes=classes,
+        times=np.cumsum(rng.exponential(1.0 / workload.requests_per_second, count)),
+        prompts=prompts,
+        outputs=outputs,
+        qualities=qualities,
+        first_scores=draw_scores(qualities, terms, rng),
+        second_scores=draw_scores(qualities, terms, rng),
+        first_tokens=first_tokens,
+        totals=first_tokens + outputs * speeds[None, :],
+        costs=(prompts[:, None] * inputs + outputs * prices) / 1_000.0,
+        chances=chances,
+    )
--- /dev/null
+++ b/benchmarks/cascade.py
@@ -0,0 +1,493 @@
+"""Cost and quality of the cascade policy against fixed cascades and a bound."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict, dataclass
+from heapq import heappop, heappush
+from itertools import combinations
+from json import dumps
+from math import sqrt
+from pathlib import Path
+from random import Random
+
+import numpy as np
+from click import command, echo, option
+
+from benchmarks.answers import Answers, draw_answers
+from benchmarks.clairvoyant import find_mix
+from benchmarks.workloads import (
+    RATING_TERMS,
+    WORKLOADS,
+    Drift,
+    Floats,
+    Ratings,
+    RatingTerms,
+    Workload,
+)
+from bergamotwood_core.budget import RatingBudget
+from bergamotwood_core.cascade import CascadePolicy, CascadeSettings, Plan
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Workspace
+from bergamotwood_core.evidence import CellKey
+from bergamotwood_core.ids import RequestClass, VersionId
+from bergamotwood_core.usage import Candidate, Usage
+
+WINDOW = 500
+RATING_SECONDS = 0.5
+RATING_BURST = 20.0
+# Blocks of a drifting run in which the bound takes the chances as constant.
+BLOCKS = 32
+# Seconds between two exchanges of evidence between entries.
+EXCHANGE_SECONDS = 5.0
+FIXED_THRESHOLDS = (0.5, 0.6, 0.7, 0.8)
+
+
+@dataclass(frozen=True, slots=True)
+class Track:
+    """Cost and true quality of each request under one policy."""
+
+    name: str
+    costs: Floats
+    qualities: Floats
+    ratings: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """What one policy gave in one run.
+
+    Parameters
+    ----------
+    name : str
+        The policy.
+    cost, quality : float
+        Means after the first window.
+    start_cost, start_quality : float
+        Means in the first window.
+    missed, windows : int
+        Windows after the first below the target by more than two standard errors,
+        and all windows after the first.
+    ratings : float
+        Ratings used for each request.
+    """
+
+    name: str
+    cost: float
+    quality: float
+    start_cost: float
+    start_quality: float
+    missed: int
+    windows: int
+    ratings: float
+
+
+def summarize(track: Track, target: float) -> Summary:
+    """Reduce a track to means and missed windows."""
+    count = len(track.costs)
+    missed = 0
+    starts = range(WINDOW, count - WINDOW + 1, WINDOW)
+    for start in starts:
+        window = track.qualities[start : start + WINDOW]
+        error = float(window.std(ddof=1)) / sqrt(WINDOW)
+        missed += bool(window.mean() < target - 2.0 * error)
+    return Summary(
+        name=track.name,
+        cost=float(track.costs[WINDOW:].mean()),
+        quality=float(track.qualities[WINDOW:].mean()),
+        start_cost=float(track.costs[:WINDOW].mean()),
+        start_quality=float(track.qualities[:WINDOW].mean()),
+        missed=missed,
+        windows=len(starts),
+        ratings=track.ratings / count,
+    )
+
+
+class PolicyRun:
+    """Drives the policy of several entries through one run.
+
+    Parameters
+    ----------
+    workload : Workload
+        Classes, versions and target.
+    answers : Answers
+        What the engines and the rating service would say.
+    terms : RatingTerms
+        Limit and delay of ratings.
+    entries : int
+        Entries that share the traffic.
+    seed : int
+        Seed of the policy and of the choice of entries.
+    """
+
+    def __init__(
+        self,
+        workload: Workload,
+        answers: Answers,
+        terms: RatingTerms,
+        entries: int,
+        seed: int,
+    ) -> None:
+        self.workload = workload
+        self.answers = answers
+        self.terms = terms
+        self.rng = Random(seed)
+        per_second = terms.per_request * workload.requests_per_second
+        self.service = RatingBudget(per_second * 1.05, RATING_BURST)
+        self.policies = [
+            CascadePolicy(
+                CascadeSettings(
+                    source=f"{number}/1",
+                    ratings_per_second=per_second / entries,
+                    rating_burst=max(RATING_BURST / entries, 2.0),
+                    rating_seconds=RATING_SECONDS,
+                ),
+                Random(seed + number),
+            )
+            for number in range(entries)
+        ]
+        names = [traits.name for traits in workload.versions]
+        self.versions = [VersionId(f"{name}:1") for name in names]
+        self.indexes = {version: i for i, version in enumerate(self.versions)}
+        self.classes = [RequestClass(traits.name) for traits in workload.classes]
+        self.workspace = Workspace(
+            name="workspace",
+            versions=tuple(self.versions),
+            quality_target=workload.target,
+            latency_weight=workload.latency_weight,
+        )
+        self.candidates = [
+            Candidate(version, v.input_price, v.output_price, v.first_token_seconds)
+            for version, v in zip(self.versions, workload.versions, strict=True)
+        ]
+        self.pending: list[tuple[float, int, CascadePolicy, CellKey, float]] = []
+        self.exchanged_at = 0.0
+        self.ratings = 0
+
+    def run(self) -> Track:
+        """Answer every request in turn."""
+        count = len(self.answers.times)
+        costs = np.zeros(count)
+        qualities = np.zeros(count)
+        for index in range(count):
+            now = float(self.answers.times[index])
+            self._deliver(now)
+            policy = self.rng.choice(self.policies)
+            request_class = self.classes[self.answers.classes[index]]
+            plan = policy.plan(
+                self.workspace,
+                request_class,
+                self.candidates,
+                int(self.answers.prompts[index]),
+                Seconds(now),
+            )
+            costs[index], qualities[index] = self._answer(
+                policy, plan, request_class, index, now
+            )
+        return Track("policy", costs, qualities, self.ratings)
+
+    def _answer(
+        self,
+        policy: CascadePolicy,
+        plan: Plan,
+        request_class: RequestClass,
+        index: int,
+        now: float,
+    ) -> tuple[float, float]:
+        answers = self.answers
+        cost = 0.0
+        wait = 0.0
+        escalated = False
+        for step in plan.steps:
+            version = self.indexes[step.version]
+            self._record_usage(policy, request_class, index, version)
+            cost += float(answers.costs[index, version])
+            key = CellKey(self.workspace.key, request_class, step.version, escalated)
+            if not step.rate:
+                wait += float(answers.first_tokens[index, version])
+                break
+            wait += float(answers.totals[index, version]) + RATING_SECONDS
+            if not self.service.take(Seconds(now)):
+                policy.record_refusal(Seconds(now))
+                escalated = True
+                continue
+            self.ratings += 1
+            score = float(answers.first_scores[index, version])
+            policy.record_rating(key, score, Seconds(now))
+            if score >= step.threshold:
+                break
+            escalated = True
+        if not step.rate and policy.should_sample(key, Seconds(now)):
+            self._sample(policy, key, index, version, now)
+        quality = float(answers.qualities[index, version])
+        return cost + self.workload.latency_weight * wait, quality
+
+    def _record_usage(
+        self,
+        policy: CascadePolicy,
+        request_class: RequestClass,
+        index: int,
+        version: int,
+    ) -> None:
+        usage = Usage(
+            prompt_tokens=int(self.answers.prompts[index]),
+            output_tokens=int(self.answers.outputs[index, version]),
+            first_token_seconds=float(self.answers.first_tokens[index, version]),
+            total_seconds=float(self.answers.totals[index, version]),
+        )
+        policy.record_answer(request_class, self.versions[version], usage)
+
+    def _sample(
+        self, policy: CascadePolicy, key: CellKey, index: int, version: int, now: float
+    ) -> None:
+        if not self.service.take(Seconds(now)):
+            policy.record_refusal(Seconds(now))
+            return
+        self.ratings += 1
+        score = float(self.answers.second_scores[index, version])
+        due = now + self.terms.delay_seconds
+        heappush(self.pending, (due, self.ratings, policy, key, score))
+
+    def _deliver(self, now: float) -> None:
+        while self.pending and self.pending[0][0] <= now:
+            _, _, policy, key, score = heappop(self.pending)
+            policy.record_rating(key, score, Seconds(now))
+        if len(self.policies) < 2 or now - self.exchanged_at < EXCHANGE_SECONDS:
+            return
+        self.exchanged_at = now
+        messages = [policy.take_evidence() for policy in self.policies]
+        for policy in self.policies:
+            for message in messages:
+                policy.merge_evidence(message)
+
+
+def run_fixed(
+    workload: Workload,
+    answers: Answers,
+    terms: RatingTerms,
+    steps: Sequence[tuple[int, float]],
+) -> Track:
+    """Answer every request with one cascade; without a rating it escalates."""
+    per_second = terms.per_request * workload.requests_per_second
+    service = RatingBudget(per_second, RATING_BURST)
+    count = len(answers.times)
+    costs = np.zeros(count)
+    qualities = np.zeros(count)
+    ratings = 0
+    for index in range(count):
+        now = Seconds(float(answers.times[index]))
+        wait = 0.0
+        for version, threshold in steps[:-1]:
+            if not service.take(now):
+                continue
+            ratings += 1
+            costs[index] += answers.costs[index, version]
+            wait += answers.totals[index, version] + RATING_SECONDS
+            if answers.first_scores[index, version] >= threshold:
+                qualities[index] = answers.qualities[index, version]
+                break
+        else:
+            version = steps[-1][0]
+            costs[index] += answers.costs[index, version]
+            wait += answers.first_tokens[index, version]
+            qualities[index] = answers.qualities[index, version]
+        costs[index] += workload.latency_weight * wait
+    names = [workload.versions[version].name for version, _ in steps]
+    suffix = f"@{steps[0][1]}" if len(steps) > 1 else ""
+    return Track(">".join(names) + suffix, costs, qualities, ratings)
+
+
+def list_fixed(count: int) -> Iterable[tuple[tuple[int, float], ...]]:
+    """List single versions and short cascades with one threshold."""
+    for version in range(count):
+        yield ((version, 0.0),)
+    for length in (2, 3):
+        for chosen in combinations(range(count), length):
+            for threshold in FIXED_THRESHOLDS:
+                yield tuple((version, threshold) for version in chosen)
+
+
+def run_clairvoyant(
+    workload: Workload, answers: Answers, terms: RatingTerms, drift: Drift, seed: int
+) -> Track:
+    """Answer every request with the mix of the true chances of its moment."""
+    count = len(answers.times)
+    costs = np.zeros(count)
+    qualities = np.zeros(count)
+    rng = np.random.default_rng(seed)
+    ratings = 0
+    for start, end in _list_blocks(answers, drift):
+        chances = answers.chances[(start + end) // 2]
+        mix = find_mix(workload, chances, terms, RATING_SECONDS, seed)
+        for index in range(start, end):
+            kind = int(answers.classes[index])
+            chosen = rng.choice(len(mix.shares[kind]), p=mix.shares[kind])
+            steps = mix.options[kind][chosen].steps
+            costs[index], qualities[index], used = _play(
+                workload, answers, steps, index
+            )
+            ratings += used
+    return Track("clairvoyant", costs, qualities, ratings)
+
+
+def _list_blocks(answers: Answers, drift: Drift) -> list[tuple[int, int]]:
+    count = len(answers.times)
+    if drift is Drift.DRIFT:
+        edges = [round(count * block / BLOCKS) for block in range(BLOCKS + 1)]
+    else:
+        moved = np.any(np.diff(answers.chances, axis=0) != 0.0, axis=(1, 2))
+        edges = [0, *(np.flatnonzero(moved) + 1).tolist(), count]
+    return list(zip(edges, edges[1:], strict=False))
+
+
+def _play(
+    workload: Workload,
+    answers: Answers,
+    steps: Sequence[tuple[int, float]],
+    index: int,
+) -> tuple[float, float, int]:
+    cost = 0.0
+    wait = 0.0
+    used = 0
+    for version, threshold in steps[:-1]:
+        used += 1
+        cost += answers.costs[index, version]
+        wait += answers.totals[index, version] + RATING_SECONDS
+        if answers.first_scores[index, version] >= threshold:
+            cost += workload.latency_weight * wait
+            return cost, answers.qualities[index, version], used
+    version = steps[-1][0]
+    wait += answers.first_tokens[index, version]
+    cost += answers.costs[index, version] + workload.latency_weight * wait
+    return cost, answers.qualities[index, version], used
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Results of every policy in one run."""
+
+    workload: str
+    drift: str
+    ratings: str
+    seed: int
+    entries: int
+    policy: Summary
+    clairvoyant: Summary
+    cheapest: Summary
+    dearest: Summary
+    best_fixed: Summary | None
+
+
+def run_case(
+    workload: Workload,
+    drift: Drift,
+    ratings: Ratings,
+    count: int,
+    entries: int,
+    seed: int,
+    fixed: bool = True,
+) -> Case:
+    """Run every policy on the same answers."""
+    terms = RATING_TERMS[ratings]
+    answers = draw_answers(workload, drift, terms, count, seed)
+    target = workload.target
+    policy = PolicyRun(workload, answers, terms, entries, seed).run()
+    clairvoyant = run_clairvoyant(workload, answers, terms, drift, seed)
+    size = len(workload.versions)
+    options = list(list_fixed(size)) if fixed else list(list_fixed(size))[:size]
+    tracks = [run_fixed(workload, answers, terms, steps) for steps in options]
+    summaries = [summarize(track, target) for track in tracks]
+    holding = [summary for summary in summaries if not summary.missed]
+    return Case(
+        workload=workload.name,
+        drift=drift,
+        ratings=ratings,
+        seed=seed,
+        entries=entries,
+        policy=summarize(policy, target),
+        clairvoyant=summarize(clairvoyant, target),
+        cheapest=summaries[0],
+        dearest=summaries[size - 1],
+        best_fixed=min(holding, key=lambda s: s.cost, default=None),
+    )
+
+
+def describe(cases: Sequence[Case]) -> str:
+    """Describe the cases of one setting in a line of the table."""
+    first = cases[0]
+    cost = _mean(case.policy.cost for case in cases)
+    bound = _mean(case.clairvoyant.cost for case in cases)
+    fixed = [case for case in cases if case.best_fixed is not None]
+    versus = _mean(c.policy.cost / c.best_fixed.cost for c in fixed) if fixed else 0.0
+    dearer = sum(c.policy.cost > c.best_fixed.cost for c in fixed)
+    missed = sum(case.policy.missed for case in cases)
+    known = sum(case.clairvoyant.missed for case in cases)
+    windows = sum(case.policy.windows for case in cases)
+    return (
+        f"{first.workload:10}{first.drift:10}{first.ratings:9}{first.entries:2}"
+        f"{cost:8.3f}{cost / bound:7.3f}{versus:7.3f}{dearer:3}/{len(fixed):<3}"
+        f"{_mean(c.policy.cost / c.dearest.cost for c in cases):7.3f}"
+        f"{_mean(c.policy.quality for c in cases):7.3f}"
+        f"{missed:4}/{windows:<4}{known:3}"
+        f"{_mean(c.policy.ratings for c in cases):6.2f}"
+        f"{_mean(c.policy.start_cost / c.policy.cost for c in cases):7.2f}"
+        f"{_mean(c.policy.start_quality for c in cases):7.3f}"
+    )
+
+
+HEADER = (
+    f"{'workload':10}{'drift':10}{'ratings':9}{'n':>2}{'cost':>8}{'/bound':>7}"
+    f"{'/fixed':>7}{'dearer':>7}{'/dear':>7}{'qual':>7}{'missed':>8}{'bnd':>4}"
+    f"{'rated':>6}{'start$':>7}{'startq':>7}"
+)
+
+
+def _mean(numbers: Iterable[float]) -> float:
+    return float(np.mean(list(numbers)))
+
+
+@command()
+@option("--workload", "names", multiple=True, help="Workloads; all by default.")
+@option("--drift", "drifts", multiple=True, type=Drift, help="Drifts.")
+@option("--ratings", "kinds", multiple=True, type=Ratings, help="Rating terms.")
+@option("--requests", default=10_000, help="Requests in one run.")
+@option("--entries", default=1, help="Entries that share the traffic.")
+@option("--seeds", default=5, help="Seeds, from --seed up.")
+@option("--seed", default=1, help="First seed.")
+@option("--no-fixed", is_flag=True, help="Leave out the fixed cascades.")
+@option("--short", is_flag=True, help="One workload, one seed.")
+@option("--out", default="out/cascade.json", help="Where the JSON goes.")
+def main(
+    names: tuple[str, ...],
+    drifts: tuple[Drift, ...],
+    kinds: tuple[Ratings, ...],
+    requests: int,
+    entries: int,
+    seeds: int,
+    seed: int,
+    no_fixed: bool,
+    short: bool,
+    out: str,
+) -> None:
+    """Compare the cascade policy with fixed cascades and the bound."""
+    if short:
+        names, kinds, seeds, requests = ("kubwa-3",), (Ratings.ENOUGH,), 1, 4_000
+    echo(HEADER)
+    cases: list[Case] = []
+    for name in names or WORKLOADS:
+        for drift in drifts or Drift:
+            for ratings in kinds or Ratings:
+                workload = WORKLOADS[name]
+                row = [
+                    run_case(
+                        workload, drift, ratings, requests, entries, s, not no_fixed
+                    )
+                    for s in range(seed, seed + seeds)
+                ]
+                echo(describe(row))
+                cases += row
+    path = Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(dumps([asdict(case) for case in cases], indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/workloads.py
@@ -0,0 +1,203 @@
+"""Workloads of both fleets: classes, versions and how their quality moves."""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+import numpy as np
+from numpy.typing import NDArray
+
+Floats = NDArray[np.float64]
+
+
+class Drift(StrEnum):
+    """How the versions' chances move."""
+
+    STEADY = "steady"
+    DRIFT = "drift"
+    TURN_BAD = "turn-bad"
+
+
+class Ratings(StrEnum):
+    """How good and how many ratings are."""
+
+    ENOUGH = "enough"
+    LIMITED = "limited"
+    SCARCE = "scarce"
+    DELAYED = "delayed"
+    NOISY = "noisy"
+
+
+@dataclass(frozen=True, slots=True)
+class RatingTerms:
+    """Limit, delay and noise of the rating service.
+
+    Parameters
+    ----------
+    per_request : float
+        Ratings that may be asked for, for each request.
+    delay_seconds : float
+        Time until a sampled rating is known.
+    precision : float
+        Concentration of a score around the true quality; higher is less noisy.
+    """
+
+    per_request: float
+    delay_seconds: float
+    precision: float
+
+
+RATING_TERMS = {
+    Ratings.ENOUGH: RatingTerms(1.0, 5.0, 8.0),
+    Ratings.LIMITED: RatingTerms(0.2, 5.0, 8.0),
+    Ratings.SCARCE: RatingTerms(0.05, 5.0, 8.0),
+    Ratings.DELAYED: RatingTerms(1.0, 120.0, 8.0),
+    Ratings.NOISY: RatingTerms(1.0, 5.0, 3.0),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class VersionTraits:
+    """Prices per 1,000 tokens and speed of a version."""
+
+    name: str
+    input_price: float
+    output_price: float
+    first_token_seconds: float
+    token_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClassTraits:
+    """A kind of request and each version's chance of a good answer."""
+
+    name: str
+    share: float
+    prompt_tokens: int
+    output_tokens: int
+    chances: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """The requests of one workspace.
+
+    Parameters
+    ----------
+    name : str
+        Fleet and size.
+    versions, classes : tuple
+        What answers and what is asked.
+    target : float
+        Mean quality wanted.
+    latency_weight : float
+        Cost units for each second to the first token.
+    requests_per_second : float
+        Arrival rate.
+    """
+
+    name: str
+    versions: tuple[VersionTraits, ...]
+    classes: tuple[ClassTraits, ...]
+    target: float
+    latency_weight: float
+    requests_per_second: float = 4.0
+
+
+TINY = VersionTraits("tiny", 0.05, 0.15, 0.10, 0.006)
+SMALL = VersionTraits("small", 0.15, 0.45, 0.15, 0.010)
+MIDDLE = VersionTraits("middle", 0.50, 1.50, 0.25, 0.016)
+LARGE = VersionTraits("large", 1.50, 4.50, 0.40, 0.025)
+HUGE = VersionTraits("huge", 4.00, 12.00, 0.70, 0.040)
+GIANT = VersionTraits("giant", 8.00, 24.00, 1.00, 0.055)
+
+KUBWA_THREE = Workload(
+    "kubwa-3",
+    (SMALL, MIDDLE, HUGE),
+    (
+        ClassTraits("chapters", 0.2, 9_000, 900, (0.45, 0.80, 0.97)),
+        ClassTraits("letters", 0.35, 1_500, 350, (0.72, 0.88, 0.97)),
+        ClassTraits("notes", 0.45, 250, 200, (0.93, 0.96, 0.98)),
+    ),
+    target=0.85,
+    latency_weight=0.002,
+)
+KUBWA_FIVE = Workload(
+    "kubwa-5",
+    (TINY, SMALL, MIDDLE, LARGE, HUGE),
+    (
+        ClassTraits("chapters", 0.2, 9_000, 900, (0.20, 0.45, 0.75, 0.92, 0.97)),
+        ClassTraits("letters", 0.35, 1_500, 350, (0.50, 0.72, 0.88, 0.95, 0.97)),
+        ClassTraits("notes", 0.45, 250, 200, (0.84, 0.93, 0.96, 0.97, 0.98)),
+    ),
+    target=0.85,
+    latency_weight=0.002,
+)
+COLOFN_FOUR = Workload(
+    "colofn-4",
+    (SMALL, MIDDLE, LARGE, HUGE),
+    (
+        ClassTraits("catalogue", 0.3, 3_500, 1_200, (0.55, 0.82, 0.93, 0.96)),
+        ClassTraits("rights", 0.15, 12_000, 500, (0.35, 0.70, 0.90, 0.96)),
+        ClassTraits("availability", 0.55, 180, 60, (0.94, 0.96, 0.97, 0.98)),
+    ),
+    target=0.84,
+    latency_weight=0.2,
+)
+COLOFN_SIX = Workload(
+    "colofn-6",
+    (TINY, SMALL, MIDDLE, LARGE, HUGE, GIANT),
+    (
+        ClassTraits(
+            "catalogue", 0.3, 3_500, 1_200, (0.3, 0.55, 0.82, 0.93, 0.96, 0.98)
+        ),
+        ClassTraits("rights", 0.15, 12_000, 500, (0.15, 0.35, 0.70, 0.90, 0.96, 0.98)),
+        ClassTraits(
+            "availability", 0.55, 180, 60, (0.85, 0.94, 0.96, 0.97, 0.98, 0.98)
+        ),
+    ),
+    target=0.84,
+    latency_weight=0.2,
+)
+WORKLOADS = {w.name: w for w in (KUBWA_THREE, KUBWA_FIVE, COLOFN_FOUR, COLOFN_SIX)}
+
+# Mean quality of a good and of a poor answer, and the spread of both.
+GOOD_QUALITY = 0.93
+POOR_QUALITY = 0.35
+GOOD_PRECISION = 40.0
+POOR_PRECISION = 10.0
+# Share of a request's difficulty that all versions feel alike.
+SHARED_DIFFICULTY = 0.3
+# Standard deviation of the logit's slow swing, and swings over a run.
+DRIFT_SIZE = 0.8
+DRIFT_SWINGS = 2.0
+# Part of a run in which one version is bad, and what is left of its chances.
+BAD_FROM = 0.4
+BAD_UNTIL = 0.7
+BAD_FACTOR = 0.4
+
+
+def move_chances(
+    workload: Workload, drift: Drift, count: int, rng: np.random.Generator
+) -> Floats:
+    """Make each version's chances over a run, by request, class and version."""
+    base = np.array([traits.chances for traits in workload.classes])
+    chances = np.broadcast_to(base, (count, *base.shape)).copy()
+    times = np.arange(count) / count
+    match drift:
+        case Drift.DRIFT:
+            phases = rng.uniform(0.0, 2.0 * np.pi, base.shape)
+            angles = 2.0 * np.pi * DRIFT_SWINGS * times[:, None, None] + phases
+            logits = np.log(chances / (1.0 - chances)) + DRIFT_SIZE * np.sin(angles)
+            chances = 1.0 / (1.0 + np.exp(-logits))
+        case Drift.TURN_BAD:
+            bad = (times >= BAD_FROM) & (times < BAD_UNTIL)
+            version = rng.integers(0, base.shape[1] - 1)
+            chances[bad, :, version] *= BAD_FACTOR
+        case Drift.STEADY:
+            pass
+    return chances
+
+
+def scale(workload: Workload, **changes: float) -> Workload:
+    """Copy a workload with some traits changed."""
+    return replace(workload, **changes)
