--- a/benchmarks/cascade.py
+++ b/benchmarks/cascade.py
@@ -101,6 +101,9 @@
     )
 
 
+Sample = tuple[float, int, CascadePolicy, CellKey, float, float | None]
+
+
 class PolicyRun:
     """Drives the policy of several entries through one run.
 
@@ -158,7 +161,7 @@
             Candidate(version, v.input_price, v.output_price, v.first_token_seconds)
             for version, v in zip(self.versions, workload.versions, strict=True)
         ]
-        self.pending: list[tuple[float, int, CascadePolicy, CellKey, float]] = []
+        self.pending: list[Sample] = []
         self.exchanged_at = 0.0
         self.ratings = 0
 
@@ -215,8 +218,10 @@
             if score >= step.threshold:
                 break
             escalated = True
-        if not step.rate and policy.should_sample(key, Seconds(now)):
-            self._sample(policy, key, index, version, now)
+        accepted = float(answers.first_scores[index, version]) if step.rate else None
+        policy.record_return(self.workspace, key, accepted)
+        if policy.should_sample(key, Seconds(now), accepted is not None):
+            self._sample(policy, key, index, version, now, accepted)
         quality = float(answers.qualities[index, version])
         return cost + self.workload.latency_weight * wait, quality
 
@@ -236,7 +241,13 @@
         policy.record_answer(request_class, self.versions[version], usage)
 
     def _sample(
-        self, policy: CascadePolicy, key: CellKey, index: int, version: int, now: float
+        self,
+        policy: CascadePolicy,
+        key: CellKey,
+        index: int,
+        version: int,
+        now: float,
+        accepted: float | None,
     ) -> None:
         if not self.service.take(Seconds(now)):
             policy.record_refusal(Seconds(now))
@@ -244,12 +255,15 @@
         self.ratings += 1
         score = float(self.answers.second_scores[index, version])
         due = now + self.terms.delay_seconds
-        heappush(self.pending, (due, self.ratings, policy, key, score))
+        heappush(self.pending, (due, self.ratings, policy, key, score, accepted))
 
     def _deliver(self, now: float) -> None:
         while self.pending and self.pending[0][0] <= now:
-            _, _, policy, key, score = heappop(self.pending)
-            policy.record_rating(key, score, Seconds(now))
+            _, _, policy, key, score, accepted = heappop(self.pending)
+            if accepted is None:
+                policy.record_rating(key, score, Seconds(now))
+            else:
+                policy.record_repeat(key, accepted, score)
         if len(self.policies) < 2 or now - self.exchanged_at < EXCHANGE_SECONDS:
             return
         self.exchanged_at = now
--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,556 @@
+"""Exposure, false stops and time of roll-outs against fixed-step canaries."""
+
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from json import dumps
+from math import sqrt
+from pathlib import Path
+
+import numpy as np
+from click import command, echo, option
+
+from benchmarks.workloads import Floats
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Model, Rollout, Version
+from bergamotwood_core.estimate import SCORE_BINS
+from bergamotwood_core.ids import RolloutId, TicketNumber, VersionId
+from bergamotwood_core.messages import Address, Announcement
+from bergamotwood_core.outcome import LATENCY_BOUNDS, ArmCounts, RolloutReport
+from bergamotwood_core.rollout import RolloutWatch, advance_rollouts, merge_reports
+from bergamotwood_core.states import EndpointKind, RolloutState
+from bergamotwood_core.tables import (
+    ConfigurationTables,
+    DirectoryTables,
+    Endpoint,
+    RolloutProgress,
+)
+
+TICK_SECONDS = 5.0
+REQUESTS_PER_SECOND = 10.0
+MAX_SECONDS = 14_400.0
+# Time until a committed change of the progress is in force at the entries.
+FORCE_SECONDS = 5.0
+# Share of the answers that are rated, and the time that it takes.
+CURRENT_RATED = 0.1
+CANDIDATE_RATED = 0.5
+RATING_SECONDS = 10.0
+ANSWER_SECONDS = 5.0
+# Candidate's requests within which a version that turns bad does so.
+TURN_WITHIN = 1_000
+# Time without a leader when one is lost, and when it is lost.
+LEADER_LOST_AT = 300.0
+LEADER_LOST_SECONDS = 15.0
+# Time from a canary's last request to its stop in force, as for the roll-outs.
+CANARY_DELAY = ANSWER_SECONDS + RATING_SECONDS + 5.0 + FORCE_SECONDS
+DRAWS = 200_000
+TICKET = TicketNumber(1)
+STAGES = (0.01, 0.05, 0.25, 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How a version behaves.
+
+    Parameters
+    ----------
+    failures : float
+        Share of the requests that fail.
+    first_token_seconds : float
+        Median time to the first token.
+    quality : float
+        Mean quality.
+    """
+
+    failures: float = 0.01
+    first_token_seconds: float = 0.3
+    quality: float = 0.87
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """A candidate: how it behaves at first, and after it has turned."""
+
+    name: str
+    before: Behaviour
+    after: Behaviour | None = None
+    harmful: bool = True
+
+
+GOOD = Behaviour()
+BAD_QUALITY = Behaviour(quality=0.6)
+BAD_FAILURES = Behaviour(failures=0.15)
+BAD_LATENCY = Behaviour(first_token_seconds=0.6)
+TRIALS = (
+    Trial("good", GOOD, harmful=False),
+    Trial("better", Behaviour(quality=0.89), harmful=False),
+    Trial("bad quality", BAD_QUALITY),
+    Trial("bad failures", BAD_FAILURES),
+    Trial("bad latency", BAD_LATENCY),
+    Trial("turns quality", GOOD, BAD_QUALITY),
+    Trial("turns failures", GOOD, BAD_FAILURES),
+    Trial("turns latency", GOOD, BAD_LATENCY),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """Circumstances of a run.
+
+    Parameters
+    ----------
+    name : str
+        For the table.
+    entries : int
+        Entries that share the traffic.
+    report_seconds : float
+        Age of an entry's report when the leader gets it.
+    lose_leader : bool
+        Whether the leader is lost halfway, with all that it held.
+    rollouts : int
+        Roll-outs at once, of different models.
+    """
+
+    name: str
+    entries: int = 1
+    report_seconds: float = 5.0
+    lose_leader: bool = False
+    rollouts: int = 1
+
+
+SETTINGS = (
+    Setting("one entry"),
+    Setting("nine entries", entries=9),
+    Setting("delayed 60 s", entries=9, report_seconds=60.0),
+    Setting("leader lost", entries=9, lose_leader=True),
+    Setting("two at once", entries=9, rollouts=2),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """End of one roll-out.
+
+    Parameters
+    ----------
+    state : str
+        How it ended.
+    exposed : int
+        Requests on the candidate while it was bad; all of them if it never was.
+    seconds : float
+        When it ended.
+    """
+
+    state: str
+    exposed: int
+    seconds: float
+
+
+class Bins:
+    """Chances of the latency and score bins of a behaviour."""
+
+    def __init__(self, behaviour: Behaviour, rng: np.random.Generator) -> None:
+        self.behaviour = behaviour
+        times = behaviour.first_token_seconds * rng.lognormal(0.0, 0.4, DRAWS)
+        places = np.searchsorted(LATENCY_BOUNDS, times)
+        size = len(LATENCY_BOUNDS) + 1
+        self.latencies = np.bincount(places, minlength=size) / DRAWS
+        scores = draw_scores(behaviour, DRAWS, rng)
+        indexes = np.minimum((scores * SCORE_BINS).astype(int), SCORE_BINS - 1)
+        self.scores = np.bincount(indexes, minlength=SCORE_BINS) / DRAWS
+
+
+def draw_scores(behaviour: Behaviour, count: int, rng: np.random.Generator) -> Floats:
+    """Draw ratings of a behaviour's answers, good ones and poor ones."""
+    good = rng.random(count) < (behaviour.quality - 0.35) / (0.93 - 0.35)
+    means = np.where(good, 0.93, 0.35)
+    return rng.beta(means * 8.0, (1.0 - means) * 8.0)
+
+
+class ArmFlow:
+    """Requests of one version at one entry, with what is still to come of them."""
+
+    def __init__(self, rated: float, rng: np.random.Generator) -> None:
+        self.counts = ArmCounts()
+        self.rated = rated
+        self.rng = rng
+        self.answers: list[tuple[float, int, Bins]] = []
+        self.ratings: list[tuple[float, np.ndarray]] = []
+
+    def start(self, now: float, count: int, bins: Bins) -> None:
+        """Dispatch requests."""
+        self.counts.started += count
+        self.answers.append((now + ANSWER_SECONDS, count, bins))
+
+    def settle(self, now: float) -> None:
+        """Count the answers and the ratings that are due."""
+        while self.answers and self.answers[0][0] <= now:
+            _, count, bins = self.answers.pop(0)
+            self._finish(now, count, bins)
+        while self.ratings and self.ratings[0][0] <= now:
+            _, scores = self.ratings.pop(0)
+            self.counts.scores = (scores + self.counts.scores).tolist()
+
+    def _finish(self, now: float, count: int, bins: Bins) -> None:
+        failed = int(self.rng.binomial(count, bins.behaviour.failures))
+        self.counts.finished += count
+        self.counts.failed += failed
+        latencies = self.rng.multinomial(count - failed, bins.latencies)
+        self.counts.latencies = (latencies + self.counts.latencies).tolist()
+        rated = self.rng.binomial(count - failed, self.rated)
+        scores = self.rng.multinomial(rated, bins.scores)
+        self.ratings.append((now + RATING_SECONDS, scores))
+
+
+class RolloutRun:
+    """Drives roll-outs of one trial until they end.
+
+    Parameters
+    ----------
+    trial : Trial
+        The candidates' behaviour.
+    setting : Setting
+        Circumstances.
+    bins : dict
+        Bins of each behaviour.
+    seed : int
+        Seed of the traffic.
+    """
+
+    def __init__(
+        self, trial: Trial, setting: Setting, bins: dict[Behaviour, Bins], seed: int
+    ) -> None:
+        self.trial = trial
+        self.setting = setting
+        self.bins = bins
+        self.rng = np.random.default_rng(seed)
+        self.turn_after = int(self.rng.integers(0, TURN_WITHIN))
+        self.names = [RolloutId(f"r{index}") for index in range(setting.rollouts)]
+        self.configuration = _make_configuration(self.names)
+        self.directory = _make_directory(self.names)
+        self.watches: dict[RolloutId, RolloutWatch] = {}
+        self.flows = {
+            name: [
+                (ArmFlow(CANDIDATE_RATED, self.rng), ArmFlow(CURRENT_RATED, self.rng))
+                for _ in range(setting.entries)
+            ]
+            for name in self.names
+        }
+        self.in_force = dict.fromkeys(self.names, (0, RolloutState.RUNNING))
+        self.coming: list[tuple[float, RolloutId, int, RolloutState]] = []
+        self.reports: list[tuple[float, list[RolloutReport]]] = []
+        self.bad = dict.fromkeys(self.names, 0)
+        self.ended: dict[RolloutId, float] = {}
+        self.sequence = 0
+
+    def run(self) -> list[Result]:
+        """Run until every roll-out has ended or the time is over."""
+        now = 0.0
+        while now < MAX_SECONDS and len(self.ended) < len(self.names):
+            now += TICK_SECONDS
+            self._take_effect(now)
+            for name in self.names:
+                self._send_traffic(name, now)
+            self._report(now)
+            self._judge(now)
+        return [self._find_result(name, now) for name in self.names]
+
+    def _take_effect(self, now: float) -> None:
+        while self.coming and self.coming[0][0] <= now:
+            _, name, stage, state = self.coming.pop(0)
+            self.in_force[name] = (stage, state)
+            if state is not RolloutState.RUNNING:
+                self.ended.setdefault(name, now)
+
+    def _send_traffic(self, name: RolloutId, now: float) -> None:
+        stage, state = self.in_force[name]
+        share = STAGES[stage] if state is RolloutState.RUNNING else 0.0
+        mean = REQUESTS_PER_SECOND * TICK_SECONDS / self.setting.entries
+        exposed = sum(pair[0].counts.started for pair in self.flows[name])
+        turned = self.trial.after is not None and exposed >= self.turn_after
+        behaviour = self.trial.after if turned else self.trial.before
+        for candidate, current in self.flows[name]:
+            count = int(self.rng.poisson(mean))
+            chosen = int(self.rng.binomial(count, share))
+            candidate.settle(now)
+            current.settle(now)
+            candidate.start(now, chosen, self.bins[behaviour])
+            current.start(now, count - chosen, self.bins[GOOD])
+            if self.trial.after is None or turned:
+                self.bad[name] += chosen
+
+    def _report(self, now: float) -> None:
+        self.sequence += 1
+        reports = [
+            RolloutReport(
+                f"{entry}/1",
+                self.sequence,
+                name,
+                TICKET,
+                candidate.counts.copy(),
+                current.counts.copy(),
+            )
+            for name in self.names
+            for entry, (candidate, current) in enumerate(self.flows[name])
+        ]
+        self.reports.append((now + self.setting.report_seconds, reports))
+
+    def _judge(self, now: float) -> None:
+        lost = now - LEADER_LOST_AT
+        if self.setting.lose_leader and 0.0 <= lost < LEADER_LOST_SECONDS:
+            self.watches = {}
+            return
+        changes = advance_rollouts(
+            self.configuration, self.directory, self.watches, Seconds(now)
+        )
+        while self.reports and self.reports[0][0] <= now:
+            _, reports = self.reports.pop(0)
+            merge_reports(self.watches, reports)
+        for change in changes:
+            progress = change.progress
+            self.configuration.progress[change.rollout] = progress
+            due = now + FORCE_SECONDS
+            self.coming.append((due, change.rollout, progress.stage, progress.state))
+
+    def _find_result(self, name: RolloutId, now: float) -> Result:
+        state = self.configuration.progress[name].state
+        return Result(state, self.bad[name], self.ended.get(name, now))
+
+
+def _make_configuration(names: Sequence[RolloutId]) -> ConfigurationTables:
+    configuration = ConfigurationTables()
+    for name in names:
+        old, new = Version(id=f"{name}:1"), Version(id=f"{name}:2")
+        model = Model(name=name, current=old.id, versions=(old, new))
+        configuration.models[model.key] = model
+        configuration.rollouts[name] = Rollout(
+            name=name, model=name, candidate=new.id, stages=STAGES
+        )
+        configuration.progress[name] = RolloutProgress(TICKET)
+    return configuration
+
+
+def _make_directory(names: Sequence[RolloutId]) -> DirectoryTables:
+    versions = tuple(VersionId(f"{name}:{n}") for name in names for n in (1, 2))
+    directory = DirectoryTables()
+    announcement = Announcement(
+        id="e1",
+        incarnation=1,
+        sequence=1,
+        address=Address("127.0.0.1", 1),
+        data_centre="westlands",
+        kind=EndpointKind.MODEL,
+        versions=versions,
+    )
+    directory.endpoints["e1"] = Endpoint(announcement, Seconds(0.0))
+    return directory
+
+
+@dataclass(frozen=True, slots=True)
+class CanaryRun:
+    """Greatest z statistic of each stage of one fixed-step canary.
+
+    Parameters
+    ----------
+    statistics : tuple of float
+        By stage.
+    step : int
+        Candidate's requests in a stage.
+    turn_after : int
+        Candidate's requests before it was bad.
+    """
+
+    statistics: tuple[float, ...]
+    step: int
+    turn_after: int
+
+    def find_exposed(self, limit: float) -> tuple[bool, float]:
+        """Whether it stops at a limit, and the bad requests until then."""
+        exposed = 0.0
+        for stage, statistic in enumerate(self.statistics):
+            late = STAGES[stage] * REQUESTS_PER_SECOND * CANARY_DELAY
+            exposed = max((stage + 1) * self.step + late - self.turn_after, 0.0)
+            if statistic > limit:
+                return True, exposed
+        return False, exposed
+
+
+def run_canary(
+    trial: Trial, step: int, bins: dict[Behaviour, Bins], rng: np.random.Generator
+) -> CanaryRun:
+    """Run a canary that looks after a fixed number of requests in each stage.
+
+    A version that turns bad does so at any of its requests, alike.
+    """
+    turn_after = 0
+    if trial.after is not None:
+        turn_after = int(rng.integers(0, step * len(STAGES)))
+    statistics: list[float] = []
+    for stage, share in enumerate(STAGES):
+        turned = 0
+        if trial.after is not None:
+            turned = min(max((stage + 1) * step - turn_after, 0), step)
+        parts = [(trial.before, step - turned), (trial.after or GOOD, turned)]
+        current = min(int(step * max(1.0 / share - 1.0, 3.0)), 20_000)
+        tests = [
+            _compare(parts, current, metric, bins, rng)
+            for metric in ("failures", "latencies", "scores")
+        ]
+        statistics.append(max(tests))
+    return CanaryRun(tuple(statistics), step, turn_after)
+
+
+def _compare(
+    parts: Sequence[tuple[Behaviour, int]],
+    current: int,
+    metric: str,
+    bins: dict[Behaviour, Bins],
+    rng: np.random.Generator,
+) -> float:
+    new = np.concatenate([_draw(b, n, metric, True, rng) for b, n in parts])
+    old = _draw(GOOD, current, metric, False, rng)
+    if len(new) < 2 or len(old) < 2:
+        return 0.0
+    spread = sqrt(float(new.var() / len(new) + old.var() / len(old)))
+    return float(new.mean() - old.mean()) / max(spread, 1e-9)
+
+
+def _draw(
+    behaviour: Behaviour,
+    count: int,
+    metric: str,
+    candidate: bool,
+    rng: np.random.Generator,
+) -> Floats:
+    match metric:
+        case "failures":
+            return (rng.random(count) < behaviour.failures).astype(float)
+        case "latencies":
+            times = behaviour.first_token_seconds * rng.lognormal(0.0, 0.4, count)
+            return (times > 0.5).astype(float)
+        case _:
+            rated = CANDIDATE_RATED if candidate else CURRENT_RATED
+            scores = draw_scores(behaviour, int(rng.binomial(count, rated)), rng)
+            return 1.0 - scores
+
+
+def calibrate_canary(
+    step: int,
+    bins: dict[Behaviour, Bins],
+    rate: float,
+    runs: int,
+    rng: np.random.Generator,
+) -> float:
+    """Find the z limit at which a good candidate is stopped at a given rate."""
+    worst = [
+        max(run_canary(TRIALS[0], step, bins, rng).statistics) for _ in range(runs)
+    ]
+    return float(np.quantile(worst, 1.0 - rate))
+
+
+def describe(name: str, trial: Trial, results: Sequence[Result]) -> str:
+    """Describe the results of one trial in a line of the table."""
+    stopped = [r for r in results if r.state == RolloutState.STOPPED]
+    completed = [r for r in results if r.state == RolloutState.COMPLETED]
+    exposed = [r.exposed for r in results]
+    times = [r.seconds for r in (stopped if trial.harmful else completed)]
+    return (
+        f"{name:14}{trial.name:16}{len(results):5}"
+        f"{len(stopped) / len(results):9.3f}{len(completed) / len(results):10.3f}"
+        f"{np.mean(exposed):9.1f}{np.quantile(exposed, 0.95):8.0f}"
+        f"{np.mean(times) if times else float('nan'):9.0f}"
+    )
+
+
+HEADER = (
+    f"{'setting':14}{'candidate':16}{'runs':>5}{'stopped':>9}{'completed':>10}"
+    f"{'exposed':>9}{'p95':>8}{'seconds':>9}"
+)
+
+
+@command()
+@option("--seeds", default=40, help="Runs of each trial.")
+@option("--good-seeds", default=200, help="Runs of a good candidate, one entry.")
+@option("--seed", default=1, help="First seed.")
+@option("--canary-runs", default=2_000, help="Runs of each canary.")
+@option("--short", is_flag=True, help="Few runs, one entry.")
+@option("--out", default="out/rollout.json", help="Where the JSON goes.")
+def main(
+    seeds: int, good_seeds: int, seed: int, canary_runs: int, short: bool, out: str
+) -> None:
+    """Compare the roll-outs' sequential tests with fixed-step canaries."""
+    if short:
+        seeds, good_seeds, canary_runs = 3, 3, 100
+    rng = np.random.default_rng(seed)
+    behaviours = {t.before for t in TRIALS} | {t.after for t in TRIALS if t.after}
+    bins = {b: Bins(b, rng) for b in sorted(behaviours, key=repr)}
+    echo(HEADER)
+    rows: list[dict[str, object]] = []
+    means: dict[str, float] = {}
+    false_stops = 0.0
+    for setting in SETTINGS[:1] if short else SETTINGS:
+        for trial in TRIALS:
+            first = setting is SETTINGS[0] and trial is TRIALS[0]
+            results = [
+                result
+                for number in range(good_seeds if first else seeds)
+                for result in RolloutRun(trial, setting, bins, seed + number).run()
+            ]
+            echo(describe(setting.name, trial, results))
+            if first:
+                stops = [r.state == RolloutState.STOPPED for r in results]
+                false_stops = float(np.mean(stops))
+            if setting is SETTINGS[0]:
+                means[trial.name] = float(np.mean([r.exposed for r in results]))
+            rows.append(
+                {
+                    "setting": asdict(setting),
+                    "trial": trial.name,
+                    "seed": seed,
+                    "results": [asdict(result) for result in results],
+                }
+            )
+    rate = max(false_stops, 1.0 / good_seeds)
+    echo(f"\ncanaries at a false-stop rate of {rate:.3f} (measured {false_stops:.3f})")
+    rows += compare_canaries(bins, rate, canary_runs, means, rng)
+    path = Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(dumps(rows))
+
+
+def compare_canaries(
+    bins: dict[Behaviour, Bins],
+    rate: float,
+    runs: int,
+    means: dict[str, float],
+    rng: np.random.Generator,
+) -> list[dict[str, object]]:
+    """Print and return exposure and misses of canaries of several step sizes."""
+    echo(f"{'step':>6}{'candidate':>16}{'missed':>8}{'exposed':>9}{'ours/it':>9}")
+    rows: list[dict[str, object]] = []
+    for step in (50, 100, 200, 400):
+        limit = calibrate_canary(step, bins, rate, runs, rng)
+        for trial in TRIALS:
+            if not trial.harmful:
+                continue
+            found = [
+                run_canary(trial, step, bins, rng).find_exposed(limit)
+                for _ in range(runs // 4)
+            ]
+            missed = 1.0 - float(np.mean([stopped for stopped, _ in found]))
+            exposed = float(np.mean([count for _, count in found]))
+            ratio = means[trial.name] / exposed if exposed else float("nan")
+            echo(f"{step:6}{trial.name:>16}{missed:8.3f}{exposed:9.1f}{ratio:9.2f}")
+            rows.append(
+                {
+                    "canary": step,
+                    "trial": trial.name,
+                    "limit": limit,
+                    "missed": missed,
+                    "exposed": exposed,
+                }
+            )
+    return rows
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bergamotwood_core/budget.py
+++ b/packages/core/src/bergamotwood_core/budget.py
@@ -37,6 +37,11 @@
             return self.burst
         return self.per_second * self._factor * self._interval
 
+    def find_level(self, now: Seconds) -> float:
+        """Share of the burst that is there."""
+        self._fill(now)
+        return self._tokens / self.burst
+
     def count_request(self, now: Seconds) -> None:
         """Learn the rate of requests."""
         if self._requested_at is not None:
@@ -45,12 +50,25 @@
             self._interval += weight * (gap - self._interval)
         self._requested_at = now
 
-    def take(self, now: Seconds) -> bool:
-        """Take one token, if there is one."""
+    def take(self, now: Seconds, amount: float = 1.0) -> bool:
+        """Take tokens if at least one is there.
+
+        Parameters
+        ----------
+        now : Seconds
+            The time.
+        amount : float
+            Ratings expected; a little more than there are may be taken.
+
+        Returns
+        -------
+        bool
+            Whether they were taken.
+        """
         self._fill(now)
         if self._tokens < 1.0:
             return False
-        self._tokens -= 1.0
+        self._tokens -= amount
         return True
 
     def refuse(self, now: Seconds) -> None:
--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -9,7 +9,7 @@
 from bergamotwood_core.budget import RatingBudget
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import NAME_PATTERN, Workspace
-from bergamotwood_core.estimate import Estimate, find_bin, is_score
+from bergamotwood_core.estimate import Estimate, Reliability, find_bin, is_score
 from bergamotwood_core.evidence import (
     MAX_MESSAGE_CELLS,
     CellKey,
@@ -18,6 +18,7 @@
     SequenceFilter,
 )
 from bergamotwood_core.frontier import (
+    THRESHOLDS,
     Mix,
     Option,
     Prospect,
@@ -27,6 +28,7 @@
     drop_poor,
     list_options,
     trace_hull,
+    weigh_quality,
 )
 from bergamotwood_core.ids import RequestClass, VersionId, WorkspaceId
 from bergamotwood_core.segment import Segment, SegmentKey, WorkspaceState
@@ -36,9 +38,21 @@
 MEDIUM_PROMPT_TOKENS = 4_096
 # Quality believed of the dearest candidate and of the others before any rating.
 DEAREST_PRIOR = 0.9
-OTHERS_PRIOR = 0.5
+OTHERS_PRIOR = 0.6
+# Quality that an answer loses on average when another version failed before.
+ESCALATION_LOSS = 0.05
+# Ratings that this belief counts as.
+ESCALATION_RATINGS = 5.0
+# Ratings with which a version counts as known.
+KNOWN_RATINGS = 40.0
+# Share of the ratings that is for samples.
+SAMPLE_RESERVE = 0.25
+# Share of the answers that were rated before that are rated again.
+REPEAT_SHARE = 0.05
 MAX_CELLS = 4_096
 MAX_WORKSPACES = 1_024
+# Steps of the search for the price of a rating.
+PRICE_STEPS = 6
 
 
 def classify_request(prompt_tokens: int, explicit: str | None = None) -> RequestClass:
@@ -67,9 +81,11 @@
     rating_seconds : float
         Time that one rating takes.
     sample_share : float
-        Share of the answers that are rated afterwards.
-    reliability : float
-        Share of the variance of scores that is true quality.
+        Share of the answers of little-known quality that are rated afterwards.
+    explore_share : float
+        Share of the requests that try a version which may save all of the cost.
+    hope : float
+        Standard errors by which such a version may be better.
     caution : float
         Standard errors that unrated quality is lowered by.
     margin : float
@@ -82,11 +98,12 @@
     ratings_per_second: float = 1.0
     rating_burst: float = 20.0
     rating_seconds: float = 0.5
-    sample_share: float = 0.1
-    reliability: float = 0.8
-    caution: float = 0.5
-    margin: float = 0.01
-    replan_seconds: float = 2.0
+    sample_share: float = 0.2
+    explore_share: float = 0.5
+    hope: float = 1.5
+    caution: float = 0.25
+    margin: float = 0.006
+    replan_seconds: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +126,10 @@
 
     def __init__(self, settings: CascadeSettings, rng: Random) -> None:
         self.settings = settings
-        self.budget = RatingBudget(settings.ratings_per_second, settings.rating_burst)
+        kept = SAMPLE_RESERVE
+        rate, burst = settings.ratings_per_second, settings.rating_burst
+        self.budget = RatingBudget(rate * (1.0 - kept), burst * (1.0 - kept))
+        self.samples = RatingBudget(rate * kept, max(burst * kept, 1.0))
         self._rng = rng
         self._cells: OrderedDict[CellKey, Estimate] = OrderedDict()
         self._usage: OrderedDict[tuple[RequestClass, VersionId], UsageAverage] = (
@@ -118,6 +138,7 @@
         self._workspaces: OrderedDict[WorkspaceId, WorkspaceState] = OrderedDict()
         self._collector = EvidenceCollector(settings.source)
         self._filter = SequenceFilter()
+        self._reliability = Reliability()
 
     def plan(
         self,
@@ -158,8 +179,8 @@
         self.budget.count_request(now)
         if segment.mix is None or now - state.planned_at > self.settings.replan_seconds:
             self._allocate(workspace, state, now)
-        steps = self._draw_option(segment).steps
-        steps = self._fit_budget(steps, now)
+        option = self._draw_option(segment, now)
+        steps = self._explore(workspace, request_class, segment, option, now)
         if deadline is not None:
             steps = self._fit_deadline(steps, request_class, usable, deadline - now)
         return Plan(steps)
@@ -185,12 +206,60 @@
     def record_refusal(self, now: Seconds) -> None:
         """Learn that the rating service refused."""
         self.budget.refuse(now)
+        self.samples.refuse(now)
 
-    def should_sample(self, key: CellKey, now: Seconds) -> bool:
-        """Whether an answer that was returned should be rated afterwards."""
-        if self._rng.random() >= self.settings.sample_share:
+    def record_repeat(self, key: CellKey, first: float, second: float) -> None:
+        """Learn from the second rating of an answer that was rated before."""
+        if is_score(first) and is_score(second):
+            self._reliability.add(self.find_estimate(key).mean, first, second)
+
+    def record_return(
+        self, workspace: Workspace, key: CellKey, score: float | None
+    ) -> None:
+        """Learn which answer the caller got.
+
+        Parameters
+        ----------
+        workspace : Workspace
+            Whose request.
+        key : CellKey
+            What answered.
+        score : float or None
+            Rating with which it was accepted, if it was rated.
+        """
+        estimate = self.find_estimate(key)
+        if score is None:
+            quality = weigh_quality(estimate, self.settings.caution)
+        else:
+            mean = estimate.mean
+            quality = mean + self._reliability.value * (score - mean)
+        state = self._find_state(workspace.key)
+        state.count_quality(quality, workspace.quality_target + self.settings.margin)
+
+    def should_sample(self, key: CellKey, now: Seconds, rated: bool = False) -> bool:
+        """Whether an answer that was returned should be rated afterwards.
+
+        Parameters
+        ----------
+        key : CellKey
+            What answered.
+        now : Seconds
+            The time.
+        rated : bool
+            Whether it was rated before; the answer goes to `record_repeat` then.
+
+        Returns
+        -------
+        bool
+            True for a share that falls as the quality becomes known.
+        """
+        weight = self.find_estimate(key).weight
+        chance = REPEAT_SHARE
+        if not rated:
+            chance = self.settings.sample_share * 2.0 * KNOWN_RATINGS / weight
+        if self._rng.random() >= chance:
             return False
-        return self.budget.take(now)
+        return self._take_sample(weight, now)
 
     def take_evidence(self) -> Evidence:
         """Ratings since the last call, to be sent to the other entries."""
@@ -209,7 +278,13 @@
 
     def find_estimate(self, key: CellKey) -> Estimate:
         """Find the estimate of a cell, made with its prior if it is new."""
-        return self._find_cell(key, OTHERS_PRIOR)
+        estimate = self._cells.get(key)
+        if estimate is None:
+            estimate = self._cells[key] = Estimate(OTHERS_PRIOR)
+            if len(self._cells) > MAX_CELLS:
+                self._cells.popitem(last=False)
+        self._cells.move_to_end(key)
+        return estimate
 
     def _find_state(self, workspace: WorkspaceId) -> WorkspaceState:
         state = self._workspaces.setdefault(workspace, WorkspaceState())
@@ -221,44 +296,71 @@
     def _allocate(
         self, workspace: Workspace, state: WorkspaceState, now: Seconds
     ) -> None:
-        options = [
-            self._list_segment_options(workspace, key, segment)
-            for key, segment in state.segments.items()
-        ]
+        options = self._list_options(workspace, state, self.settings.caution)
+        hopeful = self._list_options(workspace, state, -self.settings.hope)
         weights = state.list_weights()
-        target = workspace.quality_target + self.settings.margin
-        options = [drop_poor(listed, target) for listed in options]
-        mixes = self._find_mixes(options, weights, target)
-        for segment, mix in zip(state.segments.values(), mixes, strict=True):
+        target = workspace.quality_target + self.settings.margin + state.correction
+        mixes = self._find_mixes(options, weights, target, now)
+        singles = [[o for o in listed if not o.ratings] for listed in options]
+        unrated = _allocate_at_price(singles, weights, target, 0.0)
+        hopes = _allocate_at_price(hopeful, weights, target, 0.0)
+        for segment, mix, spare, hope in zip(
+            state.segments.values(), mixes, unrated, hopes, strict=True
+        ):
             segment.mix = mix
+            segment.unrated = spare
+            segment.hopes = _list_versions(hope)
+            segment.hoped_cost = hope.low.cost
         state.planned_at = now
 
     def _find_mixes(
-        self, options: list[list[Option]], weights: list[float], target: float
+        self,
+        options: list[list[Option]],
+        weights: list[float],
+        target: float,
+        now: Seconds,
     ) -> list[Mix]:
-        limit = self.budget.share * (1.0 - self.settings.sample_share)
-        price = 0.0
-        highest = max(option.cost for listed in options for option in listed)
-        for _ in range(12):
-            hulls = [trace_hull(listed, price) for listed in options]
-            mixes = allocate(hulls, weights, target)
-            if _count_ratings(mixes, weights) <= limit:
-                return mixes
-            price = max(2.0 * price, highest / 64.0)
-        return mixes
+        limit = self.budget.share
+        mixes = _allocate_at_price(options, weights, target, 0.0)
+        if _count_ratings(mixes, weights) <= limit:
+            return mixes
+        low, high = 0.0, max(option.cost for listed in options for option in listed)
+        within = mixes
+        for _ in range(PRICE_STEPS):
+            price = 0.5 * (low + high)
+            found = _allocate_at_price(options, weights, target, price)
+            if _count_ratings(found, weights) <= limit:
+                high, within = price, found
+            else:
+                low, mixes = price, found
+        return mixes if self.budget.find_level(now) > 0.5 else within
+
+    def _list_options(
+        self, workspace: Workspace, state: WorkspaceState, caution: float
+    ) -> list[list[Option]]:
+        return [
+            self._list_segment_options(workspace, key, segment, caution)
+            for key, segment in state.segments.items()
+        ]
 
     def _list_segment_options(
-        self, workspace: Workspace, key: SegmentKey, segment: Segment
+        self, workspace: Workspace, key: SegmentKey, segment: Segment, caution: float
     ) -> list[Option]:
-        prospects = [
-            self._weigh_candidate(workspace, key.request_class, segment, candidate)
-            for candidate in segment.candidates
-        ]
+        prospects: list[Prospect] = []
+        prior = OTHERS_PRIOR
+        for candidate in segment.candidates:
+            if candidate is segment.candidates[-1]:
+                prior = max(prior, DEAREST_PRIOR)
+            prospect = self._weigh_candidate(
+                workspace, key.request_class, segment, candidate, prior
+            )
+            prospects.append(prospect)
+            prior = max(OTHERS_PRIOR, prospect.fresh.mean)
         terms = Terms(
             latency_weight=workspace.latency_weight,
             rating_seconds=self.settings.rating_seconds,
-            reliability=self.settings.reliability,
-            caution=self.settings.caution,
+            reliability=self._reliability.value,
+            caution=caution,
         )
         return list_options(prospects, terms)
 
@@ -268,44 +370,70 @@
         request_class: RequestClass,
         segment: Segment,
         candidate: Candidate,
+        prior: float,
     ) -> Prospect:
         usage = self._usage.get((request_class, candidate.version), UsageAverage())
-        last = candidate is segment.candidates[-1]
-        prior = DEAREST_PRIOR if last else OTHERS_PRIOR
         key = CellKey(workspace.key, request_class, candidate.version)
-        fresh = self._find_cell(key, prior)
+        fresh = self.find_estimate(key)
+        fresh.prior_mean = prior
         key = CellKey(workspace.key, request_class, candidate.version, True)
+        escalated = self.find_estimate(key)
+        escalated.prior_mean = fresh.mean - ESCALATION_LOSS
+        escalated.prior_weight = ESCALATION_RATINGS
         return Prospect(
             version=candidate.version,
             cost=candidate.price(segment.prompt_tokens, usage.output_tokens),
             first_token_seconds=candidate.first_token_seconds,
             total_seconds=candidate.first_token_seconds + usage.decode_seconds,
             fresh=fresh,
-            escalated=self._find_cell(key, fresh.mean),
+            escalated=escalated,
         )
 
-    def _find_cell(self, key: CellKey, prior: float) -> Estimate:
-        estimate = self._cells.get(key)
-        if estimate is None:
-            estimate = self._cells[key] = Estimate(prior)
-            if len(self._cells) > MAX_CELLS:
-                self._cells.popitem(last=False)
-        self._cells.move_to_end(key)
-        return estimate
+    def _draw_option(self, segment: Segment, now: Seconds) -> Option:
+        option = segment.draw_rated()
+        if not option.ratings or self.budget.take(now, option.ratings):
+            return option
+        return segment.draw_unrated()
 
-    def _draw_option(self, segment: Segment) -> Option:
-        mix = segment.mix
-        if mix is None:
-            raise ValueError("segment without an allocation")
-        segment.credit += mix.share
-        if segment.credit < 1.0:
-            return mix.low
-        segment.credit -= 1.0
-        return mix.high
+    def _explore(
+        self,
+        workspace: Workspace,
+        request_class: RequestClass,
+        segment: Segment,
+        option: Option,
+        now: Seconds,
+    ) -> tuple[Step, ...]:
+        steps = option.steps
+        version = self._find_least_known(workspace, request_class, segment.hopes)
+        key = CellKey(workspace.key, request_class, version)
+        weight = self.find_estimate(key).weight
+        if version == steps[0].version or weight > KNOWN_RATINGS:
+            return steps
+        saving = 1.0 - segment.hoped_cost / max(option.cost, 1e-9)
+        if self._rng.random() >= self.settings.explore_share * saving:
+            return steps
+        if not self._take_sample(weight, now):
+            return steps
+        threshold = min(workspace.quality_target, max(THRESHOLDS))
+        kept = tuple(step for step in steps if step.version != version)
+        return (Step(version, True, threshold), *(kept or steps))
+
+    def _take_sample(self, weight: float, now: Seconds) -> bool:
+        if self.samples.take(now):
+            return True
+        return weight < KNOWN_RATINGS and self.budget.take(now)
+
+    def _find_least_known(
+        self,
+        workspace: Workspace,
+        request_class: RequestClass,
+        versions: Sequence[VersionId],
+    ) -> VersionId:
+        def weigh(version: VersionId) -> float:
+            key = CellKey(workspace.key, request_class, version)
+            return self.find_estimate(key).weight
 
-    def _fit_budget(self, steps: tuple[Step, ...], now: Seconds) -> tuple[Step, ...]:
-        fitted = [step for step in steps if not step.rate or self.budget.take(now)]
-        return tuple(fitted)
+        return min(versions, key=weigh)
 
     def _fit_deadline(
         self,
@@ -330,6 +458,21 @@
         return (*kept, steps[-1])
 
 
+def _allocate_at_price(
+    options: Sequence[Sequence[Option]],
+    weights: Sequence[float],
+    target: float,
+    rating_price: float,
+) -> list[Mix]:
+    hulls = [trace_hull(drop_poor(listed, target), rating_price) for listed in options]
+    return allocate(hulls, weights, target)
+
+
+def _list_versions(mix: Mix) -> tuple[VersionId, ...]:
+    options = (mix.low, mix.high) if mix.share else (mix.low,)
+    return tuple(step.version for option in options for step in option.steps)
+
+
 def _count_ratings(mixes: Sequence[Mix], weights: Sequence[float]) -> float:
     return sum(
         weight * (mix.low.ratings + mix.share * (mix.high.ratings - mix.low.ratings))
--- a/packages/core/src/bergamotwood_core/frontier.py
+++ b/packages/core/src/bergamotwood_core/frontier.py
@@ -1,17 +1,17 @@
 """Cascade options of least cost for each quality, and their allocation."""
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import combinations
+from math import sqrt
 
 from bergamotwood_core.estimate import Estimate
 from bergamotwood_core.ids import VersionId
 
-# Rated steps that one option may hold before its last step.
-MAX_RATED_STEPS = 2
-THRESHOLDS = (0.45, 0.55, 0.65, 0.75)
+# Least scores with which a rated answer may be accepted.
+THRESHOLDS = (0.35, 0.45, 0.55, 0.65, 0.75, 0.85)
 # Expected quality below the target that no request is given, whatever the mean.
-MAX_SHORTFALL = 0.2
+MAX_SHORTFALL = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
     reliability : float
         Share of the variance of scores that is true quality.
     caution : float
-        Standard errors that unrated quality is lowered by.
+        Standard errors that quality is lowered by; negative to be hopeful.
     """
 
     latency_weight: float
@@ -98,45 +98,99 @@
     share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Weighed:
+    """Figures of one prospect as a first, a later and a last step."""
+
+    version: VersionId
+    last_cost: float
+    rated_cost: float
+    fresh_quality: float
+    escalated_quality: float
+    fresh_acceptance: list[tuple[float, float]]
+    escalated_acceptance: list[tuple[float, float]]
+
+
 def list_options(prospects: Sequence[Prospect], terms: Terms) -> list[Option]:
     """Every single version and every short rated cascade, in the given order."""
-    options = [_weigh_last(prospect, terms, escalated=False) for prospect in prospects]
-    for count in range(2, min(MAX_RATED_STEPS + 1, len(prospects)) + 1):
-        for chosen in combinations(prospects, count):
-            options += _list_rated(chosen, terms)
+    weighed = [_weigh(prospect, terms) for prospect in prospects]
+    options = [
+        Option((Step(w.version),), w.last_cost, w.fresh_quality) for w in weighed
+    ]
+    for first, last in combinations(weighed, 2):
+        options += _list_pairs(first, last)
+    for first, second, last in combinations(weighed, 3):
+        options += _list_triples(first, second, last)
     return options
 
 
-def _list_rated(chosen: Sequence[Prospect], terms: Terms) -> Iterator[Option]:
-    for threshold in THRESHOLDS:
-        option = _weigh_last(chosen[-1], terms, escalated=True)
-        for index in range(len(chosen) - 2, -1, -1):
-            option = _put_before(chosen[index], option, threshold, terms, index > 0)
-        yield option
-
+def weigh_quality(estimate: Estimate, caution: float) -> float:
+    """Mean quality of an unrated answer, lowered by its uncertainty."""
+    quality = estimate.mean - caution * estimate.standard_error
+    return min(max(quality, 0.0), 1.0)
 
-def _weigh_last(prospect: Prospect, terms: Terms, escalated: bool) -> Option:
-    estimate = prospect.escalated if escalated else prospect.fresh
-    quality = estimate.mean - terms.caution * estimate.standard_error
-    cost = prospect.cost + terms.latency_weight * prospect.first_token_seconds
-    return Option((Step(prospect.version),), cost, max(quality, 0.0))
 
-
-def _put_before(
-    prospect: Prospect, rest: Option, threshold: float, terms: Terms, escalated: bool
-) -> Option:
-    estimate = prospect.escalated if escalated else prospect.fresh
-    chance, quality = estimate.accept(threshold, terms.reliability)
+def _weigh(prospect: Prospect, terms: Terms) -> _Weighed:
     wait = prospect.total_seconds + terms.rating_seconds
-    cost = prospect.cost + terms.latency_weight * wait
-    return Option(
-        steps=(Step(prospect.version, True, threshold), *rest.steps),
-        cost=cost + (1.0 - chance) * rest.cost,
-        quality=chance * quality + (1.0 - chance) * rest.quality,
-        ratings=1.0 + (1.0 - chance) * rest.ratings,
+    fresh, escalated = prospect.fresh, prospect.escalated
+    return _Weighed(
+        version=prospect.version,
+        last_cost=prospect.cost + terms.latency_weight * prospect.first_token_seconds,
+        rated_cost=prospect.cost + terms.latency_weight * wait,
+        fresh_quality=weigh_quality(fresh, terms.caution),
+        escalated_quality=weigh_quality(escalated, terms.caution),
+        fresh_acceptance=_list_acceptance(fresh, terms),
+        escalated_acceptance=_list_acceptance(escalated, terms),
     )
 
 
+def _list_acceptance(estimate: Estimate, terms: Terms) -> list[tuple[float, float]]:
+    found = estimate.list_acceptance(THRESHOLDS, terms.reliability)
+    if terms.caution >= 0.0:
+        return found
+    hope = -terms.caution / sqrt(estimate.weight)
+    return [
+        (min(chance + hope * sqrt(chance * (1.0 - chance)), 1.0), quality)
+        for chance, quality in found
+    ]
+
+
+def _list_pairs(first: _Weighed, last: _Weighed) -> Iterator[Option]:
+    for threshold, (chance, quality) in zip(
+        THRESHOLDS, first.fresh_acceptance, strict=True
+    ):
+        refused = 1.0 - chance
+        yield Option(
+            steps=(Step(first.version, True, threshold), Step(last.version)),
+            cost=first.rated_cost + refused * last.last_cost,
+            quality=chance * quality + refused * last.escalated_quality,
+            ratings=1.0,
+        )
+
+
+def _list_triples(
+    first: _Weighed, second: _Weighed, last: _Weighed
+) -> Iterator[Option]:
+    for index, threshold in enumerate(THRESHOLDS):
+        chance, quality = first.fresh_acceptance[index]
+        next_chance, next_quality = second.escalated_acceptance[index]
+        refused = 1.0 - chance
+        rest = 1.0 - next_chance
+        later = next_chance * next_quality + rest * last.escalated_quality
+        steps = (
+            Step(first.version, True, threshold),
+            Step(second.version, True, threshold),
+            Step(last.version),
+        )
+        yield Option(
+            steps=steps,
+            cost=first.rated_cost
+            + refused * (second.rated_cost + rest * last.last_cost),
+            quality=chance * quality + refused * later,
+            ratings=1.0 + refused,
+        )
+
+
 def drop_poor(options: Sequence[Option], target: float) -> list[Option]:
     """Leave out options far below the target; keep the best one at least."""
     kept = [o for o in options if o.quality >= target - MAX_SHORTFALL]
@@ -158,14 +212,13 @@
     list of Option
         Rising in cost and quality, with rising cost for each gain of quality.
     """
-    priced = [replace(o, cost=o.cost + rating_price * o.ratings) for o in options]
+    if rating_price:
+        options = [_add_price(option, rating_price) for option in options]
     hull: list[Option] = []
-    for option in sorted(priced, key=lambda o: (o.cost, -o.quality)):
+    for option in sorted(options, key=_order):
         if hull and option.quality <= hull[-1].quality:
             continue
-        while len(hull) > 1 and _find_slope(hull[-2], hull[-1]) >= _find_slope(
-            hull[-1], option
-        ):
+        while len(hull) > 1 and _is_above(hull[-2], hull[-1], option):
             hull.pop()
         hull.append(option)
     return hull
@@ -195,7 +248,7 @@
     segments = sorted(
         (_find_slope(low, high), index, low, high)
         for index, hull in enumerate(hulls)
-        for low, high in _list_pairs(hull)
+        for low, high in _list_neighbours(hull)
     )
     for _, index, low, high in segments:
         if quality >= target:
@@ -207,9 +260,22 @@
     return mixes
 
 
-def _list_pairs(hull: Sequence[Option]) -> Iterator[tuple[Option, Option]]:
+def _list_neighbours(hull: Sequence[Option]) -> Iterator[tuple[Option, Option]]:
     return zip(hull, hull[1:], strict=False)
 
 
+def _add_price(option: Option, price: float) -> Option:
+    cost = option.cost + price * option.ratings
+    return Option(option.steps, cost, option.quality, option.ratings)
+
+
+def _order(option: Option) -> tuple[float, float]:
+    return option.cost, -option.quality
+
+
+def _is_above(low: Option, middle: Option, high: Option) -> bool:
+    return _find_slope(low, middle) >= _find_slope(middle, high)
+
+
 def _find_slope(low: Option, high: Option) -> float:
     return (high.cost - low.cost) / (high.quality - low.quality)
--- a/packages/core/src/bergamotwood_core/segment.py
+++ b/packages/core/src/bergamotwood_core/segment.py
@@ -5,13 +5,19 @@
 from dataclasses import dataclass, field
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.frontier import Mix
+from bergamotwood_core.frontier import Mix, Option
 from bergamotwood_core.ids import RequestClass, VersionId
 from bergamotwood_core.usage import Candidate
 
 # Requests that the moving averages of a segment remember.
 SEGMENT_MEMORY = 200.0
 MAX_SEGMENTS = 64
+# Answers over which a shortfall of quality is averaged, how strongly it is made
+# good, and the bounds of that.
+BALANCE_MEMORY = 150.0
+BALANCE_GAIN = 1.5
+LEAST_CORRECTION = -0.02
+MOST_CORRECTION = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +37,33 @@
     count: int = 0
     prompt_tokens: float = 0.0
     mix: Mix | None = None
+    unrated: Mix | None = None
+    hopes: tuple[VersionId, ...] = ()
+    hoped_cost: float = 0.0
     credit: float = 0.0
+    unrated_credit: float = 0.0
+
+    def draw_rated(self) -> Option:
+        """Choose an option of the mix, each as often as its share says."""
+        mix = self.mix
+        if mix is None:
+            raise ValueError("segment without an allocation")
+        self.credit += mix.share
+        if self.credit < 1.0:
+            return mix.low
+        self.credit -= 1.0
+        return mix.high
+
+    def draw_unrated(self) -> Option:
+        """Choose an option of the mix that needs no ratings."""
+        mix = self.unrated
+        if mix is None:
+            raise ValueError("segment without an allocation")
+        self.unrated_credit += mix.share
+        if self.unrated_credit < 1.0:
+            return mix.low
+        self.unrated_credit -= 1.0
+        return mix.high
 
 
 @dataclass(slots=True)
@@ -40,6 +72,7 @@
 
     segments: OrderedDict[SegmentKey, Segment] = field(default_factory=OrderedDict)
     planned_at: Seconds = Seconds(float("-inf"))
+    shortfall: float = 0.0
 
     def find_segment(
         self, request_class: RequestClass, candidates: Sequence[Candidate]
@@ -64,6 +97,16 @@
         weight = 1.0 / min(segment.count, SEGMENT_MEMORY)
         segment.prompt_tokens += weight * (prompt_tokens - segment.prompt_tokens)
 
+    def count_quality(self, quality: float, aim: float) -> None:
+        """Average how far the returned answers fall short of what is aimed at."""
+        self.shortfall += (aim - quality - self.shortfall) / BALANCE_MEMORY
+
+    @property
+    def correction(self) -> float:
+        """Quality to aim at above the target, to make a shortfall good."""
+        wanted = BALANCE_GAIN * self.shortfall
+        return min(max(wanted, LEAST_CORRECTION), MOST_CORRECTION)
+
     def list_weights(self) -> list[float]:
         """Share of each segment among the requests."""
         total = sum(segment.weight for segment in self.segments.values())
