--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/admittance.py
@@ -0,0 +1,88 @@
+"""Waiting for admission: greenlets over the pure queue."""
+
+from collections.abc import Callable
+
+from gevent.event import AsyncResult
+
+from bergamotwood_core.admission import (
+    Admission,
+    Admitted,
+    Queued,
+    Refused,
+)
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import Code, RefusedError
+from bergamotwood_core.ids import RequestId
+from bergamotwood_daemon.entry import Work
+
+DISPLACED_RETRY_SECONDS = 1.0
+
+
+class Admittance:
+    """Keeps each request waiting until the queue lets it run or refuses it.
+
+    Parameters
+    ----------
+    admission : Admission
+        The queue.
+    clock : callable
+        Gives the time.
+    """
+
+    def __init__(self, admission: Admission, clock: Callable[[], Seconds]) -> None:
+        self._admission = admission
+        self._clock = clock
+        self._waiting: dict[RequestId, AsyncResult[None]] = {}
+
+    def enter(self, work: Work, pool: str) -> None:
+        """Wait for a slot of a pool.
+
+        Raises
+        ------
+        RefusedError
+            At once when the request is given up on; nothing ran.
+        """
+        decision = self._admission.offer(
+            work.id, work.workspace, work.priority, work.deadline, self._clock(), pool
+        )
+        match decision:
+            case Admitted():
+                return
+            case Refused(code, retry_after):
+                raise _refuse(code, retry_after)
+            case Queued(displaced):
+                self._refuse_all(displaced, Code.OVERLOADED)
+                self._wait(work.id)
+
+    def leave(self, id: RequestId) -> None:
+        """Give the slot back."""
+        self._admit_all(self._admission.release(id, self._clock()))
+
+    def expire(self, now: Seconds) -> None:
+        """Refuse whoever can no longer start in time."""
+        self._refuse_all(self._admission.expire(now), Code.DEADLINE_EXCEEDED)
+
+    def _wait(self, id: RequestId) -> None:
+        outcome: AsyncResult[None] = AsyncResult()
+        self._waiting[id] = outcome
+        try:
+            outcome.get()
+        finally:
+            self._waiting.pop(id, None)
+
+    def _admit_all(self, ids: tuple[RequestId, ...]) -> None:
+        for id in ids:
+            self._waiting[id].set(None)
+
+    def _refuse_all(self, ids: tuple[RequestId, ...], code: Code) -> None:
+        for id in ids:
+            self._waiting[id].set_exception(_refuse(code, DISPLACED_RETRY_SECONDS))
+
+
+def _refuse(code: Code, retry_after: float) -> RefusedError:
+    reason = {
+        Code.WORKSPACE_LIMIT: "the workspace has too many requests in flight",
+        Code.DEADLINE_EXCEEDED: "the request cannot start before its deadline",
+    }
+    detail = reason.get(code, "too many requests are waiting")
+    return RefusedError(detail, code, retry_after=retry_after)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/answer.py
@@ -0,0 +1,220 @@
+"""The answer of one version, streamed over one or more attempts."""
+
+from collections.abc import Iterator
+
+from msgspec import DecodeError, Raw, Struct, ValidationError, field, json
+
+from bergamotwood_core.configuration import Version
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    EndpointError,
+    RefusedError,
+)
+from bergamotwood_core.ids import RequestId
+from bergamotwood_core.ledger import Attempt
+from bergamotwood_core.states import Run
+from bergamotwood_core.stream import Chunk, StreamAssembler, Usage
+from bergamotwood_core.target import VersionTarget
+from bergamotwood_daemon.attempts import (
+    OpenAttempt,
+    Outgoing,
+    allow_retry,
+    open_attempt,
+    settle_failure,
+)
+from bergamotwood_daemon.endpointcall import Header
+from bergamotwood_daemon.entry import Entry, Work
+
+CHAT_PATH = "/v1/chat/completions"
+DONE = b"[DONE]"
+TOKENS_PER_PRICE = 1_000.0
+MAX_ERROR_BYTES = 4_096
+
+
+class _Delta(Struct):
+    content: str | None = None
+
+
+class _Choice(Struct):
+    delta: Raw = field(default_factory=lambda: Raw(b"{}"))
+    finish_reason: str | None = None
+
+
+class _Event(Struct):
+    id: str
+    index: int
+    choices: list[_Choice] = field(default_factory=list)
+    usage: Usage | None = None
+
+
+_EVENTS = json.Decoder(_Event)
+_DELTAS = json.Decoder(_Delta)
+
+
+class VersionAnswer:
+    """One version's answer to a chat request.
+
+    Parameters
+    ----------
+    entry : Entry
+        Where the request came in.
+    work : Work
+        The request.
+    version : Version
+        What answers it.
+    document : dict
+        The caller's chat request.
+    """
+
+    def __init__(self, entry: Entry, work: Work, version: Version, document: dict):
+        self.version = version
+        self.first_token_seconds: float | None = None
+        self.started_at = entry.clock()
+        self._entry = entry
+        self._work = work
+        self._document = document
+        self._assembler = StreamAssembler(work.id)
+        self._target = VersionTarget(version.version_id)
+
+    @property
+    def usage(self) -> Usage:
+        """Tokens taken; known after the end."""
+        return self._assembler.usage or Usage()
+
+    @property
+    def cost(self) -> float:
+        """Cost units of the whole answer."""
+        usage = self.usage
+        prompt = usage.prompt_tokens * self.version.input_price
+        output = usage.completion_tokens * self.version.output_price
+        return (prompt + output) / TOKENS_PER_PRICE
+
+    def stream(self) -> Iterator[Chunk]:
+        """Yield the chunks in order; returns only after a checked end.
+
+        Raises
+        ------
+        EndpointError, RefusedError, AuthorizationError
+            The answer is not whole.
+        """
+        attempts = 0
+        self._entry.outcomes.count_start(self.version.version_id)
+        while True:
+            attempts += 1
+            try:
+                yield from self._stream_attempt()
+                return
+            except EndpointError as error:
+                if not allow_retry(self._entry, self._work, attempts):
+                    raise
+                if error.run is not Run.NOT_RUN:
+                    self._assembler.resume()
+
+    def _stream_attempt(self) -> Iterator[Chunk]:
+        attempt = self._open()
+        try:
+            yield from self._read(attempt)
+        except EndpointError as error:
+            self._note(attempt, "failed")
+            settle_failure(
+                self._entry, self._work, attempt, error.code is Code.STREAM_BROKEN
+            )
+            raise
+        except GeneratorExit:
+            attempt.cancel()
+            raise
+        finally:
+            attempt.cancel()
+
+    def _open(self) -> OpenAttempt:
+        try:
+            return open_attempt(
+                self._entry, self._work, self._target, self._make_outgoing()
+            )
+        except RefusedError as error:
+            raise self._name_refusal(error) from error
+
+    def _name_refusal(self, error: RefusedError) -> BergamotwoodError:
+        """Say that the request has run in part, where it has."""
+        if not self._work.attempts:
+            return error
+        return RefusedError(error.detail, error.code, Run.MAY_HAVE_RUN)
+
+    def _read(self, attempt: OpenAttempt) -> Iterator[Chunk]:
+        self._check_status(attempt)
+        timeouts = self._entry.settings.timeouts
+        events = attempt.call.read_events(timeouts.first_chunk, timeouts.next_chunk)
+        done = False
+        for event in events:
+            if event == DONE:
+                done = True
+                break
+            for chunk in self._assembler.accept(_decode_chunk(event)):
+                self._note_first_token(attempt)
+                yield chunk
+        self._assembler.finish(done)
+        self._note(attempt, "answered")
+        attempt.succeed()
+
+    def _check_status(self, attempt: OpenAttempt) -> None:
+        status = attempt.call.status
+        if status == 200:
+            return
+        wait = self._entry.settings.timeouts.next_chunk
+        body = attempt.call.read_all(wait, MAX_ERROR_BYTES)
+        run = Run.NOT_RUN if 400 <= status < 500 else Run.MAY_HAVE_RUN
+        raise EndpointError(
+            f"{attempt.endpoint} answered {status}: {body.decode(errors='replace')}",
+            run=run,
+        )
+
+    def _note_first_token(self, attempt: OpenAttempt) -> None:
+        attempt.note_first_token()
+        if self.first_token_seconds is None:
+            self.first_token_seconds = self._entry.clock() - self.started_at
+
+    def _note(self, attempt: OpenAttempt, outcome: str) -> None:
+        whole = outcome == "answered"
+        usage = self.usage if whole else Usage(0, self._assembler.tokens)
+        self._work.attempts.append(
+            Attempt(
+                self.version.id,
+                attempt.endpoint,
+                usage.prompt_tokens,
+                usage.completion_tokens,
+                self.cost if whole else 0.0,
+                outcome,
+            )
+        )
+
+    def _make_outgoing(self) -> Outgoing:
+        document = dict(self._document)
+        document["model"] = self.version.id
+        document["stream"] = True
+        document["priority"] = int(self._work.priority)
+        headers = (
+            Header("Content-Type", "application/json"),
+            Header("X-Request-Id", self._work.id),
+            Header("Bergamotwood-Version", self.version.id),
+            Header("Bergamotwood-Resume-From", str(self._assembler.next_index)),
+            Header("Traceparent", self._work.trace_parent),
+        )
+        return Outgoing("POST", CHAT_PATH, headers, json.encode(document))
+
+
+def _decode_chunk(event: bytes) -> Chunk:
+    try:
+        decoded = _EVENTS.decode(event)
+        choice = decoded.choices[0] if decoded.choices else _Choice()
+        delta = _DELTAS.decode(choice.delta)
+    except (DecodeError, ValidationError) as error:
+        raise EndpointError(f"not a chunk: {error}", Code.STREAM_BROKEN) from error
+    return Chunk(
+        RequestId(decoded.id),
+        decoded.index,
+        delta.content or "",
+        choice.finish_reason,
+        decoded.usage,
+        choice.delta,
+    )
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -0,0 +1,308 @@
+"""Attempts: choosing an endpoint, the check at dispatch, and what failures tell."""
+
+from dataclasses import dataclass
+
+from gevent import sleep, spawn
+
+from bergamotwood_core.control import RecordCrash, encode_command
+from bergamotwood_core.dispatch import check_dispatch
+from bergamotwood_core.errors import (
+    Code,
+    EndpointError,
+    RefusedError,
+    ReplicationError,
+)
+from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation
+from bergamotwood_core.outlier import (
+    record_cancel,
+    record_failure,
+    record_first_token,
+    record_start,
+    record_success,
+)
+from bergamotwood_core.placement import Need, choose_endpoint
+from bergamotwood_core.quarantine import Failure, Isolated, is_crash
+from bergamotwood_core.states import Run
+from bergamotwood_core.tables import Endpoint
+from bergamotwood_core.target import Target
+from bergamotwood_daemon.endpointcall import EndpointCall, Header
+from bergamotwood_daemon.entry import Entry, Work
+from bergamotwood_daemon.log import log_event
+
+MAX_ATTEMPTS = 3
+MAX_DIALS = 4
+PROBE_SECONDS = 0.3
+CRASH_WATCH_SECONDS = 1.5
+RECORD_CRASH_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """The HTTP request of an attempt."""
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class OpenAttempt:
+    """An attempt that has been sent to an endpoint.
+
+    Attributes
+    ----------
+    call : EndpointCall
+        Its connection.
+    endpoint : EndpointId
+        Where it runs.
+    first_token_seconds : float or None
+        From dispatch to the first token.
+    """
+
+    def __init__(self, entry: Entry, work: Work, row: Endpoint, call: EndpointCall):
+        self.call = call
+        self.endpoint = row.id
+        self.incarnation = row.announcement.incarnation
+        self.started_at = entry.clock()
+        self.first_token_seconds: float | None = None
+        self._entry = entry
+        self._work = work
+        self._row = row
+        self._isolated = False
+        self._open = True
+        record_start(row, self.started_at)
+
+    def isolate(self) -> bool:
+        """Keep other suspects off the endpoint while this one runs there."""
+        self._isolated = self._entry.isolation.start(
+            self._work.fingerprint, self.endpoint
+        )
+        return self._isolated
+
+    def note_first_token(self) -> None:
+        """Note the first token or the plain answer."""
+        if self.first_token_seconds is not None:
+            return
+        now = self._entry.clock()
+        self.first_token_seconds = now - self.started_at
+        record_first_token(self._row, self.first_token_seconds, now)
+
+    def succeed(self) -> None:
+        """Close after a whole answer."""
+        if self._close():
+            record_success(self._row, self._entry.clock())
+
+    def fail(self) -> None:
+        """Close after a failure of the endpoint."""
+        if self._close():
+            answered = self.first_token_seconds is not None
+            record_failure(self._row, self._entry.clock(), answered)
+
+    def cancel(self) -> None:
+        """Close because nobody wants the answer."""
+        if self._close():
+            record_cancel(self._row, self.first_token_seconds is not None)
+
+    def _close(self) -> bool:
+        was_open = self._open
+        self._open = False
+        self.call.close()
+        if self._isolated:
+            self._entry.isolation.stop(self._work.fingerprint, self.endpoint)
+        return was_open
+
+
+def open_attempt(
+    entry: Entry, work: Work, target: Target, outgoing: Outgoing
+) -> OpenAttempt:
+    """Choose an endpoint, dial it, check once more, and send.
+
+    Raises
+    ------
+    RefusedError, AuthorizationError
+        Nothing was sent.
+    EndpointError
+        `run` tells whether the endpoint may have got it.
+    """
+    refused: EndpointError | RefusedError | None = None
+    for _ in range(MAX_DIALS):
+        row = _choose_row(entry, work, target, refused)
+        call = EndpointCall(
+            row.announcement.address,
+            outgoing.method,
+            outgoing.path,
+            outgoing.headers,
+            outgoing.body,
+        )
+        try:
+            call.dial(entry.settings.timeouts.connect)
+        except EndpointError as error:
+            work.excluded.add(row.id)
+            refused = error
+            _note_dial_failure(entry, row)
+            continue
+        try:
+            return _dispatch(entry, work, target, row, call)
+        except RefusedError as error:
+            call.close()
+            if error.code is not Code.NO_ENDPOINT:
+                raise
+            work.excluded.add(row.id)
+            refused = error
+    raise _name_no_endpoint(target, refused)
+
+
+def settle_failure(entry: Entry, work: Work, attempt: OpenAttempt, reset: bool) -> None:
+    """Learn from a failed attempt, and record a crash of its endpoint.
+
+    Raises
+    ------
+    EndpointError
+        A crash could not be recorded, so the request must not be sent again.
+    """
+    attempt.fail()
+    work.excluded.add(attempt.endpoint)
+    if not reset:
+        return
+    failure = Failure(
+        running=True,
+        pooled=False,
+        answered=attempt.first_token_seconds is not None,
+        reset=True,
+    )
+    changed = _has_restarted(entry, attempt.endpoint, attempt.incarnation)
+    if is_crash(failure, changed, not _probe(entry, attempt.endpoint)):
+        _record_crash(entry, work, attempt)
+        return
+    spawn(_watch_for_crash, entry, work, attempt, failure)
+
+
+def allow_retry(entry: Entry, work: Work, attempts: int) -> bool:
+    """Whether a failed request may be sent once more."""
+    if not work.idempotent or attempts >= MAX_ATTEMPTS:
+        return False
+    if entry.clock() >= work.deadline:
+        return False
+    return entry.retries.try_spend()
+
+
+def _choose_row(
+    entry: Entry,
+    work: Work,
+    target: Target,
+    refused: EndpointError | RefusedError | None,
+) -> Endpoint:
+    excluded = frozenset(work.excluded)
+    if work.suspect:
+        excluded |= entry.isolation.endpoints
+    need = Need(
+        target=target,
+        data_centre=DataCentre(entry.settings.data_centre),
+        prefix_hash=work.prefix_hash,
+        session=work.session,
+        excluded=excluded,
+    )
+    directory = entry.tables.directory
+    chosen = choose_endpoint(directory, need, entry.clock(), entry.rng)
+    if chosen is None:
+        raise _name_no_endpoint(target, refused)
+    return directory.endpoints[chosen]
+
+
+def _dispatch(
+    entry: Entry, work: Work, target: Target, row: Endpoint, call: EndpointCall
+) -> OpenAttempt:
+    now = entry.clock()
+    if now >= work.deadline:
+        raise RefusedError("the deadline has passed", Code.DEADLINE_EXCEEDED)
+    clearance = check_dispatch(
+        entry.tables,
+        work.workspace.key,
+        target,
+        row.id,
+        entry.measure_age(),
+        entry.settings.max_config_age_seconds,
+        work.fingerprint,
+        now,
+    )
+    attempt = OpenAttempt(entry, work, row, call)
+    if isinstance(clearance, Isolated) or work.suspect:
+        work.suspect = True
+        if not attempt.isolate():
+            attempt.cancel()
+            raise RefusedError(
+                "a request under suspicion is running already",
+                Code.OVERLOADED,
+                retry_after=1.0,
+            )
+    try:
+        call.send(entry.settings.timeouts.first_chunk)
+    except EndpointError as error:
+        settle_failure(entry, work, attempt, error.code is Code.STREAM_BROKEN)
+        raise
+    return attempt
+
+
+def _note_dial_failure(entry: Entry, row: Endpoint) -> None:
+    now = entry.clock()
+    record_start(row, now)
+    record_failure(row, now)
+
+
+def _name_no_endpoint(
+    target: Target, refused: EndpointError | RefusedError | None
+) -> RefusedError:
+    reason = f": {refused.detail}" if refused is not None else ""
+    return RefusedError(
+        f"no endpoint for {target.name}{reason}", Code.NO_ENDPOINT, retry_after=2.0
+    )
+
+
+def _has_restarted(entry: Entry, id: EndpointId, incarnation: Incarnation) -> bool:
+    row = entry.tables.directory.endpoints.get(id)
+    return row is not None and row.announcement.incarnation != incarnation
+
+
+def _probe(entry: Entry, id: EndpointId) -> bool:
+    row = entry.tables.directory.endpoints.get(id)
+    if row is None:
+        return False
+    call = EndpointCall(row.announcement.address, "GET", "/", (), b"")
+    try:
+        call.dial(PROBE_SECONDS)
+    except EndpointError:
+        return False
+    call.close()
+    return True
+
+
+def _watch_for_crash(
+    entry: Entry, work: Work, attempt: OpenAttempt, failure: Failure
+) -> None:
+    """See later whether the endpoint had in fact crashed and come back."""
+    sleep(CRASH_WATCH_SECONDS)
+    if is_crash(
+        failure, _has_restarted(entry, attempt.endpoint, attempt.incarnation), False
+    ):
+        try:
+            _record_crash(entry, work, attempt)
+        except EndpointError as error:
+            log_event("quarantine", "Crash not recorded.", detail=error.detail)
+
+
+def _record_crash(entry: Entry, work: Work, attempt: OpenAttempt) -> None:
+    work.suspect = True
+    log_event(
+        "quarantine",
+        "Endpoint crashed under a request.",
+        endpoint=attempt.endpoint,
+        fingerprint=work.fingerprint,
+        request=work.id,
+    )
+    command = RecordCrash(work.fingerprint, attempt.endpoint, attempt.incarnation)
+    try:
+        entry.control.propose(encode_command(command), RECORD_CRASH_SECONDS)
+    except ReplicationError as error:
+        raise EndpointError(
+            f"endpoint {attempt.endpoint} crashed", run=Run.MAY_HAVE_RUN
+        ) from error
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/claims.py
@@ -0,0 +1,247 @@
+"""Running non-idempotent requests at most once, through claims in the ledger."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from gevent import sleep, spawn
+from gevent.event import AsyncResult
+from gevent.timeout import Timeout
+
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    EndpointError,
+    IdempotencyError,
+    RefusedError,
+    ReplicationError,
+)
+from bergamotwood_core.ids import IdempotencyKey, RequestId, WorkspaceId
+from bergamotwood_core.ledger import (
+    Bill,
+    Claim,
+    ClaimAnswer,
+    Conflict,
+    Done,
+    Expired,
+    Finish,
+    Granted,
+    Held,
+    LedgerCommand,
+    Release,
+    StoredAnswer,
+    Unknown,
+    decode_claim_answer,
+    encode_command,
+)
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.proposer import Proposer
+
+MIN_BACKOFF_SECONDS = 0.2
+MAX_BACKOFF_SECONDS = 5.0
+MAX_SETTLING = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRequest:
+    """A request whose key must run at most once."""
+
+    workspace: WorkspaceId
+    key: IdempotencyKey
+    digest: str
+    id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """What one run gave: the answer to keep and the bill for it."""
+
+    answer: StoredAnswer
+    bill: Bill
+
+
+class Claims:
+    """Claims of one entry.
+
+    Parameters
+    ----------
+    ledger : Proposer
+        Submits to the ledger group.
+    timeout_seconds : float
+        Wait for a commit.
+    rng : Random
+        Source of jitter.
+    """
+
+    def __init__(self, ledger: Proposer, timeout_seconds: float, rng: Random) -> None:
+        self._ledger = ledger
+        self._timeout = timeout_seconds
+        self._rng = rng
+        self.settling = 0
+
+    def run_once(
+        self,
+        request: KeyedRequest,
+        act: Callable[[], Ran],
+        wait_seconds: float,
+    ) -> StoredAnswer:
+        """Claim the key, run at most once, and return the answer.
+
+        Parameters
+        ----------
+        request : KeyedRequest
+            Whose key is claimed.
+        act : callable
+            Dispatches the request; called at most once, after the claim.
+        wait_seconds : float
+            Time that the caller is kept; the run itself goes on.
+
+        Raises
+        ------
+        IdempotencyError
+            The key is taken, or its outcome is not known.
+        EndpointError, RefusedError
+            The run failed; `run` tells how far it came.
+        """
+        if self.settling >= MAX_SETTLING:
+            raise RefusedError("too many claims are being settled", Code.OVERLOADED)
+        match self._claim(request):
+            case Granted():
+                return self._run(request, act, wait_seconds)
+            case Done(answer):
+                return answer
+            case other:
+                raise _explain_claim(request, other)
+
+    def _claim(self, request: KeyedRequest) -> ClaimAnswer:
+        claim = Claim(
+            request.workspace, request.key, request.digest, request.id, request.id
+        )
+        try:
+            reply = self._ledger.propose(encode_command(claim), self._timeout)
+        except ReplicationError as error:
+            # The claim may still commit, and would then block a resend.
+            self._settle(self._make_release(request))
+            raise RefusedError(
+                "the ledger did not confirm the claim",
+                Code.LEDGER_UNAVAILABLE,
+                retry_after=2.0,
+            ) from error
+        return decode_claim_answer(reply)
+
+    def _run(
+        self, request: KeyedRequest, act: Callable[[], Ran], wait_seconds: float
+    ) -> StoredAnswer:
+        outcome: AsyncResult[StoredAnswer] = AsyncResult()
+        spawn(self._run_to_end, request, act, outcome)
+        try:
+            return outcome.get(timeout=wait_seconds)
+        except Timeout as error:
+            raise IdempotencyError(
+                f"no answer within {wait_seconds} s; the run goes on",
+                Code.OUTCOME_UNKNOWN,
+                Run.MAY_HAVE_RUN,
+                retry_after=wait_seconds,
+            ) from error
+
+    def _run_to_end(
+        self, request: KeyedRequest, act: Callable[[], Ran], outcome: AsyncResult
+    ) -> None:
+        try:
+            ran = act()
+        except BergamotwoodError as error:
+            self._give_up(request, error)
+            outcome.set_exception(_name_outcome(error))
+            return
+        except Exception as error:
+            self._settle(self._make_finish(request, None))
+            outcome.set_exception(error)
+            return
+        finish = self._make_finish(request, ran)
+        try:
+            self._ledger.propose(encode_command(finish), self._timeout)
+        except ReplicationError:
+            self._settle(finish)
+            outcome.set_exception(
+                IdempotencyError(
+                    "the request ran but its bill is not confirmed yet",
+                    Code.LEDGER_UNAVAILABLE,
+                    Run.RAN,
+                    retry_after=2.0,
+                )
+            )
+            return
+        outcome.set(ran.answer)
+
+    def _give_up(self, request: KeyedRequest, error: BergamotwoodError) -> None:
+        if error.run is Run.NOT_RUN:
+            self._settle(self._make_release(request))
+            return
+        self._settle(self._make_finish(request, None))
+
+    def _settle(self, command: LedgerCommand) -> None:
+        spawn(self._settle_forever, encode_command(command))
+
+    def _settle_forever(self, command: bytes) -> None:
+        self.settling += 1
+        backoff = MIN_BACKOFF_SECONDS
+        try:
+            while not self._try_propose(command):
+                sleep(backoff * self._rng.uniform(0.5, 1.0))
+                backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
+        finally:
+            self.settling -= 1
+
+    def _try_propose(self, command: bytes) -> bool:
+        try:
+            self._ledger.propose(command, self._timeout)
+        except ReplicationError:
+            return False
+        return True
+
+    def _make_release(self, request: KeyedRequest) -> Release:
+        return Release(request.workspace, request.key, request.id)
+
+    def _make_finish(self, request: KeyedRequest, ran: Ran | None) -> Finish:
+        answer = ran.answer if ran is not None else None
+        bill = ran.bill if ran is not None else None
+        return Finish(request.workspace, request.key, request.id, answer, bill)
+
+
+def _explain_claim(request: KeyedRequest, answer: ClaimAnswer) -> IdempotencyError:
+    key = request.key
+    match answer:
+        case Held():
+            return IdempotencyError(
+                f"key {key}: another request with it is running",
+                Code.IN_PROGRESS,
+                Run.MAY_HAVE_RUN,
+                retry_after=1.0,
+            )
+        case Unknown():
+            return IdempotencyError(
+                f"key {key}: it is not known whether it ran",
+                Code.OUTCOME_UNKNOWN,
+                Run.MAY_HAVE_RUN,
+            )
+        case Expired():
+            return IdempotencyError(
+                f"key {key}: too old to tell whether it ran",
+                Code.KEY_EXPIRED,
+                Run.MAY_HAVE_RUN,
+            )
+        case Conflict():
+            return IdempotencyError(f"key {key}: used for another request")
+        case _:
+            return IdempotencyError(
+                f"key {key}: it ran but its answer is not kept",
+                Code.ANSWER_NOT_KEPT,
+                Run.RAN,
+            )
+
+
+def _name_outcome(error: BergamotwoodError) -> BergamotwoodError:
+    """Give a failed run the code of an unknown outcome, unless it never ran."""
+    if error.run is not Run.MAY_HAVE_RUN or not isinstance(error, EndpointError):
+        return error
+    return IdempotencyError(error.detail, Code.OUTCOME_UNKNOWN, Run.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -0,0 +1,302 @@
+"""A daemon: holds the settings and hands out all of its parts."""
+
+from random import Random, SystemRandom
+from time import time_ns
+
+from gevent import sleep, spawn
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from bergamotwood_core.admission import Admission, AdmissionSettings
+from bergamotwood_core.cascade import CascadePolicy, CascadeSettings
+from bergamotwood_core.control import ControlMachine
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.ledger import LedgerMachine
+from bergamotwood_core.messages import Address
+from bergamotwood_core.outcome import OutcomeCounter
+from bergamotwood_core.tables import Tables
+from bergamotwood_daemon.admittance import Admittance
+from bergamotwood_daemon.authorization import require_key
+from bergamotwood_daemon.chat import Chat
+from bergamotwood_daemon.claims import Claims
+from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.directoryfeed import DirectoryFeed
+from bergamotwood_daemon.entry import Entry
+from bergamotwood_daemon.feed import ControlFeed
+from bergamotwood_daemon.group import GroupSettings, LogGroup
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.metrics import Metrics
+from bergamotwood_daemon.operations import Operations
+from bergamotwood_daemon.peer import (
+    GroupTransport,
+    PeerChannel,
+    PeerServer,
+    ReplicationSender,
+)
+from bergamotwood_daemon.presence import Presence
+from bergamotwood_daemon.proposer import Proposer
+from bergamotwood_daemon.ratings import Ratings
+from bergamotwood_daemon.replicas import CONTROL_GROUP, LEDGER_GROUP, Replicas
+from bergamotwood_daemon.routes import Application, Route, make_route
+from bergamotwood_daemon.services import Services
+from bergamotwood_daemon.settings import Settings
+from bergamotwood_daemon.ticker import Ticker
+from bergamotwood_daemon.watch import Watch
+from bergamotwood_daemon.web import Response, WebRequest, answer_json
+
+NANOSECONDS_PER_MICROSECOND = 1_000
+STOP_POLL_SECONDS = 0.1
+PEER_GRACE_SECONDS = 1.0
+IDLE_CONNECTION_SECONDS = 75.0
+
+
+class Daemon:
+    """One instance with its roles.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = Random(SystemRandom().getrandbits(64))
+        self.incarnation = time_ns() // NANOSECONDS_PER_MICROSECOND
+        self._stopping = Event()
+        self.replicas = self._make_replicas() if settings.is_control else None
+        self.entry = self._make_entry()
+        self.metrics = Metrics(self.entry, self.replicas)
+        self.admittance = Admittance(self.entry.admission, read_clock)
+        self._peer_server = PeerServer(
+            self.replicas or _NoReplicas(), settings.instance_key
+        )
+        self._server = self._make_server()
+        self._ticker = Ticker(self.entry, self.admittance, self.replicas)
+
+    def start(self) -> None:
+        """Listen and begin to follow the control log."""
+        settings = self.settings
+        peer = settings.peer_listen
+        if self.replicas is not None:
+            self._peer_server.start(Address(peer.host, peer.port))
+            self.replicas.start()
+        self.entry.watch.start()
+        self._ticker.start()
+        self._server.start()
+        log_event(
+            "daemon",
+            "Started.",
+            instance=settings.instance,
+            address=f"{settings.listen.host}:{self._server.server_port}",
+        )
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown."""
+        if not self.entry.draining:
+            self.entry.draining = True
+            log_event("daemon", "Draining.")
+            spawn(self._finish)
+
+    def wait(self) -> None:
+        """Wait until a graceful shutdown has ended."""
+        self._stopping.wait()
+
+    def _finish(self) -> None:
+        """Leave the addresses, serve on, then finish what is in flight."""
+        self.entry.watch.report_now()
+        sleep(self.settings.timeouts.drain)
+        while self.entry.tables.in_flight or self.entry.claims.settling:
+            sleep(STOP_POLL_SECONDS)
+        self._server.stop(timeout=self.settings.timeouts.drain)
+        self._ticker.stop()
+        self.entry.watch.stop()
+        if self.replicas is not None:
+            self.replicas.stop()
+            self._peer_server.stop(PEER_GRACE_SECONDS)
+        log_event("daemon", "Stopped.")
+        self._stopping.set()
+
+    def _make_channels(self) -> dict[InstanceId, PeerChannel]:
+        """Make channels of their own for one purpose, this instance's first."""
+        addresses = sorted(
+            self.settings.replicas, key=lambda replica: replica.id != self._name
+        )
+        return {
+            InstanceId(replica.id): PeerChannel(
+                Address(replica.host, replica.port), self.settings.instance_key
+            )
+            for replica in addresses
+        }
+
+    @property
+    def _name(self) -> InstanceId:
+        return InstanceId(self.settings.instance)
+
+    def _make_replicas(self) -> Replicas:
+        senders = {
+            name: ReplicationSender(channel)
+            for name, channel in self._make_channels().items()
+            if name != self._name
+        }
+        feed = ControlFeed(ControlMachine())
+        ledger_machine = LedgerMachine()
+        peers = self._make_channels()
+        peers.pop(self._name)
+        return Replicas(
+            control=self._make_group(CONTROL_GROUP, feed, senders),
+            ledger=self._make_group(LEDGER_GROUP, ledger_machine, senders),
+            feed=feed,
+            ledger_machine=ledger_machine,
+            directory=DirectoryFeed(f"{self._name}-{self.incarnation}"),
+            peers=peers,
+            clock=read_clock,
+            rng=self.rng,
+        )
+
+    def _make_group(
+        self,
+        name: str,
+        machine: ControlFeed | LedgerMachine,
+        senders: dict[InstanceId, ReplicationSender],
+    ) -> LogGroup:
+        voters = tuple(InstanceId(replica.id) for replica in self.settings.replicas)
+        settings = GroupSettings(
+            instance=self._name,
+            voters=voters,
+            data_folder=self.settings.data_folder / name,
+        )
+        return LogGroup(
+            name,
+            settings,
+            machine,
+            GroupTransport(name, senders),
+            read_clock,
+            Random(self.rng.getrandbits(64)),
+        )
+
+    def _make_entry(self) -> Entry:
+        settings = self.settings
+        source = f"{settings.instance}-{self.incarnation}"
+        machine = ControlMachine()
+        tables = Tables(configuration=machine.tables)
+        control = self._make_proposer(CONTROL_GROUP)
+        ledger = self._make_proposer(LEDGER_GROUP)
+        policy = CascadePolicy(CascadeSettings(source=source), self.rng)
+        outcomes = OutcomeCounter(source)
+        watch = Watch(
+            machine,
+            tables,
+            self._make_channels(),
+            lambda: self.presence.describe(),
+            policy,
+            outcomes,
+            read_clock,
+            self.rng,
+        )
+        entry = Entry(
+            settings=settings,
+            clock=read_clock,
+            rng=self.rng,
+            tables=tables,
+            watch=watch,
+            control=control,
+            ledger=ledger,
+            claims=Claims(ledger, settings.timeouts.ledger, self.rng),
+            policy=policy,
+            admission=Admission(AdmissionSettings()),
+            outcomes=outcomes,
+            incarnation=self.incarnation,
+        )
+        self.presence = Presence(entry)
+        return entry
+
+    def _make_proposer(self, group: str) -> Proposer:
+        return Proposer(group, self._make_channels(), read_clock, self.rng)
+
+    def _make_server(self) -> WSGIServer:
+        listen = self.settings.listen
+        application = Application(self._make_routes(), self.settings.limits)
+        return WSGIServer(
+            (listen.host, listen.port), application, log=None, error_log=None
+        )
+
+    def _make_routes(self) -> tuple[Route, ...]:
+        entry = self.entry
+        operations = Operations(
+            settings=self.settings,
+            tables=entry.tables,
+            watch=entry.watch,
+            control=entry.control,
+            ledger=entry.ledger,
+            clock=read_clock,
+            drain=self.drain,
+            is_draining=lambda: entry.draining,
+        )
+        routes = (
+            make_route("GET", "/healthz", _answer_health),
+            make_route("GET", "/readyz", self._answer_readiness),
+            make_route("GET", "/metrics", self.metrics.answer),
+            make_route("GET", "/v1/addresses", self.presence.list_addresses),
+            make_route(
+                "POST",
+                "/v1/endpoints",
+                self.presence.take_announcement,
+                self._require_endpoint,
+            ),
+            *self._make_operator_routes(operations),
+        )
+        if not self.settings.is_entry:
+            return routes
+        chat = Chat(entry, self.admittance, Ratings(self.settings.rating_address))
+        services = Services(entry, self.admittance)
+        return (
+            make_route("POST", "/v1/chat/completions", chat.answer),
+            make_route("*", r"/v1/services/([^/]+)/(.*)", services.answer),
+            *routes,
+        )
+
+    def _make_operator_routes(self, operations: Operations) -> tuple[Route, ...]:
+        guard = self._require_operator
+        return (
+            make_route("POST", "/v1/tickets", operations.apply_ticket, guard),
+            make_route("POST", "/v1/tickets/check", operations.check_ticket, guard),
+            make_route("GET", "/v1/tickets", operations.list_tickets, guard),
+            make_route("GET", r"/v1/tickets/([^/]+)", operations.show_ticket, guard),
+            make_route(
+                "GET", "/v1/configuration", operations.show_configuration, guard
+            ),
+            make_route("GET", "/v1/status", operations.show_status, guard),
+            make_route("GET", "/v1/endpoints", operations.list_endpoints, guard),
+            make_route("GET", "/v1/entries", operations.list_entries, guard),
+            make_route("GET", "/v1/bills", operations.list_bills, guard),
+            make_route("GET", r"/v1/bills/([^/]+)", operations.show_bill, guard),
+            make_route("GET", "/v1/totals", operations.list_totals, guard),
+            make_route("GET", r"/v1/claims/([^/]+)/(.+)", operations.show_claim, guard),
+            make_route("POST", "/v1/drain", operations.start_drain, guard),
+        )
+
+    def _require_operator(self, request: WebRequest) -> None:
+        require_key(request, self.settings.operator_key_hashes, "an operator")
+
+    def _require_endpoint(self, request: WebRequest) -> None:
+        require_key(request, self.settings.endpoint_key_hashes, "an endpoint")
+
+    def _answer_readiness(self, request: WebRequest) -> Response:
+        age = self.entry.measure_age()
+        ready = age <= self.settings.max_config_age_seconds and not self.entry.draining
+        return answer_json({"ready": ready}, 200 if ready else 503)
+
+
+class _NoReplicas:
+    """What an instance without the control role answers to its peers."""
+
+    def handle_replicate(self, body: bytes) -> bytes:
+        """Ignore replication messages."""
+        return b""
+
+    handle_propose = handle_poll = handle_query = handle_replicate
+
+
+def _answer_health(request: WebRequest) -> Response:
+    return answer_json({"healthy": True})
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/directoryfeed.py
@@ -0,0 +1,125 @@
+"""Feed of directory changes, numbered so that a watcher gets only what is new."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.directory import (
+    expire_endpoints,
+    expire_entries,
+    merge_announcement,
+    merge_report,
+)
+from bergamotwood_core.evidence import Evidence, SequenceFilter
+from bergamotwood_core.ids import EndpointId, InstanceId
+from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.tables import DirectoryTables
+
+MAX_KEPT_EVIDENCE = 256
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryNews:
+    """Changes after a cursor, and the cursor that they lead to."""
+
+    cursor: int
+    announcements: tuple[Announcement, ...]
+    reports: tuple[EntryReport, ...]
+    ratings: tuple[Evidence, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _NumberedEvidence:
+    cursor: int
+    evidence: Evidence
+
+
+class DirectoryFeed:
+    """A control replica's directory with numbered changes.
+
+    Parameters
+    ----------
+    boot : str
+        Names this start of the replica; cursors of another start are void.
+    """
+
+    def __init__(self, boot: str) -> None:
+        self.boot = boot
+        self.tables = DirectoryTables()
+        self.cursor = 0
+        self.membership_cursor = 0
+        self._endpoints: dict[EndpointId, int] = {}
+        self._entries: dict[InstanceId, int] = {}
+        self._filter = SequenceFilter()
+        self._ratings: deque[_NumberedEvidence] = deque(maxlen=MAX_KEPT_EVIDENCE)
+
+    def take_announcement(self, announcement: Announcement, now: Seconds) -> bool:
+        """Merge an announcement; return whether it was news."""
+        known = self.tables.endpoints.get(announcement.id)
+        before = known.announcement if known is not None else None
+        if not merge_announcement(self.tables, announcement, now):
+            return False
+        self.cursor += 1
+        self._endpoints[announcement.id] = self.cursor
+        if before is None or _differs_in_membership(before, announcement):
+            self.membership_cursor = self.cursor
+        return True
+
+    def take_report(self, report: EntryReport, now: Seconds) -> bool:
+        """Merge an entry's report; return whether it was news."""
+        known = self.tables.entries.get(report.id)
+        before = known.report if known is not None else None
+        if not merge_report(self.tables, report, now):
+            return False
+        self.cursor += 1
+        self._entries[report.id] = self.cursor
+        if before is None or before.state is not report.state:
+            self.membership_cursor = self.cursor
+        return True
+
+    def take_ratings(self, evidence: Evidence) -> bool:
+        """Keep ratings for the watchers; return whether they were news."""
+        if not self._filter.accept(evidence.source, evidence.sequence):
+            return False
+        self.cursor += 1
+        self._ratings.append(_NumberedEvidence(self.cursor, evidence))
+        return True
+
+    def list_news(self, boot: str, cursor: int) -> DirectoryNews:
+        """Return what a watcher with this cursor has not seen."""
+        if boot != self.boot:
+            cursor = 0
+        endpoints = self.tables.endpoints
+        entries = self.tables.entries
+        return DirectoryNews(
+            self.cursor,
+            tuple(
+                endpoint.announcement
+                for id, endpoint in endpoints.items()
+                if self._endpoints.get(id, 0) > cursor
+            ),
+            tuple(
+                entry.report
+                for id, entry in entries.items()
+                if self._entries.get(id, 0) > cursor
+            ),
+            tuple(kept.evidence for kept in self._ratings if kept.cursor > cursor),
+        )
+
+    def expire(self, now: Seconds) -> None:
+        """Drop whoever has not been heard for too long."""
+        expire_endpoints(self.tables, now)
+        expire_entries(self.tables, now)
+        for id in self._endpoints.keys() - self.tables.endpoints.keys():
+            del self._endpoints[id]
+        for id in self._entries.keys() - self.tables.entries.keys():
+            del self._entries[id]
+
+
+def _differs_in_membership(before: Announcement, after: Announcement) -> bool:
+    return (
+        before.state is not after.state
+        or before.incarnation != after.incarnation
+        or before.versions != after.versions
+        or before.address != after.address
+    )
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -0,0 +1,204 @@
+"""One HTTP call to an endpoint, on a connection of its own."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from socket import IPPROTO_TCP, TCP_NODELAY
+
+from gevent.socket import create_connection, timeout
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from bergamotwood_core.errors import Code, EndpointError
+from bergamotwood_core.messages import Address
+from bergamotwood_core.states import Run
+
+BLOCK_BYTES = 65_536
+EVENT_END = b"\n\n"
+EVENT_PREFIX = b"data:"
+MAX_EVENT_BYTES = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """A header field."""
+
+    name: str
+    value: str
+
+
+class _Response(HTTPResponse):
+    """A response whose body is taken out piece by piece."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self._pieces = bytearray()
+
+    def _on_body(self, buf: bytearray) -> None:
+        self._pieces += buf
+
+    def take(self) -> bytes:
+        """Return the body bytes that arrived since the last call."""
+        taken = bytes(self._pieces)
+        self._pieces.clear()
+        return taken
+
+
+class EndpointCall:
+    """A call on a newly dialled connection, never sent twice.
+
+    Parameters
+    ----------
+    address : Address
+        The endpoint.
+    method, path : str
+        Request line.
+    headers : tuple of Header
+        Header fields besides host, length and connection.
+    body : bytes
+        Request body.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: tuple[Header, ...],
+        body: bytes,
+    ) -> None:
+        self._address = address
+        self._head = _encode_head(address, method, path, headers, len(body))
+        self._body = body
+        self._response = _Response(method)
+        self._socket = None
+        self.dispatched = False
+
+    def dial(self, timeout_seconds: float) -> None:
+        """Connect.
+
+        Raises
+        ------
+        EndpointError
+            With `run` not_run, since nothing was written.
+        """
+        target = (self._address.host, self._address.port)
+        try:
+            self._socket = create_connection(target, timeout_seconds)
+        except OSError as error:
+            raise EndpointError(
+                f"cannot connect to {self._address}: {error}", run=Run.NOT_RUN
+            ) from error
+        self._socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+    def send(self, timeout_seconds: float) -> None:
+        """Write the request and read the response's header fields."""
+        self._socket.settimeout(timeout_seconds)
+        self.dispatched = True
+        try:
+            self._socket.sendall(self._head + self._body)
+        except OSError as error:
+            raise EndpointError(
+                f"{self._address} closed the connection: {error}"
+            ) from error
+        while not self._response.headers_complete:
+            self._receive()
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the response."""
+        return self._response.status_code
+
+    @property
+    def content_type(self) -> str:
+        """Content type of the response."""
+        return str(self._response.get("content-type") or "application/octet-stream")
+
+    def read(self, timeout_seconds: float) -> bytes:
+        """Return the next piece of the body; empty at its checked end.
+
+        Raises
+        ------
+        EndpointError
+            The connection broke or stayed silent.
+        """
+        self._socket.settimeout(timeout_seconds)
+        while True:
+            piece = self._response.take()
+            if piece or self._response.message_complete:
+                return piece
+            self._receive()
+
+    def read_all(self, timeout_seconds: float, limit: int) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        EndpointError
+            As for `read`, or the body is larger than `limit` bytes.
+        """
+        whole = bytearray()
+        while piece := self.read(timeout_seconds):
+            whole += piece
+            if len(whole) > limit:
+                raise EndpointError(
+                    f"{self._address}: answer larger than {limit} bytes",
+                    Code.ANSWER_TOO_LARGE,
+                    Run.RAN,
+                )
+        return bytes(whole)
+
+    def read_events(self, first_timeout: float, timeout: float) -> Iterator[bytes]:
+        """Yield the data of each server-sent event, until the body ends."""
+        buffered = bytearray()
+        wait = first_timeout
+        while piece := self.read(wait):
+            wait = timeout
+            buffered += piece.replace(b"\r\n", b"\n")
+            while (end := buffered.find(EVENT_END)) >= 0:
+                event = bytes(buffered[:end])
+                del buffered[: end + len(EVENT_END)]
+                if event.startswith(EVENT_PREFIX):
+                    yield event[len(EVENT_PREFIX) :].strip()
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise EndpointError(
+                    f"{self._address}: event too large", Code.STREAM_BROKEN
+                )
+
+    def close(self) -> None:
+        """Close the connection, which cancels a running request."""
+        if self._socket is not None:
+            self._socket.close()
+
+    def _receive(self) -> None:
+        try:
+            data = self._socket.recv(BLOCK_BYTES)
+        except timeout as error:
+            raise EndpointError(
+                f"{self._address} stayed silent", Code.STREAM_SILENT
+            ) from error
+        except OSError as error:
+            raise self._broken(str(error)) from error
+        if not data and not self._ends_with_connection():
+            raise self._broken("closed early")
+        try:
+            self._response.feed(data)
+        except HTTPParseError as error:
+            raise self._broken(f"not HTTP: {error}") from error
+
+    def _ends_with_connection(self) -> bool:
+        return (
+            self._response.headers_complete
+            and self._response.content_length is None
+            and "transfer-encoding" not in self._response
+        )
+
+    def _broken(self, reason: str) -> EndpointError:
+        return EndpointError(f"{self._address}: {reason}", Code.STREAM_BROKEN)
+
+
+def _encode_head(
+    address: Address, method: str, path: str, headers: tuple[Header, ...], length: int
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{header.name}: {header.value}" for header in headers]
+    lines += [f"Content-Length: {length}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1")
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/entry.py
@@ -0,0 +1,138 @@
+"""What the parts of an entry share: tables, policies and ways to the leaders."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from bergamotwood_core.admission import Admission
+from bergamotwood_core.cascade import CascadePolicy
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Workspace
+from bergamotwood_core.ids import (
+    EndpointId,
+    Fingerprint,
+    RequestId,
+    SessionId,
+)
+from bergamotwood_core.ledger import Attempt
+from bergamotwood_core.outcome import OutcomeCounter
+from bergamotwood_core.quarantine import Isolation
+from bergamotwood_core.retry import HedgeBudget, RetryBudget
+from bergamotwood_core.states import Priority
+from bergamotwood_core.tables import Tables
+from bergamotwood_daemon.claims import Claims
+from bergamotwood_daemon.proposer import Proposer
+from bergamotwood_daemon.settings import Settings
+from bergamotwood_daemon.watch import Watch
+
+
+@dataclass
+class Entry:
+    """One entry instance at work.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of this daemon.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of draws and jitter.
+    tables : Tables
+        Configuration, directory and requests in flight.
+    watch : Watch
+        Its view of the control log.
+    control, ledger : Proposer
+        Ways to the leaders.
+    claims : Claims
+        Non-idempotent requests.
+    policy : CascadePolicy
+        Plans cascades.
+    admission : Admission
+        Fair shares and shedding.
+    outcomes : OutcomeCounter
+        Evidence on roll-outs.
+    incarnation : int
+        Tells the starts of this daemon apart.
+    """
+
+    settings: Settings
+    clock: Callable[[], Seconds]
+    rng: Random
+    tables: Tables
+    watch: Watch
+    control: Proposer
+    ledger: Proposer
+    claims: Claims
+    policy: CascadePolicy
+    admission: Admission
+    outcomes: OutcomeCounter
+    incarnation: int
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    isolation: Isolation = field(default_factory=Isolation)
+    draining: bool = False
+    sequence: int = 0
+
+    def __post_init__(self) -> None:
+        self.hedges = HedgeBudget(self.retries)
+
+    @property
+    def secret(self) -> bytes:
+        """Key of the session MACs."""
+        return self.settings.session_secret.encode()
+
+    def make_request_id(self) -> RequestId:
+        """Make an id that no other entry or start makes."""
+        self.sequence += 1
+        name = self.settings.instance
+        return RequestId(f"{name}-{self.incarnation}-{self.sequence}")
+
+    def measure_age(self) -> Seconds:
+        """Age of the configuration in force, in seconds."""
+        return Seconds(self.watch.measure_age(self.clock()))
+
+
+@dataclass
+class Work:
+    """A caller's request on its way through an entry.
+
+    Parameters
+    ----------
+    id : RequestId
+        Made by the entry.
+    workspace : Workspace
+        Whose request, as it was when admitted.
+    fingerprint : Fingerprint
+        Same for a resend, whatever its key.
+    deadline : Seconds
+        When the caller stops waiting.
+    idempotent : bool
+        Whether it may run more than once.
+    priority : Priority
+        Passed on to engines.
+    prefix_hash : int or None
+        Hash of the start of the prompt.
+    session : SessionId or None
+        Session that the caller named.
+    trace_parent : str
+        W3C trace context of the hop.
+    attempts : list of Attempt
+        What was dispatched, for the bill.
+    excluded : set of EndpointId
+        Endpoints that failed it.
+    suspect : bool
+        Whether an endpoint crashed under it at this entry.
+    """
+
+    id: RequestId
+    workspace: Workspace
+    fingerprint: Fingerprint
+    deadline: Seconds
+    idempotent: bool = True
+    priority: Priority = Priority.NORMAL
+    prefix_hash: int | None = None
+    session: SessionId | None = None
+    trace_parent: str = ""
+    attempts: list[Attempt] = field(default_factory=list)
+    excluded: set[EndpointId] = field(default_factory=set)
+    suspect: bool = False
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/feed.py
@@ -0,0 +1,53 @@
+"""Feed of applied control commands, from which entries follow the log."""
+
+from collections import deque
+
+from bergamotwood_core.control import ControlMachine
+from bergamotwood_core.ids import LogIndex
+from bergamotwood_daemon.wire import LogChange
+
+MAX_KEPT_CHANGES = 1_024
+
+
+class ControlFeed:
+    """A control state machine that keeps its newest commands for followers.
+
+    Attributes
+    ----------
+    machine : ControlMachine
+        The state that the commands lead to.
+    applied : LogIndex
+        Highest index applied; it never falls.
+    """
+
+    def __init__(self, machine: ControlMachine) -> None:
+        self.machine = machine
+        self.applied = LogIndex(0)
+        self._changes: deque[LogChange] = deque(maxlen=MAX_KEPT_CHANGES)
+        self._base = LogIndex(0)
+
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        """Apply a command and keep it."""
+        answer = self.machine.apply(index, command)
+        if len(self._changes) == MAX_KEPT_CHANGES:
+            self._base = self._changes[0].index
+        self._changes.append(LogChange(index, command))
+        self.applied = index
+        return answer
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        return self.machine.snapshot()
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state; earlier commands are no longer at hand."""
+        self.machine.restore(snapshot)
+        self._changes.clear()
+        self.applied = self.machine.tables.index
+        self._base = self.applied
+
+    def list_changes(self, after: LogIndex) -> tuple[LogChange, ...] | None:
+        """Return the commands after an index, or None where some are gone."""
+        if after < self._base:
+            return None
+        return tuple(change for change in self._changes if change.index > after)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -0,0 +1,223 @@
+"""gRPC between daemons: a server, and a channel for each peer."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from hmac import compare_digest
+from typing import NewType, Protocol
+
+import grpc
+from gevent import spawn
+from gevent.queue import Queue
+
+from bergamotwood_core.errors import BergamotwoodError, Code, ReplicationError
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.messages import Address
+from bergamotwood_daemon.peer_pb2 import Frame
+from bergamotwood_daemon.peer_pb2_grpc import (
+    PeerServicer,
+    PeerStub,
+    add_PeerServicer_to_server,
+)
+from bergamotwood_daemon.wire import (
+    ENCODER,
+    Envelope,
+    ReplicateBatch,
+)
+
+MAX_MESSAGE_BYTES = 64_000_000
+MAX_WORKERS = 1_024
+MAX_QUEUED_MESSAGES = 1_024
+REPLICATE_TIMEOUT_SECONDS = 1.0
+KEY_HEADER = "bergamotwood-instance-key"
+
+# A new channel must dial anew, so that a silent connection can be replaced.
+CHANNEL_OPTIONS = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+)
+SERVER_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+)
+
+Method = NewType("Method", str)
+REPLICATE = Method("Replicate")
+PROPOSE = Method("Propose")
+POLL = Method("Poll")
+QUERY = Method("Query")
+
+
+class PeerHandler(Protocol):
+    """What a daemon does with the messages of its peers."""
+
+    def handle_replicate(self, body: bytes) -> bytes:
+        """Take replication messages."""
+
+    def handle_propose(self, body: bytes) -> bytes:
+        """Submit a command."""
+
+    def handle_poll(self, body: bytes) -> bytes:
+        """Answer a poll."""
+
+    def handle_query(self, body: bytes) -> bytes:
+        """Answer a query."""
+
+
+class PeerServer(PeerServicer):
+    """The gRPC server of a daemon.
+
+    Parameters
+    ----------
+    handler : PeerHandler
+        Where calls go.
+    key : str
+        Instance key that every caller must show.
+    """
+
+    def __init__(self, handler: PeerHandler, key: str) -> None:
+        self._handler = handler
+        self._key = key
+        self._server = grpc.server(
+            ThreadPoolExecutor(max_workers=MAX_WORKERS), options=SERVER_OPTIONS
+        )
+        add_PeerServicer_to_server(self, self._server)
+
+    def start(self, address: Address) -> None:
+        """Listen on `address`."""
+        if self._server.add_insecure_port(str(address)) == 0:
+            raise OSError(f"peer_listen: cannot listen on {address}")
+        self._server.start()
+
+    def stop(self, grace_seconds: float) -> None:
+        """Take no new calls and wait for running ones."""
+        self._server.stop(grace_seconds).wait(grace_seconds + 1.0)
+
+    def Replicate(self, request: Frame, context: grpc.ServicerContext) -> Frame:  # noqa: N802
+        """Take replication messages."""
+        return self._answer(self._handler.handle_replicate, request, context)
+
+    def Propose(self, request: Frame, context: grpc.ServicerContext) -> Frame:  # noqa: N802
+        """Submit a command."""
+        return self._answer(self._handler.handle_propose, request, context)
+
+    def Poll(self, request: Frame, context: grpc.ServicerContext) -> Frame:  # noqa: N802
+        """Answer a poll."""
+        return self._answer(self._handler.handle_poll, request, context)
+
+    def Query(self, request: Frame, context: grpc.ServicerContext) -> Frame:  # noqa: N802
+        """Answer a query."""
+        return self._answer(self._handler.handle_query, request, context)
+
+    def _answer(
+        self,
+        handle: Callable[[bytes], bytes],
+        request: Frame,
+        context: grpc.ServicerContext,
+    ) -> Frame:
+        metadata = dict(context.invocation_metadata())
+        shown = str(metadata.get(KEY_HEADER, ""))
+        if not compare_digest(shown.encode(), self._key.encode()):
+            context.abort(grpc.StatusCode.UNAUTHENTICATED, "wrong instance key")
+        try:
+            return Frame(body=handle(request.body))
+        except BergamotwoodError as error:
+            context.abort(grpc.StatusCode.FAILED_PRECONDITION, error.detail)
+            raise
+
+
+class PeerChannel:
+    """Calls to one peer; a call that times out makes the next one dial anew."""
+
+    def __init__(self, address: Address, key: str) -> None:
+        self._address = address
+        self._metadata = ((KEY_HEADER, key),)
+        self._channel: grpc.Channel | None = None
+
+    def call(self, method: Method, body: bytes, timeout_seconds: float) -> bytes:
+        """Call the peer and return its answer.
+
+        Raises
+        ------
+        ReplicationError
+            The peer did not answer; it may have acted.
+        """
+        channel = self._open()
+        try:
+            rpc = getattr(PeerStub(channel), method)
+            frame = Frame(body=body)
+            reply = rpc(frame, timeout=timeout_seconds, metadata=self._metadata)
+        except grpc.RpcError as error:
+            if error.code() is not grpc.StatusCode.FAILED_PRECONDITION:
+                self._drop(channel)
+            raise ReplicationError(
+                f"{method} at {self._address}: {error.details()}", Code.NO_QUORUM
+            ) from error
+        return reply.body
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._channel is not None:
+            self._drop(self._channel)
+
+    def _open(self) -> grpc.Channel:
+        if self._channel is None:
+            self._channel = grpc.insecure_channel(
+                str(self._address), options=CHANNEL_OPTIONS
+            )
+        return self._channel
+
+    def _drop(self, channel: grpc.Channel) -> None:
+        if self._channel is channel:
+            self._channel = None
+        channel.close()
+
+
+class ReplicationSender:
+    """Sends replication messages to one peer, batched while a call runs."""
+
+    def __init__(self, channel: PeerChannel) -> None:
+        self._channel = channel
+        self._queue: Queue[Envelope] = Queue()
+        self._greenlet = spawn(self._run)
+
+    def send(self, envelope: Envelope) -> None:
+        """Queue a message; it is dropped when the peer is too far behind."""
+        if self._queue.qsize() >= MAX_QUEUED_MESSAGES:
+            return
+        self._queue.put(envelope)
+
+    def stop(self) -> None:
+        """Drop what is queued."""
+        self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            batch = [self._queue.get()]
+            while not self._queue.empty():
+                batch.append(self._queue.get())
+            body = ENCODER.encode(ReplicateBatch(tuple(batch)))
+            try:
+                self._channel.call(REPLICATE, body, REPLICATE_TIMEOUT_SECONDS)
+            except ReplicationError:
+                continue
+
+
+class GroupTransport:
+    """Transport of one log group over the senders of the daemon."""
+
+    def __init__(self, group: str, senders: dict[InstanceId, ReplicationSender]):
+        self._group = group
+        self._senders = senders
+
+    def send(self, target: InstanceId, body: bytes) -> None:
+        """Send without waiting; unknown targets are ignored."""
+        sender = self._senders.get(target)
+        if sender is not None:
+            sender.send(Envelope(self._group, body))
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/presence.py
@@ -0,0 +1,100 @@
+"""HTTP for endpoints that announce themselves and callers that ask for entries."""
+
+from msgspec import Struct
+
+from bergamotwood_core.directory import (
+    choose_addresses,
+    decode_announcement,
+    merge_announcement,
+)
+from bergamotwood_core.ids import DataCentre, InstanceId, LogIndex
+from bergamotwood_core.messages import Address, EntryReport
+from bergamotwood_core.states import EntryState
+from bergamotwood_daemon.entry import Entry
+from bergamotwood_daemon.web import Response, WebRequest, answer_json
+
+MAX_ADDRESSES = 16
+# Index distance from which an entry's configuration is not fresh.
+FRESH_ENTRIES = 64
+
+
+class AnnouncementReply(Struct):
+    """What an endpoint is told: whether its word was news."""
+
+    accepted: bool
+
+
+class EntryAddress(Struct):
+    """One entry that a caller may use."""
+
+    id: InstanceId
+    address: str
+    data_centre: DataCentre
+
+
+class AddressList(Struct):
+    """Entries to use, the best first, and how long to keep the answer."""
+
+    addresses: list[EntryAddress]
+    ttl_seconds: int
+
+
+class Presence:
+    """Membership as one entry serves it.
+
+    Parameters
+    ----------
+    entry : Entry
+        Tables and settings.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._sequence = 0
+
+    def take_announcement(self, request: WebRequest) -> Response:
+        """Take an endpoint's word on itself."""
+        announcement = decode_announcement(request.read_body())
+        directory = self._entry.tables.directory
+        news = merge_announcement(directory, announcement, self._entry.clock())
+        if news:
+            self._entry.watch.offer(announcement)
+        return answer_json(AnnouncementReply(news))
+
+    def list_addresses(self, request: WebRequest) -> Response:
+        """Tell a caller which entries to use, and for how long."""
+        near = request.read_parameter("near")
+        directory = self._entry.tables.directory
+        minimum = LogIndex(max(0, self._entry.watch.applied - FRESH_ENTRIES))
+        reports = choose_addresses(
+            directory,
+            DataCentre(near or self._entry.settings.data_centre),
+            minimum,
+            self._entry.clock(),
+            self._entry.rng,
+            MAX_ADDRESSES,
+        )
+        addresses = [
+            EntryAddress(report.id, str(report.address), report.data_centre)
+            for report in reports
+        ]
+        ttl = self._entry.settings.address_ttl_seconds
+        response = answer_json(AddressList(addresses, ttl))
+        headers = (("Cache-Control", f"max-age={ttl}"),)
+        return Response(200, response.content_type, response.body, headers)
+
+    def describe(self) -> EntryReport:
+        """Make this entry's report on itself."""
+        self._sequence += 1
+        settings = self._entry.settings
+        draining = self._entry.draining
+        return EntryReport(
+            id=InstanceId(settings.instance),
+            incarnation=self._entry.incarnation,
+            sequence=self._sequence,
+            address=Address(settings.listen.host, settings.listen.port),
+            data_centre=DataCentre(settings.data_centre),
+            state=EntryState.DRAINING if draining else EntryState.SERVING,
+            in_flight=len(self._entry.tables.in_flight),
+            applied=self._entry.watch.applied,
+        )
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/proposer.py
@@ -0,0 +1,124 @@
+"""Submitting commands to the leader of a log group, wherever it is."""
+
+from collections.abc import Callable
+from random import Random
+
+from gevent import sleep
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import Code, ReplicationError
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.peer import PROPOSE, QUERY, Method, PeerChannel
+from bergamotwood_daemon.wire import (
+    ENCODER,
+    PROPOSE_REPLY,
+    Committed,
+    NotLeader,
+    ProposeRequest,
+    Query,
+    QueryRequest,
+    Unknown,
+)
+
+CALL_TIMEOUT_SECONDS = 1.5
+MIN_BACKOFF_SECONDS = 0.02
+MAX_BACKOFF_SECONDS = 0.3
+
+
+class Proposer:
+    """Finds the leader of one log group and submits commands to it.
+
+    All commands are idempotent, so a command whose answer was lost is sent
+    again until the deadline.
+
+    Parameters
+    ----------
+    group : str
+        The log group.
+    channels : dict of InstanceId to PeerChannel
+        The control replicas.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        channels: dict[InstanceId, PeerChannel],
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self._group = group
+        self._channels = channels
+        self._clock = clock
+        self._rng = rng
+        self._order = list(channels)
+        rng.shuffle(self._order)
+
+    def propose(self, command: bytes, timeout_seconds: float) -> bytes:
+        """Commit a command and return the state machine's answer.
+
+        Raises
+        ------
+        ReplicationError
+            Not known to be committed in time. `run` tells whether it may be.
+        """
+        request = ProposeRequest(self._group, command, CALL_TIMEOUT_SECONDS)
+        return self._submit(PROPOSE, ENCODER.encode(request), timeout_seconds)
+
+    def query(self, query: Query, timeout_seconds: float) -> bytes:
+        """Read from the leader's state; the answer is JSON.
+
+        Raises
+        ------
+        ReplicationError
+            No leader answered in time.
+        """
+        request = QueryRequest(self._group, query, CALL_TIMEOUT_SECONDS)
+        return self._submit(QUERY, ENCODER.encode(request), timeout_seconds)
+
+    def _submit(self, method: Method, body: bytes, timeout_seconds: float) -> bytes:
+        deadline = self._clock() + timeout_seconds
+        backoff = MIN_BACKOFF_SECONDS
+        run = Run.NOT_RUN
+        while True:
+            left = deadline - self._clock()
+            if left <= 0.0:
+                break
+            match self._call(method, body, min(left, CALL_TIMEOUT_SECONDS)):
+                case Committed(result):
+                    return result
+                case NotLeader(leader):
+                    self._prefer(leader)
+                case Unknown():
+                    run = Run.MAY_HAVE_RUN
+                    self._order.append(self._order.pop(0))
+            sleep(min(backoff * self._rng.uniform(0.5, 1.0), max(left, 0.0)))
+            backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
+        raise ReplicationError(
+            f"{self._group}: no majority confirmed within {timeout_seconds} s",
+            Code.NO_QUORUM,
+            run,
+            retry_after=1.0,
+        )
+
+    def _call(
+        self, method: Method, body: bytes, timeout_seconds: float
+    ) -> Committed | NotLeader | Unknown:
+        channel = self._channels[self._order[0]]
+        try:
+            reply = channel.call(method, body, timeout_seconds)
+        except ReplicationError as error:
+            return Unknown(error.detail)
+        return PROPOSE_REPLY.decode(reply)
+
+    def _prefer(self, leader: str | None) -> None:
+        if leader is None or leader not in self._channels:
+            self._order.append(self._order.pop(0))
+            return
+        name = InstanceId(leader)
+        self._order.remove(name)
+        self._order.insert(0, name)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/ratings.py
@@ -0,0 +1,67 @@
+"""The rating service: how well an answer did, as a score from 0 to 1."""
+
+from msgspec import DecodeError, Struct, ValidationError, json
+
+from bergamotwood_core.errors import EndpointError
+from bergamotwood_core.ids import RequestClass
+from bergamotwood_core.messages import Address
+from bergamotwood_daemon.endpointcall import EndpointCall, Header
+from bergamotwood_daemon.settings import Listen
+
+RATING_PATH = "/v1/ratings"
+RATING_SECONDS = 3.0
+CONNECT_SECONDS = 0.5
+MAX_REPLY_BYTES = 4_096
+
+
+class RatingRequest(Struct, frozen=True):
+    """An answer to rate."""
+
+    request: str
+    workspace: str
+    request_class: RequestClass
+    version: str
+    answer: str
+
+
+class _Rating(Struct):
+    score: float
+
+
+class Ratings:
+    """Client of the rating service.
+
+    Parameters
+    ----------
+    listen : Listen or None
+        Where the service is; None where the site has none.
+    """
+
+    def __init__(self, listen: Listen | None) -> None:
+        self._address = Address(listen.host, listen.port) if listen else None
+
+    def rate(self, rating: RatingRequest) -> float | None:
+        """Return the score; None when the service refused or failed."""
+        if self._address is None:
+            return None
+        call = EndpointCall(
+            self._address,
+            "POST",
+            RATING_PATH,
+            (Header("Content-Type", "application/json"),),
+            json.encode(rating),
+        )
+        try:
+            call.dial(CONNECT_SECONDS)
+            call.send(RATING_SECONDS)
+            body = call.read_all(RATING_SECONDS, MAX_REPLY_BYTES)
+        except EndpointError:
+            return None
+        finally:
+            call.close()
+        if call.status != 200:
+            return None
+        try:
+            return json.decode(body, type=_Rating).score
+        except (DecodeError, ValidationError):
+            return None
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/replicas.py
@@ -0,0 +1,234 @@
+"""The control role: log groups, their feeds, and answers to other daemons."""
+
+from collections.abc import Callable
+from random import Random
+
+from gevent.event import Event
+from msgspec import json
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.control import ControlMachine
+from bergamotwood_core.errors import NotLeaderError, ReplicationError
+from bergamotwood_core.ids import InstanceId, RolloutId
+from bergamotwood_core.ledger import LedgerMachine
+from bergamotwood_core.rollout import RolloutWatch, merge_reports
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.directoryfeed import DirectoryFeed
+from bergamotwood_daemon.feed import ControlFeed
+from bergamotwood_daemon.group import LogGroup
+from bergamotwood_daemon.peer import PeerChannel
+from bergamotwood_daemon.relay import Relay
+from bergamotwood_daemon.wire import (
+    ENCODER,
+    POLL_REQUEST,
+    PROPOSE_REQUEST,
+    QUERY_REQUEST,
+    REPLICATE_BATCH,
+    Committed,
+    FindBill,
+    FindClaim,
+    FindTicket,
+    ListBills,
+    ListTickets,
+    ListTotals,
+    NotLeader,
+    PollReply,
+    PollRequest,
+    Query,
+    Unknown,
+)
+
+CONTROL_GROUP = "control"
+LEDGER_GROUP = "ledger-0"
+MAX_HOLD_SECONDS = 1.0
+
+
+class Replicas:
+    """The log groups of a control instance.
+
+    Parameters
+    ----------
+    control, ledger : LogGroup
+        The two groups.
+    feed : ControlFeed
+        State machine of the control group.
+    ledger_machine : LedgerMachine
+        State machine of the ledger group.
+    directory : DirectoryFeed
+        Soft state of this replica.
+    peers : dict of InstanceId to PeerChannel
+        The other control replicas.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        control: LogGroup,
+        ledger: LogGroup,
+        feed: ControlFeed,
+        ledger_machine: LedgerMachine,
+        directory: DirectoryFeed,
+        peers: dict[InstanceId, PeerChannel],
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self.control = control
+        self.ledger = ledger
+        self.directory = directory
+        self.rollout_watches: dict[RolloutId, RolloutWatch] = {}
+        self._feed = feed
+        self._ledger_machine = ledger_machine
+        self._relays = [
+            Relay(channel, lambda: feed.applied, rng) for channel in peers.values()
+        ]
+        self._clock = clock
+        self._groups = {CONTROL_GROUP: control, LEDGER_GROUP: ledger}
+        self._news = Event()
+        control.on_apply(self._wake)
+
+    @property
+    def control_machine(self) -> ControlMachine:
+        """State of the control group at this replica."""
+        return self._feed.machine
+
+    def start(self) -> None:
+        """Start the groups and the relaying of soft state."""
+        for group in self._groups.values():
+            group.start()
+        for relay in self._relays:
+            relay.start()
+
+    def stop(self) -> None:
+        """Hand leadership over and stop."""
+        for group in self._groups.values():
+            group.stop(handover=True)
+        for relay in self._relays:
+            relay.stop()
+
+    def handle_replicate(self, body: bytes) -> bytes:
+        """Give replication messages to their groups."""
+        for envelope in REPLICATE_BATCH.decode(body).envelopes:
+            group = self._groups.get(envelope.group)
+            if group is not None:
+                group.receive(envelope.body)
+        return b""
+
+    def handle_propose(self, body: bytes) -> bytes:
+        """Submit a command to a group that this replica may lead."""
+        request = PROPOSE_REQUEST.decode(body)
+        group = self._groups[request.group]
+        return ENCODER.encode(
+            _guard(lambda: group.propose(request.command, request.timeout_seconds))
+        )
+
+    def handle_query(self, body: bytes) -> bytes:
+        """Answer a query from a leader's confirmed state."""
+        request = QUERY_REQUEST.decode(body)
+        group = self._groups[request.group]
+
+        def read() -> bytes:
+            group.read_barrier(request.timeout_seconds)
+            return json.encode(self._answer(request.query))
+
+        return ENCODER.encode(_guard(read))
+
+    def handle_poll(self, body: bytes) -> bytes:
+        """Take reports; answer with news, at once or after a short wait."""
+        request = POLL_REQUEST.decode(body)
+        self._take_reports(request)
+        self._wait_for_news(request)
+        return ENCODER.encode(self._build_reply(request))
+
+    def expire(self, now: Seconds) -> None:
+        """Run the tick of the directory."""
+        self.directory.expire(now)
+
+    def _answer(self, query: Query) -> object:
+        match query:
+            case FindBill(request):
+                return self._ledger_machine.find_bill(request)
+            case ListBills(workspace, limit):
+                return self._ledger_machine.list_bills(workspace, limit)
+            case ListTotals():
+                return self._ledger_machine.list_totals()
+            case FindClaim(workspace, key):
+                return self._ledger_machine.find_claim(workspace, key)
+            case FindTicket(number):
+                return self.control_machine.find_ticket(number)
+            case ListTickets(limit):
+                return self.control_machine.list_tickets(limit)
+
+    def _take_reports(self, request: PollRequest) -> None:
+        now = self._clock()
+        membership = self.directory.membership_cursor
+        reports = request.reports
+        if request.report is not None:
+            reports = (*reports, request.report)
+        news = [
+            *(
+                a
+                for a in request.announcements
+                if self.directory.take_announcement(a, now)
+            ),
+            *(r for r in reports if self.directory.take_report(r, now)),
+            *(e for e in request.ratings if self.directory.take_ratings(e)),
+            *request.outcomes,
+        ]
+        merge_reports(self.rollout_watches, request.outcomes)
+        if self.directory.membership_cursor != membership:
+            self._wake()
+        if request.relayed:
+            return
+        for relay in self._relays:
+            for item in news:
+                relay.put(item)
+
+    def _wait_for_news(self, request: PollRequest) -> None:
+        deadline = self._clock() + min(request.hold_seconds, MAX_HOLD_SECONDS)
+        while not self._has_news(request):
+            left = deadline - self._clock()
+            if left <= 0.0:
+                return
+            self._news.wait(left)
+
+    def _has_news(self, request: PollRequest) -> bool:
+        if self._feed.applied > request.applied:
+            return True
+        if request.boot != self.directory.boot:
+            return True
+        return self.directory.membership_cursor > request.cursor
+
+    def _build_reply(self, request: PollRequest) -> PollReply:
+        news = self.directory.list_news(request.boot, request.cursor)
+        changes = self._feed.list_changes(request.applied)
+        snapshot = self._feed.snapshot() if changes is None else None
+        return PollReply(
+            age_seconds=self.control.confirmed_age(self._clock()),
+            applied=self._feed.applied,
+            snapshot=snapshot,
+            changes=changes or (),
+            boot=self.directory.boot,
+            cursor=news.cursor,
+            announcements=news.announcements,
+            reports=news.reports,
+            ratings=news.ratings,
+            leader=self.control.leader,
+        )
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news.clear()
+
+
+def _guard(act: Callable[[], bytes]) -> Committed | NotLeader | Unknown:
+    try:
+        return Committed(act())
+    except NotLeaderError as error:
+        return NotLeader(error.leader)
+    except ReplicationError as error:
+        if error.run is Run.NOT_RUN:
+            return NotLeader(None)
+        return Unknown(error.detail)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -0,0 +1,262 @@
+"""`ANY /v1/services/{service}/{path}`: plain services behind the router."""
+
+from dataclasses import dataclass
+
+from bergamotwood_core.configuration import Service
+from bergamotwood_core.errors import (
+    AuthorizationError,
+    Code,
+    EndpointError,
+    IdempotencyError,
+    ReplicationError,
+    RequestError,
+)
+from bergamotwood_core.ids import IdempotencyKey, ServiceName
+from bergamotwood_core.ledger import (
+    Attempt,
+    Bill,
+    BillOutcome,
+    RecordBill,
+    StoredAnswer,
+    decode_bill_answer,
+    encode_command,
+)
+from bergamotwood_core.states import Run
+from bergamotwood_core.tables import InFlight
+from bergamotwood_core.target import ServiceTarget
+from bergamotwood_daemon.admittance import Admittance
+from bergamotwood_daemon.attempts import (
+    OpenAttempt,
+    Outgoing,
+    allow_retry,
+    open_attempt,
+    settle_failure,
+)
+from bergamotwood_daemon.authorization import find_workspace
+from bergamotwood_daemon.chatcall import digest_request, make_work, read_key
+from bergamotwood_daemon.claims import KeyedRequest, Ran
+from bergamotwood_daemon.endpointcall import Header
+from bergamotwood_daemon.entry import Entry, Work
+from bergamotwood_daemon.web import Response, WebRequest
+
+# Methods that RFC 9110 defines as safe.
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+PASSED_HEADERS = ("content-type", "accept", "accept-language")
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """A checked request for a plain service.
+
+    Parameters
+    ----------
+    work : Work
+        Its way through the entry.
+    service : Service
+        What it is for.
+    outgoing : Outgoing
+        What the endpoint gets.
+    key : IdempotencyKey or None
+        Chosen by the caller.
+    digest : str
+        Tells another request with the same key.
+    """
+
+    work: Work
+    service: Service
+    outgoing: Outgoing
+    key: IdempotencyKey | None
+    digest: str
+
+
+class Services:
+    """Requests for plain services at one entry.
+
+    Parameters
+    ----------
+    entry : Entry
+        Tables, policies and ways to the leaders.
+    admittance : Admittance
+        Waiting for a slot.
+    """
+
+    def __init__(self, entry: Entry, admittance: Admittance) -> None:
+        self._entry = entry
+        self._admittance = admittance
+
+    def answer(self, request: WebRequest, name: str, path: str) -> Response:
+        """Answer a request for a plain service."""
+        call = self._read_call(request, name, path)
+        if not call.work.idempotent and call.key is None:
+            raise RequestError(
+                "idempotency-key: needed for a non-idempotent request",
+                Code.KEY_REQUIRED,
+            )
+        self._enter(call)
+        if call.work.idempotent:
+            try:
+                answer = self._answer_idempotent(call)
+            finally:
+                self._leave(call.work)
+        else:
+            answer = self._answer_once(call)
+        headers = (("Bergamotwood-Request", call.work.id),)
+        return Response(answer.status, answer.content_type, [answer.body], headers)
+
+    def _read_call(self, request: WebRequest, name: str, path: str) -> ServiceCall:
+        tables = self._entry.tables.configuration
+        workspace = find_workspace(request, tables)
+        service = tables.services.get(ServiceName(name))
+        if service is None:
+            raise RequestError(f"service: {name!r:.80} unknown", Code.UNKNOWN_SERVICE)
+        if name not in workspace.services:
+            raise AuthorizationError(
+                f"workspace {workspace.name} may not use service {name}",
+                Code.FORBIDDEN,
+            )
+        work = make_work(self._entry, request, workspace)
+        safe = request.method in SAFE_METHODS or path in service.idempotent_paths
+        work.idempotent = work.idempotent and safe
+        return ServiceCall(
+            work=work,
+            service=service,
+            outgoing=_make_outgoing(request, work, path),
+            key=read_key(request),
+            digest=digest_request(request),
+        )
+
+    def _answer_idempotent(self, call: ServiceCall) -> StoredAnswer:
+        attempts = 0
+        while True:
+            attempts += 1
+            try:
+                answer = self._attempt(call)
+                break
+            except EndpointError as error:
+                if error.run is Run.RAN:
+                    raise
+                if not allow_retry(self._entry, call.work, attempts):
+                    raise
+        self._record_bill(call)
+        return answer
+
+    def _answer_once(self, call: ServiceCall) -> StoredAnswer:
+        keyed = KeyedRequest(
+            call.work.workspace.key, call.key, call.digest, call.work.id
+        )
+
+        def act() -> Ran:
+            try:
+                answer = self._attempt(call)
+            finally:
+                self._leave(call.work)
+            return Ran(answer, _make_bill(call))
+
+        timeouts = self._entry.settings.timeouts
+        try:
+            return self._entry.claims.run_once(keyed, act, timeouts.call)
+        except IdempotencyError as error:
+            if error.code is not Code.OUTCOME_UNKNOWN:
+                self._leave(call.work)
+            raise
+        except BaseException:
+            self._leave(call.work)
+            raise
+
+    def _attempt(self, call: ServiceCall) -> StoredAnswer:
+        """Run one attempt and read its whole answer."""
+        target = ServiceTarget(ServiceName(call.service.name))
+        attempt = open_attempt(self._entry, call.work, target, call.outgoing)
+        settings = self._entry.settings
+        try:
+            body = attempt.call.read_all(
+                settings.timeouts.late, settings.limits.answer_bytes
+            )
+        except EndpointError as error:
+            reset = error.code is Code.STREAM_BROKEN
+            settle_failure(self._entry, call.work, attempt, reset)
+            raise
+        finally:
+            attempt.cancel()
+        return self._close(call, attempt, body)
+
+    def _close(
+        self, call: ServiceCall, attempt: OpenAttempt, body: bytes
+    ) -> StoredAnswer:
+        status = attempt.call.status
+        call.work.attempts.append(
+            Attempt(
+                call.service.name,
+                attempt.endpoint,
+                0,
+                0,
+                call.service.price,
+                str(status),
+            )
+        )
+        return StoredAnswer(status, attempt.call.content_type, body)
+
+    def _record_bill(self, call: ServiceCall) -> None:
+        command = encode_command(RecordBill(_make_bill(call)))
+        timeout = self._entry.settings.timeouts.ledger
+        try:
+            reply = self._entry.ledger.propose(command, timeout)
+        except ReplicationError as error:
+            raise IdempotencyError(
+                "the ledger did not confirm the bill",
+                Code.LEDGER_UNAVAILABLE,
+                Run.RAN,
+                retry_after=2.0,
+            ) from error
+        if decode_bill_answer(reply).outcome is BillOutcome.CONFLICT:
+            raise IdempotencyError(
+                f"key {call.key}: used for another request",
+                Code.KEY_CONFLICT,
+                Run.RAN,
+            )
+
+    def _enter(self, call: ServiceCall) -> None:
+        work = call.work
+        self._entry.retries.record_offered()
+        self._admittance.enter(work, call.service.name)
+        self._entry.tables.in_flight[work.id] = InFlight(
+            work.id, work.workspace.key, self._entry.clock(), work.fingerprint
+        )
+
+    def _leave(self, work: Work) -> None:
+        self._entry.tables.in_flight.pop(work.id, None)
+        self._admittance.leave(work.id)
+
+
+def _make_outgoing(request: WebRequest, work: Work, path: str) -> Outgoing:
+    headers = [
+        Header(name, value)
+        for name in PASSED_HEADERS
+        if (value := _read_passed(request, name))
+    ]
+    headers.append(Header("X-Request-Id", work.id))
+    headers.append(Header("Traceparent", work.trace_parent))
+    key = read_key(request)
+    if key is not None:
+        headers.append(Header("Idempotency-Key", key))
+    query = request.environ.get("QUERY_STRING", "")
+    target = f"/{path}?{query}" if query else f"/{path}"
+    return Outgoing(request.method, target, tuple(headers), request.read_body())
+
+
+def _read_passed(request: WebRequest, name: str) -> str | None:
+    if name == "content-type":
+        return request.environ.get("CONTENT_TYPE")
+    return request.read_header(name)
+
+
+def _make_bill(call: ServiceCall) -> Bill:
+    work = call.work
+    return Bill(
+        request=work.id,
+        workspace=work.workspace.key,
+        key=call.key,
+        digest=call.digest,
+        attempts=tuple(work.attempts),
+        cost=sum(attempt.cost for attempt in work.attempts),
+    )
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/watch.py
@@ -0,0 +1,194 @@
+"""Following the control log: an entry polls a replica and applies its news."""
+
+from collections.abc import Callable
+from random import Random
+
+from gevent import sleep, spawn
+from gevent.event import Event
+
+from bergamotwood_core.cascade import CascadePolicy
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.control import ControlMachine
+from bergamotwood_core.directory import merge_announcement, merge_report
+from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.evidence import Evidence
+from bergamotwood_core.ids import InstanceId, LogIndex
+from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.outcome import OutcomeCounter
+from bergamotwood_core.tables import Tables
+from bergamotwood_daemon.peer import POLL, PeerChannel
+from bergamotwood_daemon.wire import ENCODER, POLL_REPLY, PollReply, PollRequest
+
+HOLD_SECONDS = 0.5
+POLL_TIMEOUT_SECONDS = 1.5
+REPORT_SECONDS = 0.25
+REPORT_TIMEOUT_SECONDS = 1.0
+MAX_USEFUL_AGE_SECONDS = 2.0
+MIN_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 1.0
+MAX_PENDING_ANNOUNCEMENTS = 4_096
+
+
+class Watch:
+    """An entry's view of the control log, and how old it can be.
+
+    Parameters
+    ----------
+    machine : ControlMachine
+        The entry's own copy of the control state.
+    tables : Tables
+        The entry's tables, which the news goes into.
+    channels : dict of InstanceId to PeerChannel
+        The control replicas, in order of preference.
+    describe : callable
+        Gives the entry's report on itself.
+    policy : CascadePolicy
+        Exchanges ratings with the other entries.
+    outcomes : OutcomeCounter
+        Evidence on roll-outs.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        machine: ControlMachine,
+        tables: Tables,
+        channels: dict[InstanceId, PeerChannel],
+        describe: Callable[[], EntryReport],
+        policy: CascadePolicy,
+        outcomes: OutcomeCounter,
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self.machine = machine
+        self.applied = LogIndex(0)
+        self.leader: InstanceId | None = None
+        self.changed = Event()
+        self._tables = tables
+        self._channels = channels
+        self._describe = describe
+        self._policy = policy
+        self._outcomes = outcomes
+        self._clock = clock
+        self._rng = rng
+        self._order = list(channels)
+        self._boot = ""
+        self._cursor = 0
+        self._confirmed_at: Seconds | None = None
+        self._pending: dict[str, Announcement] = {}
+        self._greenlets = []
+
+    def start(self) -> None:
+        """Begin to poll and to report."""
+        self._greenlets = [spawn(self._poll_forever), spawn(self._report_forever)]
+
+    def stop(self) -> None:
+        """Stop polling."""
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+
+    def measure_age(self, now: Seconds) -> float:
+        """Return seconds since the configuration was surely the newest."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return now - self._confirmed_at
+
+    def offer(self, announcement: Announcement) -> None:
+        """Queue an endpoint's announcement for the control replicas."""
+        if len(self._pending) >= MAX_PENDING_ANNOUNCEMENTS:
+            return
+        self._pending[announcement.id] = announcement
+
+    def report_now(self) -> bool:
+        """Send reports at once; return whether a replica took them."""
+        announcements = tuple(self._pending.values())
+        self._pending.clear()
+        request = PollRequest(
+            applied=self.applied,
+            boot=self._boot,
+            cursor=self._cursor,
+            report=self._describe(),
+            announcements=announcements,
+            ratings=self._take_ratings(),
+            outcomes=tuple(self._outcomes.list_reports()),
+        )
+        for name in list(self._order):
+            if self._exchange(name, request, REPORT_TIMEOUT_SECONDS):
+                return True
+        for announcement in announcements:
+            self._pending.setdefault(announcement.id, announcement)
+        return False
+
+    def _take_ratings(self) -> tuple[Evidence, ...]:
+        evidence = self._policy.take_evidence()
+        return (evidence,) if evidence.cells else ()
+
+    def _report_forever(self) -> None:
+        while True:
+            sleep(REPORT_SECONDS * self._rng.uniform(0.8, 1.2))
+            self.report_now()
+
+    def _poll_forever(self) -> None:
+        backoff = MIN_BACKOFF_SECONDS
+        while True:
+            request = PollRequest(
+                applied=self.applied,
+                hold_seconds=HOLD_SECONDS,
+                boot=self._boot,
+                cursor=self._cursor,
+            )
+            if self._exchange(self._order[0], request, POLL_TIMEOUT_SECONDS):
+                backoff = MIN_BACKOFF_SECONDS
+                continue
+            self._order.append(self._order.pop(0))
+            sleep(backoff * self._rng.uniform(0.5, 1.0))
+            backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
+
+    def _exchange(self, name: InstanceId, request: PollRequest, limit: float) -> bool:
+        sent_at = self._clock()
+        try:
+            body = self._channels[name].call(POLL, ENCODER.encode(request), limit)
+        except ReplicationError:
+            return False
+        reply = POLL_REPLY.decode(body)
+        self._take(reply, sent_at)
+        return reply.age_seconds <= MAX_USEFUL_AGE_SECONDS
+
+    def _take(self, reply: PollReply, sent_at: Seconds) -> None:
+        self._take_directory(reply)
+        if reply.applied < self.applied:
+            # A replica that lags behind proves nothing about our configuration.
+            return
+        self._take_changes(reply)
+        confirmed_at = Seconds(sent_at - reply.age_seconds)
+        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+            self.leader = reply.leader
+
+    def _take_changes(self, reply: PollReply) -> None:
+        if reply.applied == self.applied:
+            return
+        if reply.snapshot is not None:
+            self.machine.restore(reply.snapshot)
+        for change in reply.changes:
+            if change.index > self.applied:
+                self.machine.apply(change.index, change.command)
+        # A snapshot replaces the machine's tables.
+        self._tables.configuration = self.machine.tables
+        self.applied = reply.applied
+        self.changed.set()
+        self.changed.clear()
+
+    def _take_directory(self, reply: PollReply) -> None:
+        now = self._clock()
+        for announcement in reply.announcements:
+            merge_announcement(self._tables.directory, announcement, now)
+        for report in reply.reports:
+            merge_report(self._tables.directory, report, now)
+        for evidence in reply.ratings:
+            self._policy.merge_evidence(evidence)
+        self._boot = reply.boot
+        self._cursor = reply.cursor
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -0,0 +1,207 @@
+"""HTTP towards callers: reading requests, answering, and problem documents."""
+
+from collections.abc import Callable, Generator, Iterable, Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs
+
+from gevent import Timeout
+from msgspec import DecodeError, json
+
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    RequestError,
+    SettingsError,
+    TicketError,
+)
+from bergamotwood_daemon.settings import Limits
+
+JSON = "application/json"
+PROBLEM_JSON = "application/problem+json"
+EVENT_STREAM = "text/event-stream"
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer to a caller."""
+
+    status: int
+    content_type: str
+    body: Iterable[bytes]
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(slots=True)
+class WebRequest:
+    """A caller's HTTP request.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    limits : Limits
+        Bounds on the body.
+    """
+
+    environ: Environ
+    limits: Limits
+    _body: bytes | None = field(default=None)
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return self.environ["REQUEST_METHOD"]
+
+    @property
+    def path(self) -> str:
+        """Path, without the query."""
+        return self.environ["PATH_INFO"]
+
+    @property
+    def query(self) -> dict[str, list[str]]:
+        """Query parameters."""
+        return parse_qs(self.environ.get("QUERY_STRING", ""))
+
+    def read_parameter(self, name: str) -> str | None:
+        """Return the first value of a query parameter."""
+        values = self.query.get(name)
+        return values[0] if values else None
+
+    def read_number(self, name: str, default: int, most: int) -> int:
+        """Return a query parameter as a positive number, at most `most`."""
+        text = self.read_parameter(name)
+        if text is None:
+            return default
+        if not text.isdecimal() or int(text) < 1:
+            raise RequestError(f"{name}: not a positive number: {text!r:.40}")
+        return min(int(text), most)
+
+    def read_header(self, name: str) -> str | None:
+        """Return a header field."""
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+    def read_bearer(self) -> str:
+        """Return the bearer key, empty when there is none."""
+        scheme, _, key = (self.read_header("authorization") or "").partition(" ")
+        return key.strip() if scheme.lower() == "bearer" else ""
+
+    def read_body(self) -> bytes:
+        """Read the whole body, once.
+
+        Raises
+        ------
+        RequestError
+            The body is too large, cut off or too slow.
+        """
+        if self._body is None:
+            self._body = self._read_body()
+        return self._body
+
+    def read_json(self) -> Any:
+        """Decode the body as a JSON object."""
+        try:
+            document = json.decode(self.read_body())
+        except (DecodeError, RecursionError, UnicodeDecodeError) as error:
+            raise RequestError(f"body: not JSON: {error}") from error
+        if not isinstance(document, dict):
+            raise RequestError("body: not a JSON object")
+        return document
+
+    def _read_body(self) -> bytes:
+        most = self.limits.body_bytes
+        declared = self.environ.get("CONTENT_LENGTH") or "0"
+        if declared.isdecimal() and int(declared) > most:
+            raise RequestError(f"body: larger than {most} bytes", Code.BODY_TOO_LARGE)
+        try:
+            with Timeout(self.limits.body_seconds):
+                body = self.environ["wsgi.input"].read(most + 1)
+        except Timeout as error:
+            raise RequestError(
+                f"body: not received within {self.limits.body_seconds} s",
+                Code.SENDER_TOO_SLOW,
+            ) from error
+        except OSError as error:
+            raise RequestError("body: cut off", Code.BODY_INCOMPLETE) from error
+        if len(body) > most:
+            raise RequestError(f"body: larger than {most} bytes", Code.BODY_TOO_LARGE)
+        if declared.isdecimal() and len(body) < int(declared):
+            raise RequestError("body: cut off", Code.BODY_INCOMPLETE)
+        return body
+
+
+class ClosingBody:
+    """Body pieces with a step that follows however the body ends.
+
+    Parameters
+    ----------
+    pieces : generator of bytes
+        The body.
+    on_close : callable
+        Called once, also when no piece was ever taken.
+    """
+
+    def __init__(
+        self, pieces: Generator[bytes, None, None], on_close: Callable[[], None]
+    ) -> None:
+        self._pieces = pieces
+        self._on_close = on_close
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._pieces
+
+    def close(self) -> None:
+        """End the body."""
+        try:
+            self._pieces.close()
+        finally:
+            self._on_close()
+
+
+def answer_json(document: object, status: int = 200) -> Response:
+    """Answer with a JSON document."""
+    return Response(status, JSON, [json.encode(document)])
+
+
+def answer_problem(error: BergamotwoodError, request_id: str = "") -> Response:
+    """Answer with a problem document (RFC 9457)."""
+    headers = ()
+    if error.retry_after is not None:
+        headers = (("Retry-After", str(max(1, round(error.retry_after)))),)
+    return Response(
+        error.status, PROBLEM_JSON, [encode_problem(error, request_id)], headers
+    )
+
+
+def encode_problem(error: BergamotwoodError, request_id: str = "") -> bytes:
+    """Encode an error as a problem document."""
+    document = {
+        "type": f"urn:bergamotwood:error:{int(error.code)}",
+        "title": error.code.name.lower(),
+        "status": error.status,
+        "detail": error.detail,
+        "code": int(error.code),
+        "run": str(error.run),
+    }
+    if request_id:
+        document["request"] = request_id
+    if error.retry_after is not None:
+        document["retry_after"] = error.retry_after
+    if isinstance(error, TicketError | SettingsError) and error.faults:
+        document["faults"] = error.faults
+    return json.encode(document)
+
+
+def send_response(response: Response, start_response: StartResponse) -> Iterable[bytes]:
+    """Give a response to the WSGI server."""
+    phrase = HTTPStatus(response.status).phrase
+    headers = [("Content-Type", response.content_type), *response.headers]
+    if isinstance(response.body, list):
+        length = sum(len(piece) for piece in response.body)
+        headers.append(("Content-Length", str(length)))
+    start_response(f"{response.status} {phrase}", headers)
+    return response.body
