--- a/packages/core/src/bergamotwood_core/tables.py
+++ b/packages/core/src/bergamotwood_core/tables.py
@@ -19,11 +19,13 @@
     DataCentre,
     EndpointId,
     Fingerprint,
+    Incarnation,
     InstanceId,
     LogIndex,
     ModelName,
     RequestId,
     RolloutId,
+    Sequence,
     ServiceName,
     TicketNumber,
     VersionId,
@@ -137,6 +139,26 @@
     suspects: dict[Fingerprint, Suspect] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Departure:
+    """Last word of an endpoint or entry that is no longer in its table.
+
+    Parameters
+    ----------
+    incarnation, sequence : int
+        Order of that word; an older one is late and ignored.
+    leaving : bool
+        Whether it said that it leaves, which is final for the incarnation.
+    at : Seconds
+        When it was taken out of the table.
+    """
+
+    incarnation: Incarnation
+    sequence: Sequence
+    leaving: bool
+    at: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class PoolKey:
     """Which endpoints a pool holds.
@@ -179,6 +201,8 @@
         Pools made since, by key.
     pools_membership, pools_size : int
         Membership and number of endpoints that the pools were made from.
+    departed_endpoints, departed_entries : dict
+        Last words of those that are no longer there.
     """
 
     endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
@@ -187,6 +211,8 @@
     pools: dict[PoolKey, Pool] = field(default_factory=dict)
     pools_membership: int = -1
     pools_size: int = 0
+    departed_endpoints: dict[EndpointId, Departure] = field(default_factory=dict)
+    departed_entries: dict[InstanceId, Departure] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
