--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -4,7 +4,7 @@
 
 from gevent import sleep, spawn
 
-from bergamotwood_core.control import RecordCrash, encode_command
+from bergamotwood_core.control import ClearSuspect, RecordCrash, encode_command
 from bergamotwood_core.dispatch import check_dispatch
 from bergamotwood_core.errors import (
     Code,
@@ -88,9 +88,12 @@
         record_first_token(self._row, self.first_token_seconds, now)
 
     def succeed(self) -> None:
-        """Close after a whole answer."""
-        if self._close():
-            record_success(self._row, self._entry.clock())
+        """Close after a whole answer, which clears a suspect."""
+        if not self._close():
+            return
+        record_success(self._row, self._entry.clock())
+        if self._work.suspect:
+            spawn(_clear_suspect, self._entry, self._work)
 
     def fail(self) -> None:
         """Close after a failure of the endpoint."""
@@ -306,3 +309,11 @@
         raise EndpointError(
             f"endpoint {attempt.endpoint} crashed", run=Run.MAY_HAVE_RUN
         ) from error
+
+
+def _clear_suspect(entry: Entry, work: Work) -> None:
+    command = encode_command(ClearSuspect(work.fingerprint))
+    try:
+        entry.control.propose(command, RECORD_CRASH_SECONDS)
+    except ReplicationError as error:
+        log_event("quarantine", "Suspect not cleared.", detail=error.detail)
--- a/packages/daemon/src/bergamotwood_daemon/replicas.py
+++ b/packages/daemon/src/bergamotwood_daemon/replicas.py
@@ -9,7 +9,7 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.control import ControlMachine
 from bergamotwood_core.errors import NotLeaderError, ReplicationError
-from bergamotwood_core.ids import InstanceId, RolloutId
+from bergamotwood_core.ids import InstanceId, RolloutId, TicketNumber
 from bergamotwood_core.ledger import LedgerMachine
 from bergamotwood_core.rollout import RolloutWatch, merge_reports
 from bergamotwood_core.states import Run
@@ -157,9 +157,9 @@
             case FindClaim(workspace, key):
                 return self._ledger_machine.find_claim(workspace, key)
             case FindTicket(number):
-                return self.control_machine.find_ticket(number)
+                return self.control_machine.records.get(TicketNumber(number))
             case ListTickets(limit):
-                return self.control_machine.list_tickets(limit)
+                return list(self.control_machine.records.values())[-limit:]
 
     def _take_reports(self, request: PollRequest) -> None:
         now = self._clock()
--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -176,14 +176,14 @@
             reset = error.code is Code.STREAM_BROKEN
             settle_failure(self._entry, call.work, attempt, reset)
             raise
-        finally:
-            attempt.cancel()
         return self._close(call, attempt, body)
 
     def _close(
         self, call: ServiceCall, attempt: OpenAttempt, body: bytes
     ) -> StoredAnswer:
         status = attempt.call.status
+        attempt.note_first_token()
+        attempt.succeed()
         call.work.attempts.append(
             Attempt(
                 call.service.name,
--- a/packages/daemon/src/bergamotwood_daemon/watch.py
+++ b/packages/daemon/src/bergamotwood_daemon/watch.py
@@ -176,8 +176,6 @@
         for change in reply.changes:
             if change.index > self.applied:
                 self.machine.apply(change.index, change.command)
-        # A snapshot replaces the machine's tables.
-        self._tables.configuration = self.machine.tables
         self.applied = reply.applied
         self.changed.set()
         self.changed.clear()
