--- /dev/null
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -0,0 +1,163 @@
+"""How a group is formed once, and how replicas join it later.
+
+A fresh group is formed only by the first initial voter, and only when every
+other one has answered this voter's present identity that it belongs to no
+group. So replicas whose folders were lost cannot form a second group while
+one of the old replicas is left.
+"""
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import InstanceId, ReplicaId, Term
+from bergamotwood_core.logmessages import Hello, Message, Welcome
+from bergamotwood_core.membership import (
+    AddLearner,
+    Genesis,
+    Member,
+    Membership,
+    Promote,
+    Remove,
+)
+from bergamotwood_core.replicastate import ReplicaState, Role
+from bergamotwood_core.replication import (
+    append_membership,
+    broadcast,
+    can_change_membership,
+)
+
+HELLO_HEARTBEATS = 5
+
+
+def is_member(state: ReplicaState) -> bool:
+    """Whether the replica is in the newest membership that it knows."""
+    return state.membership.find(state.replica) is not None
+
+
+def send_hellos(state: ReplicaState, now: Seconds) -> None:
+    """Ask the group's instances to join, from time to time."""
+    if now < state.hello_at:
+        return
+    wait = HELLO_HEARTBEATS * state.settings.heartbeat_seconds
+    state.hello_at = Seconds(now + wait)
+    _form_group(state, now)
+    for instance in _find_others(state):
+        answers = state.heard_identity.get(instance, ReplicaId(""))
+        leader, term = state.heard_leader
+        hello = Hello(
+            state.settings.initial_voters,
+            state.genesis is not None,
+            answers,
+            term if leader == answers else Term(0),
+        )
+        state.send(instance, ReplicaId(""), hello)
+
+
+def answer_hello(
+    state: ReplicaState, message: Message, body: Hello, now: Seconds
+) -> None:
+    """Answer a replica that is not a member."""
+    if state.genesis is None:
+        state.heard_identity[message.instance] = message.sender
+        _note_greeting(state, message, body, now)
+        return
+    if message.genesis not in ("", state.genesis.id):
+        return
+    leads = state.role is Role.LEADER
+    welcome = Welcome(state.genesis, leads)
+    state.send(message.instance, message.sender, welcome)
+    current = body.answers == state.replica and body.answers_term == state.term
+    if leads and current and message.instance in state.settings.initial_voters:
+        state.leadership.newcomers[message.instance] = message.sender
+
+
+def take_welcome(
+    state: ReplicaState, message: Message, body: Welcome, now: Seconds
+) -> None:
+    """Join the group that a member belongs to."""
+    if message.target != state.replica:
+        return
+    if state.genesis is None:
+        state.bind(body.genesis)
+        state.delay_election(now)
+    if state.genesis.id != body.genesis.id:
+        return
+    state.heard_identity[message.instance] = message.sender
+    if body.leads:
+        state.heard_leader = (message.sender, message.term)
+
+
+def repair_membership(state: ReplicaState, now: Seconds) -> None:
+    """Swap in one replica that came back with an empty folder, step by step."""
+    if not can_change_membership(state):
+        return
+    change = _choose_promotion(state, now) or _choose_repair(state, now)
+    if change is not None:
+        append_membership(state, change)
+        broadcast(state, now)
+
+
+def _note_greeting(
+    state: ReplicaState, message: Message, body: Hello, now: Seconds
+) -> None:
+    agreed = body.voters == state.settings.initial_voters
+    if body.bound or not agreed or body.answers != state.replica:
+        return
+    state.greetings[message.instance] = message.sender
+    _form_group(state, now)
+
+
+def _form_group(state: ReplicaState, now: Seconds) -> None:
+    voters = state.settings.initial_voters
+    if state.genesis is not None or voters[0] != state.settings.instance:
+        return
+    identities = {**state.greetings, state.settings.instance: state.replica}
+    if any(instance not in identities for instance in voters):
+        return
+    members = tuple(
+        Member(instance, identities[instance], voting=True) for instance in voters
+    )
+    genesis = Genesis(state.replica, Membership(members))
+    state.bind(genesis)
+    state.delay_election(now)
+    for member in members[1:]:
+        welcome = Welcome(genesis, leads=False)
+        state.send(member.instance, member.replica, welcome)
+
+
+def _find_others(state: ReplicaState) -> list[InstanceId]:
+    known = {member.instance for member in state.membership.members}
+    known.update(state.settings.initial_voters)
+    known.discard(state.settings.instance)
+    return sorted(known)
+
+
+def _choose_promotion(state: ReplicaState, now: Seconds) -> Promote | None:
+    for member in state.membership.members:
+        if member.voting or member.replica == state.replica:
+            continue
+        progress = state.leadership.progress.get(member.replica)
+        if progress is None or _is_silent(state, member, now):
+            continue
+        if not progress.probing and progress.match >= state.commit:
+            return Promote(member.replica)
+    return None
+
+
+def _choose_repair(state: ReplicaState, now: Seconds) -> AddLearner | Remove | None:
+    newcomers = state.leadership.newcomers
+    for instance, replica in list(newcomers.items()):
+        occupant = state.membership.find_instance(instance)
+        if occupant is None:
+            return AddLearner(instance, replica)
+        if occupant.replica == replica:
+            del newcomers[instance]
+        elif occupant.replica != state.replica and _is_silent(state, occupant, now):
+            return Remove(occupant.replica)
+    return None
+
+
+def _is_silent(state: ReplicaState, member: Member, now: Seconds) -> bool:
+    leadership = state.leadership
+    progress = leadership.progress.get(member.replica)
+    timeout = state.settings.election_seconds
+    heard = progress.acked_at if progress else leadership.elected_at
+    return now > max(heard, leadership.elected_at) + timeout
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/follower.py
@@ -0,0 +1,135 @@
+"""The follower's part: taking entries and snapshots from the leader."""
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import LogCorruptError
+from bergamotwood_core.ids import LogIndex
+from bergamotwood_core.logentries import Entry, EntryLog, Snapshot
+from bergamotwood_core.logmessages import (
+    Append,
+    AppendReply,
+    Message,
+    SnapshotPart,
+    SnapshotReply,
+)
+from bergamotwood_core.membership import Member
+from bergamotwood_core.replicastate import IncomingSnapshot, ReplicaState, Role
+
+
+def take_append(
+    state: ReplicaState, message: Message, body: Append, now: Seconds
+) -> None:
+    """Take entries that follow the own log; else say where to look."""
+    _note_leader(state, message, now)
+    if not _fits_log(state, body):
+        hint = _find_hint(state, body.previous_index)
+        _reply(state, message, body, accepted=False, match=hint, now=now)
+        return
+    _append_missing(state, body.entries)
+    match = LogIndex(body.previous_index + len(body.entries))
+    state.commit_to(LogIndex(min(body.commit, match)))
+    _note_age(state, body)
+    _reply(state, message, body, accepted=True, match=match, now=now)
+
+
+def take_snapshot_part(
+    state: ReplicaState, message: Message, body: SnapshotPart, now: Seconds
+) -> None:
+    """Collect a snapshot, and install it when it is whole."""
+    _note_leader(state, message, now)
+    if body.index > state.commit:
+        received = _collect(state, body)
+        if received < body.size:
+            reply = SnapshotReply(body.index, received, body.sent, state.get_stamp(now))
+            state.send(message.instance, message.sender, reply)
+            return
+        _install(state, body)
+    stamp = state.get_stamp(now)
+    done = AppendReply(True, body.index, body.index, body.sent, stamp)
+    state.send(message.instance, message.sender, done)
+
+
+def refuse_old_leader(
+    state: ReplicaState, message: Message, body: Append | SnapshotPart, now: Seconds
+) -> None:
+    """Tell a leader of an earlier term that a later one exists."""
+    stamp = state.get_stamp(now)
+    reply = AppendReply(False, LogIndex(0), LogIndex(0), body.sent, stamp)
+    state.send(message.instance, message.sender, reply)
+
+
+def _note_leader(state: ReplicaState, message: Message, now: Seconds) -> None:
+    if state.role is not Role.FOLLOWER:
+        state.become_follower(state.term, now)
+    state.leader = Member(message.instance, message.sender, voting=True)
+    state.heard_at = now
+    state.delay_election(now)
+
+
+def _fits_log(state: ReplicaState, body: Append) -> bool:
+    if body.previous_index < state.log.start:
+        return True
+    return state.log.find_term(body.previous_index) == body.previous_term
+
+
+def _find_hint(state: ReplicaState, previous: LogIndex) -> LogIndex:
+    if previous > state.log.last_index:
+        return state.log.last_index
+    return max(state.log.find_conflict(previous), state.commit)
+
+
+def _append_missing(state: ReplicaState, entries: tuple[Entry, ...]) -> None:
+    log = state.log
+    for at, entry in enumerate(entries):
+        if entry.index <= log.start or log.find_term(entry.index) == entry.term:
+            continue
+        if entry.index <= state.commit:
+            raise LogCorruptError(f"committed entry {entry.index} contradicted")
+        state.append_entries(entries[at:])
+        return
+
+
+def _note_age(state: ReplicaState, body: Append) -> None:
+    if body.age is None or body.echo.session != state.session:
+        return
+    if state.commit >= body.commit:
+        # The heartbeat was sent after the stamp that it echoes.
+        state.confirm(Seconds(body.echo.at - body.age))
+
+
+def _reply(
+    state: ReplicaState,
+    message: Message,
+    body: Append,
+    accepted: bool,
+    match: LogIndex,
+    now: Seconds,
+) -> None:
+    stamp = state.get_stamp(now)
+    reply = AppendReply(accepted, body.previous_index, match, body.sent, stamp)
+    state.send(message.instance, message.sender, reply)
+
+
+def _collect(state: ReplicaState, body: SnapshotPart) -> int:
+    incoming = state.incoming
+    wanted = (body.index, body.term, body.size)
+    if incoming is None or incoming.wanted != wanted:
+        incoming = IncomingSnapshot(wanted)
+        state.incoming = incoming
+    if body.offset == len(incoming.data):
+        incoming.data.extend(body.data)
+    return len(incoming.data)
+
+
+def _install(state: ReplicaState, body: SnapshotPart) -> None:
+    data = bytes(state.incoming.data)
+    state.incoming = None
+    if state.log.find_term(body.index) == body.term:
+        # Entries after it may have been acknowledged, so the log stays.
+        state.commit_to(body.index)
+        return
+    snapshot = Snapshot(body.index, body.term, body.membership, data)
+    state.snapshot = snapshot
+    state.log = EntryLog(body.index, body.term, body.membership)
+    state.commit = body.index
+    state.effects.records.append(snapshot)
+    state.effects.outputs.append(snapshot)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/logmessages.py
@@ -0,0 +1,235 @@
+"""Messages between the replicas of a log group."""
+
+from msgspec import Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import InstanceId, LogIndex, ReplicaId, Term
+from bergamotwood_core.logentries import Entry
+from bergamotwood_core.membership import Genesis, Membership
+
+
+class Stamp(Struct, frozen=True, array_like=True):
+    """A time on a follower's own clock, valid within one run of its process."""
+
+    session: int
+    at: Seconds
+
+
+NO_STAMP = Stamp(0, Seconds(0.0))
+
+
+class Hello(Struct, frozen=True, array_like=True, tag=1):
+    """A replica that is not a member asks to join, or to form the group.
+
+    Parameters
+    ----------
+    voters : tuple of InstanceId
+        Initial voters in its settings.
+    bound : bool
+        Whether it belongs to a group already.
+    answers : ReplicaId
+        Identity that it last heard from the receiver.
+    answers_term : Term
+        Term in which the receiver last said that it leads.
+    """
+
+    voters: tuple[InstanceId, ...]
+    bound: bool
+    answers: ReplicaId
+    answers_term: Term
+
+
+class Welcome(Struct, frozen=True, array_like=True, tag=2):
+    """Answer of a member to `Hello`."""
+
+    genesis: Genesis
+    leads: bool
+
+
+class PreVote(Struct, frozen=True, array_like=True, tag=3):
+    """Ask whether an election in a new term could be won."""
+
+    proposed_term: Term
+    last_index: LogIndex
+    last_term: Term
+
+
+class PreVoteReply(Struct, frozen=True, array_like=True, tag=4):
+    """Answer to `PreVote`; binds the sender to nothing."""
+
+    proposed_term: Term
+    granted: bool
+
+
+class Vote(Struct, frozen=True, array_like=True, tag=5):
+    """Ask for the vote of the message's term.
+
+    Parameters
+    ----------
+    last_index, last_term : int
+        End of the candidate's log.
+    transfer : bool
+        The leader asked for this election, and gave its lease up first.
+    """
+
+    last_index: LogIndex
+    last_term: Term
+    transfer: bool
+
+
+class VoteReply(Struct, frozen=True, array_like=True, tag=6):
+    """Answer to `Vote`."""
+
+    granted: bool
+
+
+class Append(Struct, frozen=True, array_like=True, tag=7):
+    """Entries, or a heartbeat when there are none.
+
+    Parameters
+    ----------
+    previous_index, previous_term : int
+        The entry before the first one sent.
+    entries : tuple of Entry
+        What follows it.
+    commit : LogIndex
+        Last committed entry.
+    sent : Seconds
+        Time on the leader's clock, returned in the reply.
+    echo : Stamp
+        Newest stamp that the leader has from the receiver.
+    age : float or None
+        Seconds since the newest majority-confirmed round was sent.
+    """
+
+    previous_index: LogIndex
+    previous_term: Term
+    entries: tuple[Entry, ...]
+    commit: LogIndex
+    sent: Seconds
+    echo: Stamp
+    age: float | None
+
+
+class AppendReply(Struct, frozen=True, array_like=True, tag=8):
+    """Answer to `Append`, and to the last part of a snapshot.
+
+    Parameters
+    ----------
+    accepted : bool
+        Whether the previous entry was found.
+    previous : LogIndex
+        `previous_index` of the request.
+    match : LogIndex
+        Last entry known to be equal, when accepted; else where to look next.
+    sent : Seconds
+        From the request.
+    stamp : Stamp
+        Time on the follower's clock.
+    """
+
+    accepted: bool
+    previous: LogIndex
+    match: LogIndex
+    sent: Seconds
+    stamp: Stamp
+
+
+class SnapshotPart(Struct, frozen=True, array_like=True, tag=9):
+    """A part of a snapshot.
+
+    Parameters
+    ----------
+    index, term, membership : LogIndex, Term, Membership
+        As in `Snapshot`.
+    offset : int
+        Place of `data` in the snapshot's bytes.
+    data : bytes
+        The part.
+    size : int
+        Bytes of the whole snapshot.
+    sent : Seconds
+        Time on the leader's clock, returned in the reply.
+    """
+
+    index: LogIndex
+    term: Term
+    membership: Membership
+    offset: int
+    data: bytes
+    size: int
+    sent: Seconds
+
+
+class SnapshotReply(Struct, frozen=True, array_like=True, tag=10):
+    """Answer to `SnapshotPart`: how many bytes are there."""
+
+    index: LogIndex
+    offset: int
+    sent: Seconds
+    stamp: Stamp
+
+
+class StartElection(Struct, frozen=True, array_like=True, tag=11):
+    """The leader hands over to the receiver."""
+
+
+Body = (
+    Hello
+    | Welcome
+    | PreVote
+    | PreVoteReply
+    | Vote
+    | VoteReply
+    | Append
+    | AppendReply
+    | SnapshotPart
+    | SnapshotReply
+    | StartElection
+)
+
+
+class Message(Struct, frozen=True, array_like=True):
+    """A body with its sender and receiver.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Where the sender runs.
+    sender, target : ReplicaId
+        Identities; the target of a `Hello` is empty.
+    genesis : str
+        The group, empty when the sender has none.
+    term : Term
+        The sender's term.
+    body : Body
+        What it says.
+    """
+
+    instance: InstanceId
+    sender: ReplicaId
+    target: ReplicaId
+    genesis: str
+    term: Term
+    body: Body
+
+
+_ENCODER = Encoder()
+_DECODER = Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as bytes."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message that bytes hold.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        When they hold none.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/replication.py
@@ -0,0 +1,302 @@
+"""The leader's part: sending entries, counting acknowledgements, committing."""
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import LogIndex, ReplicaId
+from bergamotwood_core.logentries import Entry, EntryKind
+from bergamotwood_core.logmessages import (
+    Append,
+    AppendReply,
+    Message,
+    SnapshotPart,
+    SnapshotReply,
+    StartElection,
+)
+from bergamotwood_core.membership import (
+    Member,
+    MembershipChange,
+    change_members,
+    find_majority_value,
+)
+from bergamotwood_core.progress import NEVER, Leadership, Progress
+from bergamotwood_core.replicastate import ReplicaState, Role
+
+
+def become_leader(state: ReplicaState, now: Seconds) -> None:
+    """Lead the term, beginning with an entry of its own."""
+    state.role = Role.LEADER
+    state.leader = state.membership.find(state.replica)
+    first = LogIndex(state.log.last_index + 1)
+    state.leadership = Leadership(now, first, saved=state.log.last_index)
+    state.append_entries((Entry(first, state.term, EntryKind.NOOP),))
+    broadcast(state, now)
+
+
+def append_commands(state: ReplicaState, commands: list[bytes]) -> LogIndex:
+    """Append commands and return the index of the first."""
+    first = state.log.last_index + 1
+    entries = tuple(
+        Entry(LogIndex(first + at), state.term, EntryKind.COMMAND, command)
+        for at, command in enumerate(commands)
+    )
+    state.append_entries(entries)
+    return LogIndex(first)
+
+
+def append_membership(state: ReplicaState, change: MembershipChange) -> None:
+    """Append a change of one member; it counts from now on."""
+    members = change_members(state.membership, change)
+    index = LogIndex(state.log.last_index + 1)
+    entry = Entry(index, state.term, EntryKind.MEMBERSHIP, membership=members)
+    state.append_entries((entry,))
+
+
+def can_change_membership(state: ReplicaState) -> bool:
+    """Whether no other change is pending and the term has a committed entry."""
+    leadership = state.leadership
+    if leadership is None or leadership.transfer_to is not None:
+        return False
+    settled = state.log.membership_index <= state.commit
+    return settled and has_committed_in_term(state)
+
+
+def has_committed_in_term(state: ReplicaState) -> bool:
+    """Whether the leader knows all that was committed before its term."""
+    leadership = state.leadership
+    return leadership is not None and state.commit >= leadership.first_index
+
+
+def broadcast(state: ReplicaState, now: Seconds) -> None:
+    """Send each other member what it lacks, or a heartbeat."""
+    leadership = state.leadership
+    leadership.next_heartbeat = Seconds(now + state.settings.heartbeat_seconds)
+    _match_progress_to_members(state)
+    for member in state.membership.members:
+        if member.replica != state.replica:
+            send_append(state, member, now)
+
+
+def send_append(state: ReplicaState, member: Member, now: Seconds) -> None:
+    """Send one member the next entries, a probe or a part of a snapshot."""
+    progress = state.leadership.progress[member.replica]
+    _check_silence(state, progress, now)
+    if progress.snapshot is None and progress.next <= state.log.start:
+        progress.snapshot = state.snapshot
+        progress.offset = 0
+    if progress.probing or progress.snapshot is not None:
+        if now < progress.quiet_until:
+            return
+        progress.quiet_until = Seconds(now + state.settings.heartbeat_seconds / 2)
+    if progress.snapshot is not None:
+        _send_snapshot_part(state, member, progress, now)
+        return
+    _send_entries(state, member, progress, now)
+
+
+def count_reply(
+    state: ReplicaState, message: Message, body: AppendReply, now: Seconds
+) -> None:
+    """Take in an answer to `Append`."""
+    progress = _find_progress(state, message.sender)
+    if progress is None:
+        return
+    _note_reply(progress, body, now)
+    if body.accepted:
+        _advance(progress, body.match)
+    elif not _retreat(progress, body):
+        return
+    count_own_log(state, now)
+    member = state.membership.find(message.sender)
+    behind = progress.next <= state.log.last_index
+    if member is not None and state.leadership is not None and behind:
+        send_append(state, member, now)
+
+
+def count_snapshot_reply(
+    state: ReplicaState, message: Message, body: SnapshotReply, now: Seconds
+) -> None:
+    """Send the next part of a snapshot."""
+    progress = _find_progress(state, message.sender)
+    if progress is None:
+        return
+    _note_reply(progress, body, now)
+    count_own_log(state, now)
+    snapshot = progress.snapshot
+    if snapshot is None or snapshot.index != body.index:
+        return
+    if progress.offset == body.offset:
+        return
+    progress.offset = body.offset
+    progress.quiet_until = NEVER
+    send_append(state, state.membership.find(message.sender), now)
+
+
+def count_own_log(state: ReplicaState, now: Seconds) -> None:
+    """Commit what a majority has, and note the confirmed round."""
+    leadership = state.leadership
+    index = _find_majority_match(state)
+    # Entries of earlier terms are committed only by one of this term.
+    if index > state.commit and state.log.find_term(index) == state.term:
+        state.commit_to(index)
+        if not state.membership.find(state.replica):
+            state.become_follower(state.term, now)
+            return
+    if has_committed_in_term(state) and leadership is state.leadership:
+        state.confirm(find_confirmed_round(state, now))
+
+
+def find_confirmed_round(state: ReplicaState, now: Seconds) -> Seconds:
+    """Return when the newest round was sent that a majority acknowledged."""
+    progress = state.leadership.progress
+    times = []
+    for voter in state.membership.voters:
+        if voter == state.replica:
+            times.append(now)
+        else:
+            times.append(progress[voter].acked_sent if voter in progress else NEVER)
+    return Seconds(find_majority_value(times))
+
+
+def hand_over(state: ReplicaState, now: Seconds) -> bool:
+    """Begin to hand over to the voter that has most of the log.
+
+    Returns
+    -------
+    bool
+        Whether there is such a voter.
+    """
+    leadership = state.leadership
+    timeout = state.settings.election_seconds
+    ready = [
+        (progress.match, replica)
+        for replica, progress in leadership.progress.items()
+        if state.membership.is_voter(replica) and progress.acked_at > now - timeout
+    ]
+    if not ready:
+        return False
+    leadership.transfer_to = max(ready)[1]
+    leadership.transfer_until = Seconds(now + timeout)
+    finish_hand_over(state, now)
+    return True
+
+
+def finish_hand_over(state: ReplicaState, now: Seconds) -> None:
+    """Let the chosen voter stand for election once it has the whole log."""
+    leadership = state.leadership
+    target = leadership.transfer_to
+    progress = leadership.progress.get(target)
+    if progress is not None and progress.match == state.log.last_index:
+        member = state.membership.find(target)
+        state.send(member.instance, target, StartElection())
+
+
+def _send_entries(
+    state: ReplicaState, member: Member, progress: Progress, now: Seconds
+) -> None:
+    previous = LogIndex(progress.next - 1)
+    entries = _choose_entries(state, progress)
+    body = Append(
+        previous,
+        state.log.find_term(previous),
+        entries,
+        state.commit,
+        now,
+        progress.stamp,
+        _find_age(state, now),
+    )
+    progress.next = LogIndex(progress.next + len(entries))
+    state.send_eagerly(member, body)
+
+
+def _send_snapshot_part(
+    state: ReplicaState, member: Member, progress: Progress, now: Seconds
+) -> None:
+    snapshot = progress.snapshot
+    end = progress.offset + state.settings.snapshot_part_bytes
+    body = SnapshotPart(
+        snapshot.index,
+        snapshot.term,
+        snapshot.membership,
+        progress.offset,
+        snapshot.data[progress.offset : end],
+        len(snapshot.data),
+        now,
+    )
+    state.send_eagerly(member, body)
+
+
+def _choose_entries(state: ReplicaState, progress: Progress) -> tuple[Entry, ...]:
+    ahead = progress.next - progress.match - 1
+    if progress.probing or ahead >= state.settings.append_entries_ahead:
+        return ()
+    last = state.log.last_index
+    return state.log.get_entries(progress.next, last, state.settings.append_bytes)
+
+
+def _check_silence(state: ReplicaState, progress: Progress, now: Seconds) -> None:
+    silent = now > progress.acked_at + state.settings.election_seconds
+    if silent and not progress.probing:
+        progress.probing = True
+        progress.next = LogIndex(progress.match + 1)
+
+
+def _find_age(state: ReplicaState, now: Seconds) -> float | None:
+    if state.confirmed_at == NEVER:
+        return None
+    return now - state.confirmed_at
+
+
+def _match_progress_to_members(state: ReplicaState) -> None:
+    progress = state.leadership.progress
+    members = {member.replica for member in state.membership.members}
+    for replica in set(progress) - members:
+        del progress[replica]
+    for replica in members - set(progress) - {state.replica}:
+        progress[replica] = Progress(LogIndex(state.log.last_index + 1))
+
+
+def _find_progress(state: ReplicaState, replica: ReplicaId) -> Progress | None:
+    if state.leadership is None:
+        return None
+    return state.leadership.progress.get(replica)
+
+
+def _note_reply(
+    progress: Progress, body: AppendReply | SnapshotReply, now: Seconds
+) -> None:
+    progress.acked_at = now
+    if body.sent > progress.acked_sent:
+        progress.acked_sent = body.sent
+        progress.stamp = body.stamp
+
+
+def _advance(progress: Progress, match: LogIndex) -> None:
+    progress.match = max(progress.match, match)
+    progress.next = max(progress.next, LogIndex(progress.match + 1))
+    progress.probing = False
+    if progress.snapshot is not None and match >= progress.snapshot.index:
+        progress.snapshot = None
+
+
+def _retreat(progress: Progress, body: AppendReply) -> bool:
+    if body.previous <= progress.match or progress.snapshot is not None:
+        return False
+    if progress.probing and body.previous != progress.next - 1:
+        return False
+    progress.probing = True
+    progress.quiet_until = NEVER
+    progress.next = LogIndex(
+        max(progress.match, min(body.match, body.previous - 1)) + 1
+    )
+    return True
+
+
+def _find_majority_match(state: ReplicaState) -> LogIndex:
+    leadership = state.leadership
+    matches = []
+    for voter in state.membership.voters:
+        if voter == state.replica:
+            matches.append(leadership.saved)
+        else:
+            held = leadership.progress.get(voter)
+            matches.append(held.match if held else 0)
+    return LogIndex(int(find_majority_value(matches)))
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -0,0 +1,415 @@
+"""A log group of this instance: the replica, its journal and its machine."""
+
+from collections.abc import Callable
+from random import Random
+from secrets import randbits, token_hex
+
+from gevent import Greenlet, Timeout, get_hub, joinall, sleep, spawn
+from gevent.event import AsyncResult, Event
+from gevent.queue import Queue
+from msgspec import MsgspecError
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    NotLeaderError,
+    ReplicationError,
+)
+from bergamotwood_core.fencing import FencingToken
+from bergamotwood_core.ids import InstanceId, LogIndex, ReplicaId, Term
+from bergamotwood_core.logentries import Entry, EntryKind, Snapshot
+from bergamotwood_core.logmessages import decode_message, encode_message
+from bergamotwood_core.machine import StateMachine
+from bergamotwood_core.membership import Membership, MembershipChange
+from bergamotwood_core.progress import NEVER
+from bergamotwood_core.replica import Replica
+from bergamotwood_core.replicastate import Effects, Outgoing
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.groupinput import Call, Input, Proposal, Received, Stop, Tick
+from bergamotwood_daemon.groupsettings import GroupSettings, Transport
+from bergamotwood_daemon.journal import Journal
+from bergamotwood_daemon.waiters import Waiters
+
+IDENTITY_BYTES = 8
+SESSION_BITS = 48
+
+
+class LogGroup:
+    """One replica of a log group, run by a greenlet.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group, also of its folder.
+    settings : GroupSettings
+        Its settings.
+    machine : StateMachine
+        Receives the committed commands.
+    transport : Transport
+        Carries its messages.
+    clock : Callable
+        Seconds on a clock that counts while the machine sleeps.
+    rng : Random
+        Source of election delays.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: GroupSettings,
+        machine: StateMachine,
+        transport: Transport,
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self.name = name
+        self.failure: BaseException | None = None
+        self.applied = LogIndex(0)
+        self._settings = settings
+        self._machine = machine
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._inbox: Queue = Queue()
+        self._waiters = Waiters()
+        self._running = False
+        self._callbacks: list[Callable[[], None]] = []
+        self._progressed = Event()
+        self._confirmed_at = NEVER
+        self._replica: Replica | None = None
+        self._journal: Journal | None = None
+        self._greenlets: list[Greenlet] = []
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """Instance that leads, None when unknown."""
+        return self._replica.leader if self._replica else None
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
+        return self._replica is not None and self._replica.is_leader
+
+    @property
+    def term(self) -> Term:
+        """Newest term."""
+        return self._replica.term if self._replica else Term(0)
+
+    @property
+    def membership(self) -> Membership:
+        """Newest membership."""
+        return self._replica.membership if self._replica else Membership(())
+
+    @property
+    def snapshot_index(self) -> LogIndex:
+        """Last entry in the newest snapshot."""
+        return self._journal.snapshot_index if self._journal else LogIndex(0)
+
+    @property
+    def log_bytes(self) -> int:
+        """Bytes of the log file."""
+        return self._journal.size_bytes if self._journal else 0
+
+    @property
+    def waiting(self) -> int:
+        """Messages and proposals that wait to be taken in."""
+        return self._inbox.qsize()
+
+    def start(self) -> None:
+        """Read the data folder and take part in the group.
+
+        Raises
+        ------
+        LogCorruptError
+            When the data folder is damaged.
+        """
+        folder = self._settings.folder / self.name
+        fresh = ReplicaId(token_hex(IDENTITY_BYTES))
+        self._journal = self._run_blocking(Journal, folder, fresh)
+        saved = self._journal.saved
+        if saved.snapshot is not None:
+            self._machine.restore(saved.snapshot.data)
+            self.applied = saved.snapshot.index
+        self._replica = Replica(
+            self._settings.build_replica_settings(),
+            saved,
+            randbits(SESSION_BITS),
+            self._rng,
+            self._clock(),
+        )
+        self._running = True
+        self._greenlets = [spawn(self._work), spawn(self._keep_time)]
+
+    def stop(self, handover: bool = True) -> None:
+        """Stop; a leader hands over first, when it can.
+
+        Parameters
+        ----------
+        handover : bool
+            False to stop without a word to the others.
+        """
+        if not self._running:
+            return
+        if handover and self.is_leader and self.failure is None:
+            self._hand_over()
+        self._running = False
+        self._inbox.put(Stop())
+        joinall(self._greenlets)
+        self._fail_waiting("stopped")
+        self._journal.close()
+
+    def propose(self, command: bytes, timeout: float) -> bytes:
+        """Commit a command and return the machine's answer.
+
+        Parameters
+        ----------
+        command : bytes
+            For the machine.
+        timeout : float
+            Seconds to wait.
+
+        Raises
+        ------
+        NotLeaderError
+            When it is certain that the command will never be applied.
+        ReplicationError
+            With the run state that is known: the command may be applied
+            later unless it is `NOT_RUN`.
+        """
+        self._check_command(command)
+        proposal = Proposal(command)
+        self._inbox.put(proposal)
+        try:
+            return proposal.result.get(timeout=timeout)
+        except Timeout:
+            proposal.abandoned = True
+            run = Run.MAY_HAVE_RUN if proposal.appended else Run.NOT_RUN
+            detail = f"{self.name}: no majority within {timeout} s"
+            raise ReplicationError(detail, run=run)
+
+    def receive(self, body: bytes) -> None:
+        """Take in a message from another instance; never blocks.
+
+        Raises
+        ------
+        ReplicationError
+            When the bytes hold no message.
+        """
+        full = self._inbox.qsize() >= self._settings.inbox_limit
+        if full or not self._running or self.failure is not None:
+            return
+        try:
+            message = decode_message(body)
+        except MsgspecError as error:
+            raise ReplicationError(
+                f"{self.name}: {error}", Code.MALFORMED_REQUEST, Run.NOT_RUN
+            )
+        self._inbox.put(Received(message))
+
+    def change_members(self, change: MembershipChange) -> None:
+        """Append a change of one member; for operators.
+
+        Raises
+        ------
+        NotLeaderError
+            When this replica cannot change members now.
+        ValueError
+            When the change does not fit the members.
+        """
+        self._call(lambda replica, now: replica.change_members(change, now))
+
+    def confirmed_age(self, now: Seconds) -> float:
+        """Return seconds for which the applied state may be out of date.
+
+        All that was committed that long ago is applied here; `inf` when that
+        is not known of any time.
+        """
+        return now - self._confirmed_at
+
+    def holds_lease(self, now: Seconds) -> bool:
+        """Whether this replica leads and no other can lead at this time."""
+        if self._replica is None or self.failure is not None:
+            return False
+        return self._replica.holds_lease(now)
+
+    def fencing_token(self) -> FencingToken:
+        """Return the token for orders given now; meaningful under the lease."""
+        return FencingToken(self.term, self.applied)
+
+    def on_apply(self, callback: Callable[[], None]) -> None:
+        """Call back after entries or a snapshot were applied; must not block."""
+        self._callbacks.append(callback)
+
+    def read_barrier(self, timeout: float) -> None:
+        """Wait until all that is committed now is applied here.
+
+        Raises
+        ------
+        NotLeaderError
+            When this replica does not lead.
+        ReplicationError
+            When no majority confirms it in time.
+        """
+        asked_at = self._clock()
+        self._call(lambda replica, now: replica.start_round(now))
+        limit = asked_at + timeout
+        while self._confirmed_at < asked_at:
+            if not self.is_leader:
+                raise NotLeaderError(f"{self.name}: not the leader", self.leader)
+            left = limit - self._clock()
+            if left <= 0.0:
+                raise ReplicationError(f"{self.name}: no majority", run=Run.NOT_RUN)
+            self._progressed.wait(min(left, self._settings.tick_seconds))
+
+    def _check_command(self, command: bytes) -> None:
+        if self.failure is not None or not self._running:
+            raise ReplicationError(f"{self.name}: not running", run=Run.NOT_RUN)
+        if len(command) > self._settings.command_bytes:
+            raise ReplicationError(
+                f"{self.name}: command of {len(command)} bytes",
+                Code.BODY_TOO_LARGE,
+                Run.NOT_RUN,
+            )
+        if self._inbox.qsize() >= self._settings.inbox_limit:
+            raise ReplicationError(
+                f"{self.name}: too many commands wait", Code.OVERLOADED, Run.NOT_RUN
+            )
+
+    def _hand_over(self) -> None:
+        started = self._call(lambda replica, now: replica.hand_over(now))
+        limit = self._clock() + self._settings.election_seconds
+        while started and self.is_leader and self._clock() < limit:
+            self._progressed.wait(self._settings.tick_seconds)
+
+    def _call(self, action: Callable[[Replica, Seconds], object]) -> object:
+        if self.failure is not None or not self._running:
+            raise ReplicationError(f"{self.name}: not running", run=Run.NOT_RUN)
+        call = Call(action, AsyncResult())
+        self._inbox.put(call)
+        return call.result.get()
+
+    def _keep_time(self) -> None:
+        while self._running and self.failure is None:
+            self._inbox.put(Tick())
+            sleep(self._settings.tick_seconds)
+
+    def _work(self) -> None:
+        try:
+            while self._running:
+                self._take_batch(self._wait_for_inputs())
+        except Exception as error:
+            self.failure = error
+            self._fail_waiting(str(error))
+            raise
+
+    def _wait_for_inputs(self) -> list[Input]:
+        batch = [self._inbox.get()]
+        while self._inbox.qsize() > 0:
+            batch.append(self._inbox.get_nowait())
+        return batch
+
+    def _take_batch(self, batch: list[Input]) -> None:
+        replica = self._replica
+        now = self._clock()
+        proposals = []
+        for item in batch:
+            match item:
+                case Received(message):
+                    replica.step(message, now)
+                case Proposal():
+                    proposals.append(item)
+                case Call(action, result):
+                    _run_call(action, result, replica, now)
+        if any(isinstance(item, Tick) for item in batch):
+            replica.tick(now)
+        self._append(proposals, now)
+        self._carry_out(replica.take_effects())
+        replica.note_saved(self._clock())
+        self._carry_out(replica.take_effects())
+        self._compact()
+        self._announce_progress()
+
+    def _append(self, proposals: list[Proposal], now: Seconds) -> None:
+        wanted = [proposal for proposal in proposals if not proposal.abandoned]
+        if not wanted:
+            return
+        commands = [proposal.command for proposal in wanted]
+        try:
+            first = self._replica.propose(commands, now)
+        except NotLeaderError as error:
+            for proposal in wanted:
+                proposal.result.set_exception(error)
+            return
+        for at, proposal in enumerate(wanted):
+            self._waiters.add(LogIndex(first + at), self._replica.term, proposal)
+
+    def _carry_out(self, effects: Effects) -> None:
+        self._send(effects.eager)
+        if effects.records:
+            self._run_blocking(self._journal.save, effects.records)
+        self._send(effects.messages)
+        for output in effects.outputs:
+            match output:
+                case Snapshot():
+                    self._restore(output)
+                case Entry():
+                    self._apply(output)
+        self._confirmed_at = max(self._confirmed_at, effects.confirmed_at)
+        if effects.outputs:
+            for callback in self._callbacks:
+                callback()
+
+    def _send(self, messages: list[Outgoing]) -> None:
+        for outgoing in messages:
+            self._transport.send(outgoing.instance, encode_message(outgoing.message))
+
+    def _apply(self, entry: Entry) -> None:
+        answer = b""
+        if entry.kind is EntryKind.COMMAND:
+            answer = self._machine.apply(entry.index, entry.command)
+        self.applied = entry.index
+        self._waiters.resolve(entry, answer)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._machine.restore(snapshot.data)
+        self.applied = snapshot.index
+        self._waiters.pass_over(snapshot.index)
+
+    def _compact(self) -> None:
+        written = self.applied - self._journal.snapshot_index
+        if written < self._settings.snapshot_entries:
+            return
+        data = self._machine.snapshot()
+        snapshot = self._replica.compact(
+            self.applied, data, self._settings.kept_entries
+        )
+        tail = self._replica.get_entries_after(self.applied)
+        self._run_blocking(self._journal.compact, snapshot, tail)
+
+    def _announce_progress(self) -> None:
+        self._progressed.set()
+        self._progressed.clear()
+
+    def _fail_waiting(self, detail: str) -> None:
+        self._waiters.fail(f"{self.name}: {detail}")
+        while self._inbox.qsize() > 0:
+            item = self._inbox.get_nowait()
+            if isinstance(item, Proposal | Call):
+                error = ReplicationError(f"{self.name}: {detail}", run=Run.NOT_RUN)
+                item.result.set_exception(error)
+
+    def _run_blocking(self, function: Callable, *arguments: object) -> object:
+        return get_hub().threadpool.apply(function, arguments)
+
+
+def _run_call(
+    action: Callable[[Replica, Seconds], object],
+    result: AsyncResult,
+    replica: Replica,
+    now: Seconds,
+) -> None:
+    try:
+        result.set(action(replica, now))
+    except (BergamotwoodError, ValueError) as error:
+        result.set_exception(error)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/groupsettings.py
@@ -0,0 +1,67 @@
+"""Settings of a log group, and what carries its messages."""
+
+from pathlib import Path
+from typing import Protocol
+
+from msgspec import Struct
+
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.replicastate import ReplicaSettings
+
+
+class Transport(Protocol):
+    """Carries messages to other instances."""
+
+    def send(self, target: InstanceId, body: bytes) -> None:
+        """Send without blocking; the message may be lost."""
+        ...
+
+
+class GroupSettings(Struct, frozen=True):
+    """Settings of a log group on one instance.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    initial_voters : tuple of InstanceId
+        Instances of the group, in the same order on each.
+    folder : Path
+        Where the folders of the groups are.
+    tick_seconds, heartbeat_seconds : float
+        Time between ticks, and between heartbeats.
+    election_seconds : float
+        Least time without a leader before an election.
+    lease_seconds : float
+        Less than `election_seconds`.
+    snapshot_entries : int
+        Entries after which a snapshot replaces the log on disk.
+    kept_entries : int
+        Entries before a snapshot that stay in memory, for followers.
+    inbox_limit : int
+        Messages and proposals that wait at once.
+    command_bytes : int
+        Most bytes of one command.
+    """
+
+    instance: InstanceId
+    initial_voters: tuple[InstanceId, ...]
+    folder: Path
+    tick_seconds: float = 0.05
+    heartbeat_seconds: float = 0.2
+    election_seconds: float = 1.0
+    lease_seconds: float = 0.8
+    snapshot_entries: int = 1000
+    kept_entries: int = 500
+    inbox_limit: int = 10_000
+    command_bytes: int = 1024 * 1024
+
+    def build_replica_settings(self) -> ReplicaSettings:
+        """Return the settings of the pure replica."""
+        return ReplicaSettings(
+            self.instance,
+            self.initial_voters,
+            election_seconds=self.election_seconds,
+            heartbeat_seconds=self.heartbeat_seconds,
+            lease_seconds=self.lease_seconds,
+        )
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/journal.py
@@ -0,0 +1,305 @@
+"""A replica's data folder: its log, its newest snapshot, its identity.
+
+Each write to the log is one frame of records, synced before the next one is
+written. So a crash can damage only the last frame: damage at the end is cut
+off, damage with a whole frame after it is an error. A last frame that was
+synced and decayed later cannot be told from one cut off by a crash.
+"""
+
+from fcntl import LOCK_EX, LOCK_NB, flock
+from os import (
+    O_APPEND,
+    O_CREAT,
+    O_DIRECTORY,
+    O_RDONLY,
+    O_RDWR,
+    O_WRONLY,
+    fsync,
+    ftruncate,
+    replace,
+)
+from os import close as close_file
+from os import open as open_file
+from os import write as write_file
+from pathlib import Path
+from struct import Struct as Layout
+from zlib import crc32
+
+from msgspec import MsgspecError
+from msgspec.msgpack import Decoder, Encoder
+
+from bergamotwood_core.errors import LogCorruptError, SettingsError
+from bergamotwood_core.ids import LogIndex, ReplicaId
+from bergamotwood_core.logentries import (
+    Base,
+    Binding,
+    Entries,
+    Entry,
+    HardState,
+    Identity,
+    Record,
+    SavedState,
+    Snapshot,
+)
+from bergamotwood_core.membership import Genesis
+
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".new"
+FILE_MODE = 0o600
+MAGIC = b"BWlg"
+# Magic, checksum of all that follows it, length of the payload in bytes.
+HEADER = Layout(">4sII")
+LENGTH = Layout(">I")
+
+_ENCODER = Encoder()
+_RECORDS = Decoder(tuple[Record, ...])
+_SNAPSHOT = Decoder(Snapshot)
+
+
+class Journal:
+    """The open data folder of one replica; its calls block on the disk.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder, made with a new identity when it holds none.
+    fresh_identity : ReplicaId
+        Identity for a new folder; must differ from any used before.
+
+    Raises
+    ------
+    LogCorruptError
+        When the log or the snapshot is damaged before its tail.
+    SettingsError
+        When another process uses the folder.
+    """
+
+    def __init__(self, folder: Path, fresh_identity: ReplicaId) -> None:
+        self._folder = folder
+        self._make_folder()
+        self._lock = self._take_lock()
+        self._file = -1
+        try:
+            self._open(fresh_identity)
+        except BaseException:
+            self.close()
+            raise
+
+    @property
+    def snapshot_index(self) -> LogIndex:
+        """Last entry in the newest snapshot."""
+        return self._snapshot_index
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the log file."""
+        return self._size
+
+    def save(self, records: list[Record | Snapshot]) -> None:
+        """Write records and sync them, in order."""
+        batch: list[Record] = []
+        for record in records:
+            if isinstance(record, Snapshot):
+                self._write(batch)
+                batch = []
+                self.compact(record, ())
+            else:
+                batch.append(record)
+        self._write(batch)
+
+    def compact(self, snapshot: Snapshot, tail: tuple[Entry, ...]) -> None:
+        """Save a snapshot and begin the log anew after it.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            Replaces the one before.
+        tail : tuple of Entry
+            Saved entries that follow it.
+        """
+        frame = _build_frame(_ENCODER.encode(snapshot))
+        self._replace_file(SNAPSHOT_NAME, frame)
+        self._snapshot_index = snapshot.index
+        self._begin_log(tail)
+
+    def close(self) -> None:
+        """Let go of the folder."""
+        for file in (self._file, self._lock):
+            if file >= 0:
+                close_file(file)
+        self._file = self._lock = -1
+
+    def _open(self, fresh_identity: ReplicaId) -> None:
+        self._identity = Identity(fresh_identity)
+        self._genesis: Genesis | None = None
+        self._hard = HardState()
+        snapshot = self._read_snapshot()
+        self._snapshot_index = snapshot.index if snapshot else LogIndex(0)
+        if not (self._folder / LOG_NAME).exists():
+            if snapshot is not None:
+                raise LogCorruptError(f"{self._folder}: snapshot without a log")
+            self._begin_log(())
+        entries = self._read_log()
+        kept = tuple(entry for entry in entries if entry.index > self._snapshot_index)
+        self.saved = SavedState(
+            self._identity.replica, self._genesis, self._hard, snapshot, kept
+        )
+
+    def _make_folder(self) -> None:
+        if self._folder.is_dir():
+            return
+        self._folder.mkdir(parents=True)
+        _sync_folder(self._folder.parent)
+
+    def _take_lock(self) -> int:
+        lock = open_file(self._folder / LOCK_NAME, O_RDWR | O_CREAT, FILE_MODE)
+        try:
+            flock(lock, LOCK_EX | LOCK_NB)
+        except OSError:
+            close_file(lock)
+            raise SettingsError(f"{self._folder} is in use by another process")
+        return lock
+
+    def _read_snapshot(self) -> Snapshot | None:
+        path = self._folder / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        data = path.read_bytes()
+        payload = _read_frame(data, 0)
+        if payload is None:
+            raise LogCorruptError(f"{path} is damaged")
+        return _SNAPSHOT.decode(payload)
+
+    def _read_log(self) -> list[Entry]:
+        path = self._folder / LOG_NAME
+        data = path.read_bytes()
+        entries: list[Entry] = []
+        offset = 0
+        while offset < len(data):
+            payload = _read_frame(data, offset)
+            if payload is None:
+                self._check_tail(data, offset)
+                break
+            for record in self._decode(payload, offset):
+                self._take_record(record, entries)
+            offset += HEADER.size + len(payload)
+        if offset == 0:
+            raise LogCorruptError(f"{path} has no whole frame")
+        self._size = offset
+        self._file = open_file(path, O_WRONLY | O_APPEND)
+        if offset < len(data):
+            ftruncate(self._file, offset)
+            fsync(self._file)
+        return entries
+
+    def _check_tail(self, data: bytes, offset: int) -> None:
+        following = data.find(MAGIC, offset + 1)
+        while following >= 0:
+            if _read_frame(data, following) is not None:
+                path = self._folder / LOG_NAME
+                raise LogCorruptError(f"{path} is damaged at byte {offset}")
+            following = data.find(MAGIC, following + 1)
+
+    def _decode(self, payload: bytes, offset: int) -> tuple[Record, ...]:
+        try:
+            return _RECORDS.decode(payload)
+        except MsgspecError as error:
+            path = self._folder / LOG_NAME
+            raise LogCorruptError(f"{path}: frame at byte {offset}: {error}")
+
+    def _take_record(self, record: Record, entries: list[Entry]) -> None:
+        match record:
+            case Base(index):
+                if index > self._snapshot_index:
+                    raise LogCorruptError(f"{self._folder}: the snapshot is missing")
+            case Entries(added):
+                _replace_entries(entries, added)
+            case _:
+                self._remember(record)
+
+    def _remember(self, record: Record) -> None:
+        match record:
+            case Identity():
+                self._identity = record
+            case Binding(genesis):
+                self._genesis = genesis
+            case HardState():
+                self._hard = record
+
+    def _write(self, batch: list[Record]) -> None:
+        if not batch:
+            return
+        frame = _build_frame(_ENCODER.encode(batch))
+        _write_whole(self._file, frame)
+        fsync(self._file)
+        self._size += len(frame)
+        for record in batch:
+            self._remember(record)
+
+    def _begin_log(self, tail: tuple[Entry, ...]) -> None:
+        records: list[Record] = [Base(self._snapshot_index), self._identity]
+        if self._genesis is not None:
+            records.append(Binding(self._genesis))
+        records.append(self._hard)
+        if tail:
+            records.append(Entries(tail))
+        frame = _build_frame(_ENCODER.encode(records))
+        self._replace_file(LOG_NAME, frame)
+        if self._file >= 0:
+            close_file(self._file)
+        self._file = open_file(self._folder / LOG_NAME, O_WRONLY | O_APPEND)
+        self._size = len(frame)
+
+    def _replace_file(self, name: str, data: bytes) -> None:
+        path = self._folder / name
+        temporary = self._folder / (name + TEMPORARY_SUFFIX)
+        temporary.unlink(missing_ok=True)
+        file = open_file(temporary, O_WRONLY | O_CREAT, FILE_MODE)
+        try:
+            _write_whole(file, data)
+            fsync(file)
+        finally:
+            close_file(file)
+        replace(temporary, path)
+        _sync_folder(self._folder)
+
+
+def _build_frame(payload: bytes) -> bytes:
+    checked = LENGTH.pack(len(payload)) + payload
+    return HEADER.pack(MAGIC, crc32(checked), len(payload)) + payload
+
+
+def _read_frame(data: bytes, offset: int) -> bytes | None:
+    start = offset + HEADER.size
+    if start > len(data):
+        return None
+    magic, checksum, length = HEADER.unpack_from(data, offset)
+    if magic != MAGIC or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    if crc32(LENGTH.pack(length) + payload) != checksum:
+        return None
+    return payload
+
+
+def _replace_entries(entries: list[Entry], added: tuple[Entry, ...]) -> None:
+    first = added[0].index
+    if entries and first <= entries[-1].index:
+        del entries[max(first - entries[0].index, 0) :]
+    entries.extend(added)
+
+
+def _write_whole(file: int, data: bytes) -> None:
+    left = memoryview(data)
+    while left:
+        left = left[write_file(file, left) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    file = open_file(folder, O_RDONLY | O_DIRECTORY)
+    try:
+        fsync(file)
+    finally:
+        close_file(file)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/waiters.py
@@ -0,0 +1,52 @@
+"""Proposals that were appended and wait to be applied."""
+
+from bergamotwood_core.errors import NotLeaderError, ReplicationError
+from bergamotwood_core.ids import LogIndex, Term
+from bergamotwood_core.logentries import Entry
+from bergamotwood_daemon.groupinput import Proposal
+
+
+class Waiters:
+    """Proposals by the index and term at which they were appended."""
+
+    def __init__(self) -> None:
+        self._proposals: dict[LogIndex, tuple[Term, Proposal]] = {}
+
+    def __len__(self) -> int:
+        return len(self._proposals)
+
+    def add(self, index: LogIndex, term: Term, proposal: Proposal) -> None:
+        """Wait for an entry that was appended just now."""
+        self._lose(index)
+        proposal.appended = True
+        self._proposals[index] = (term, proposal)
+
+    def resolve(self, entry: Entry, answer: bytes) -> None:
+        """Answer the proposal of an applied entry."""
+        held = self._proposals.get(entry.index)
+        if held is None:
+            return
+        term, proposal = held
+        if term != entry.term:
+            self._lose(entry.index)
+            return
+        del self._proposals[entry.index]
+        proposal.result.set(answer)
+
+    def pass_over(self, index: LogIndex) -> None:
+        """Give up on entries that a snapshot contains."""
+        for passed in [held for held in self._proposals if held <= index]:
+            _, proposal = self._proposals.pop(passed)
+            proposal.result.set_exception(ReplicationError("passed over by a snapshot"))
+
+    def fail(self, detail: str) -> None:
+        """Give up on all."""
+        for _, proposal in self._proposals.values():
+            proposal.result.set_exception(ReplicationError(detail))
+        self._proposals.clear()
+
+    def _lose(self, index: LogIndex) -> None:
+        # Another entry has its place, so it will never be applied.
+        held = self._proposals.pop(index, None)
+        if held is not None:
+            held[1].result.set_exception(NotLeaderError("lost to a later term"))
--- /dev/null
+++ b/tests/core/logcluster.py
@@ -0,0 +1,393 @@
+"""Replicas of one log group, driven step by step through every kind of fault."""
+
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from random import Random
+
+from msgspec.msgpack import decode, encode
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import NotLeaderError
+from bergamotwood_core.ids import InstanceId, ReplicaId
+from bergamotwood_core.logentries import (
+    Binding,
+    Entries,
+    Entry,
+    EntryKind,
+    HardState,
+    SavedState,
+    Snapshot,
+)
+from bergamotwood_core.logmessages import decode_message, encode_message
+from bergamotwood_core.progress import NEVER
+from bergamotwood_core.replica import Replica
+from bergamotwood_core.replicastate import Effects, Outgoing, ReplicaSettings
+
+SNAPSHOT_ENTRIES = 25
+
+
+class InvariantError(AssertionError):
+    """A promise of the log is broken."""
+
+
+@dataclass
+class Disk:
+    """What is synced."""
+
+    replica: ReplicaId
+    genesis: object = None
+    hard: HardState = HardState()
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = field(default_factory=list)
+
+    def save(self, records):
+        for record in records:
+            match record:
+                case HardState():
+                    self.hard = record
+                case Binding(genesis):
+                    self.genesis = genesis
+                case Entries(added):
+                    first = added[0].index
+                    self.entries = [e for e in self.entries if e.index < first]
+                    self.entries.extend(added)
+                case Snapshot():
+                    self.compact(record)
+
+    def compact(self, snapshot):
+        self.snapshot = snapshot
+        self.entries = [e for e in self.entries if e.index > snapshot.index]
+
+    def load(self):
+        return SavedState(
+            self.replica, self.genesis, self.hard, self.snapshot, tuple(self.entries)
+        )
+
+
+@dataclass
+class Node:
+    """One instance: a disk, and a replica while the process runs."""
+
+    instance: InstanceId
+    disk: Disk
+    clock_offset: float
+    replica: Replica | None = None
+    unsynced: Effects | None = None
+    saving: bool = False
+    inbox: list[bytes] = field(default_factory=list)
+    applied: list[tuple[int, bytes]] = field(default_factory=list)
+    applied_index: int = 0
+    confirmed_at: float = NEVER
+    paused_until: float = 0.0
+    lost_disks: int = 0
+
+
+class Cluster:
+    """A group of instances with a faulty network, faulty disks and clocks."""
+
+    def __init__(self, seed, size=3, keep_identity=False, faults=True):
+        self.rng = Random(seed)
+        self.now = 100.0
+        self.keep_identity = keep_identity
+        self.faults = faults
+        self.names = tuple(InstanceId(f"i{at}") for at in range(size))
+        self.network: list[tuple[InstanceId, InstanceId, bytes]] = []
+        self.blocked: set[tuple[InstanceId, InstanceId]] = set()
+        self.committed: list[Entry] = []
+        self.committed_at: list[float] = []
+        self.commands: list[bytes] = []
+        self.leaders: dict[int, ReplicaId] = {}
+        self.proposed = 0
+        self.counts: dict[str, int] = {}
+        self.trace: list[str] = []
+        self.nodes = {name: self._make_node(name) for name in self.names}
+
+    # -- actions -------------------------------------------------------------
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.step()
+
+    def step(self):
+        self.now += self.rng.random() * 0.02
+        if self.faults and self.rng.random() < 0.012:
+            self._make_fault()
+            return
+        for _ in range(self.rng.randint(0, 3)):
+            if self.network:
+                self._deliver()
+        node = self.nodes[self.rng.choice(self.names)]
+        if node.replica is None:
+            if self.rng.random() < 0.03 or not self.faults:
+                self.start(node)
+        elif self.now >= node.paused_until:
+            self._act(node)
+
+    def start(self, node):
+        saved = node.disk.load()
+        settings = ReplicaSettings(
+            node.instance,
+            self.names,
+            append_bytes=60,
+            append_entries_ahead=20,
+            snapshot_part_bytes=40,
+        )
+        node.applied = []
+        node.applied_index = 0
+        if saved.snapshot is not None:
+            self._restore(node, saved.snapshot)
+        session = self.rng.getrandbits(40)
+        node.replica = Replica(settings, saved, session, self.rng, self.clock(node))
+
+    def clock(self, node):
+        return Seconds(self.now + node.clock_offset)
+
+    def crash(self, node):
+        self.note(f"{node.instance} crashes")
+        node.replica = None
+        node.unsynced = None
+        node.inbox.clear()
+        node.confirmed_at = NEVER
+
+    def lose_disk(self, node):
+        self.crash(node)
+        self.note(f"{node.instance} loses its disk")
+        node.lost_disks += 1
+        old = node.disk
+        node.disk = Disk(ReplicaId(f"{node.instance}-{node.lost_disks}"))
+        if self.keep_identity:
+            node.disk = Disk(old.replica, old.genesis)
+
+    def pause(self, node, seconds):
+        self.note(f"{node.instance} pauses for {seconds:.2f} s")
+        node.paused_until = self.now + seconds
+
+    def isolate(self, names):
+        for one in self.names:
+            for other in self.names:
+                if (one in names) != (other in names):
+                    self.blocked.add((one, other))
+
+    def propose(self, node):
+        self.proposed += 1
+        command = f"c{self.proposed}".encode()
+        try:
+            node.replica.propose([command], self.clock(node))
+        except NotLeaderError:
+            return
+        self.commands.append(command)
+
+    def carry_out(self, node):
+        """Take the effects: early messages go, the rest waits for the disk."""
+        node.unsynced = node.replica.take_effects()
+        self._send(node, node.unsynced.eager)
+
+    def sync(self, node):
+        """Finish what waits for the disk."""
+        for _ in range(2):
+            effects = node.unsynced
+            node.disk.save(effects.records)
+            self._send(node, effects.messages)
+            for output in effects.outputs:
+                self._apply(node, output)
+            node.confirmed_at = max(node.confirmed_at, effects.confirmed_at)
+            node.replica.note_saved(self.clock(node))
+            self.carry_out(node)
+        node.unsynced = None
+        self._compact(node)
+        self.check(node)
+
+    def work(self, node, action):
+        """Do one thing on a node and carry it out whole."""
+        action(node)
+        self.carry_out(node)
+        self.sync(node)
+
+    def tick(self, node):
+        node.replica.tick(self.clock(node))
+
+    def settle(self, seconds):
+        """Heal everything, and run without faults."""
+        self.faults = False
+        self.blocked.clear()
+        for node in self.nodes.values():
+            node.paused_until = 0.0
+        limit = self.now + seconds
+        while self.now < limit:
+            self.step()
+
+    def find_leader(self):
+        leading = [
+            node
+            for node in self.nodes.values()
+            if node.replica is not None and node.replica.is_leader
+        ]
+        return max(leading, key=lambda node: node.replica.term, default=None)
+
+    def note(self, text):
+        self.trace.append(f"{self.now:8.3f} {text}")
+        self.counts[text.split(" ", 1)[1].split(" ")[0]] = (
+            self.counts.get(text.split(" ", 1)[1].split(" ")[0], 0) + 1
+        )
+
+    # -- invariants ----------------------------------------------------------
+
+    def check(self, node):
+        replica = node.replica
+        if replica.is_leader:
+            self._check_leader(node)
+        self._check_age(node)
+        for holder in self.nodes.values():
+            if holder.replica is None:
+                continue
+            if not holder.replica.holds_lease(self.clock(holder)):
+                continue
+            for other in self.nodes.values():
+                if other.replica is None or not other.replica.is_leader:
+                    continue
+                if other.replica.term > holder.replica.term:
+                    raise InvariantError(
+                        f"{holder.instance} orders in term {holder.replica.term}"
+                        f" while {other.instance} leads term {other.replica.term}"
+                    )
+
+    def _check_leader(self, node):
+        replica = node.replica
+        known = self.leaders.get(replica.term)
+        if known is None:
+            self.note(f"{node.instance} leads term {replica.term}")
+        known = self.leaders.setdefault(replica.term, node.disk.replica)
+        if known != node.disk.replica:
+            raise InvariantError(f"two leaders in term {replica.term}")
+        if replica.term < max(self.leaders):
+            return
+        log = replica.state.log
+        for entry in self.committed[log.start :]:
+            if log.find_term(entry.index) != entry.term:
+                raise InvariantError(
+                    f"leader {node.instance} lacks committed entry {entry.index}"
+                )
+
+    def _check_age(self, node):
+        confirmed = node.confirmed_at - node.clock_offset
+        due = bisect_left(self.committed_at, confirmed - 1e-9)
+        if node.applied_index < due:
+            raise InvariantError(
+                f"{node.instance} applied {node.applied_index} but says that it is "
+                f"as new as {confirmed:.3f}, when {due} was committed"
+            )
+
+    # -- parts ---------------------------------------------------------------
+
+    def _make_node(self, name):
+        offset = self.rng.random() * 1000.0
+        node = Node(name, Disk(ReplicaId(f"{name}-0")), offset)
+        self.nodes = getattr(self, "nodes", {})
+        self.start(node)
+        return node
+
+    def _act(self, node):
+        if node.unsynced is not None:
+            self.sync(node)
+            return
+        node.replica.tick(self.clock(node))
+        taken = self.rng.randint(1, 4)
+        for body in node.inbox[:taken]:
+            node.replica.step(decode_message(body), self.clock(node))
+        del node.inbox[:taken]
+        if node.replica.is_leader and self.rng.random() < 0.5:
+            self.propose(node)
+        self.carry_out(node)
+        if self.rng.random() < 0.9:
+            self.sync(node)
+
+    def _deliver(self):
+        at = self.rng.randrange(len(self.network))
+        if self.rng.random() < 0.7:
+            at = 0
+        source, target, body = self.network[at]
+        repeated = self.faults and self.rng.random() < 0.02
+        if not repeated:
+            del self.network[at]
+        dropped = self.faults and self.rng.random() < 0.03
+        node = self.nodes[target]
+        if dropped or (source, target) in self.blocked or node.replica is None:
+            return
+        node.inbox.append(body)
+
+    def _make_fault(self):
+        node = self.nodes[self.rng.choice(self.names)]
+        kind = self.rng.random()
+        if kind < 0.25:
+            if node.replica is not None:
+                self.crash(node)
+        elif kind < 0.45:
+            self.pause(node, self.rng.choice((0.3, 1.5, 4.0)))
+        elif kind < 0.65:
+            self.note("net splits")
+            size = self.rng.randint(1, len(self.names) - 1)
+            self.isolate(set(self.rng.sample(self.names, size)))
+        elif kind < 0.9:
+            self.blocked.clear()
+        elif kind < 0.95:
+            if node.replica is not None and node.unsynced is None:
+                node.replica.hand_over(self.clock(node))
+                self.carry_out(node)
+        elif self._may_lose_disk(node):
+            self.lose_disk(node)
+
+    def _may_lose_disk(self, node):
+        """Whether a majority of the newest members keep their disks."""
+        if not self.committed:
+            return False
+        newest = max(
+            (other for other in self.nodes.values() if other.replica is not None),
+            key=lambda other: other.replica.commit,
+            default=None,
+        )
+        if newest is None:
+            return False
+        voters = set(newest.replica.membership.voters)
+        alive = {other.disk.replica for other in self.nodes.values()}
+        return len(voters) == len(self.names) and voters <= alive
+
+    def _send(self, node, messages: list[Outgoing]):
+        for outgoing in messages:
+            body = encode_message(outgoing.message)
+            self.network.append((node.instance, outgoing.instance, body))
+
+    def _apply(self, node, output):
+        if isinstance(output, Snapshot):
+            self._restore(node, output)
+            return
+        if output.index != node.applied_index + 1:
+            raise InvariantError(f"{node.instance} skips to entry {output.index}")
+        known = len(self.committed)
+        if output.index <= known:
+            if self.committed[output.index - 1] != output:
+                raise InvariantError(f"two committed entries at {output.index}")
+        elif output.index == known + 1:
+            self.committed.append(output)
+            self.committed_at.append(self.now)
+        node.applied_index = output.index
+        if output.kind is EntryKind.COMMAND:
+            node.applied.append((output.index, output.command))
+
+    def _restore(self, node, snapshot):
+        node.applied = [tuple(item) for item in decode(snapshot.data)]
+        node.applied_index = snapshot.index
+        wanted = [
+            (entry.index, entry.command)
+            for entry in self.committed[: snapshot.index]
+            if entry.kind is EntryKind.COMMAND
+        ]
+        if node.applied != wanted:
+            raise InvariantError(f"snapshot {snapshot.index} is not what was committed")
+
+    def _compact(self, node):
+        index = node.disk.snapshot.index if node.disk.snapshot else 0
+        if node.applied_index - index < SNAPSHOT_ENTRIES:
+            return
+        data = encode(node.applied)
+        snapshot = node.replica.compact(node.applied_index, data, kept=5)
+        node.disk.compact(snapshot)
--- /dev/null
+++ b/tests/daemon/test_group.py
@@ -0,0 +1,165 @@
+from functools import partial
+
+import pytest
+from daemon.loggroups import NAMES, Fleet, read_clock, wait_until
+from gevent import joinall, spawn
+
+from bergamotwood_core.errors import NotLeaderError, ReplicationError
+from bergamotwood_core.states import Run
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path, snapshot_entries=200, kept_entries=20)
+    yield fleet
+    fleet.stop_all()
+
+
+def propose_many(group, count, prefix=b"x"):
+    jobs = [spawn(group.propose, prefix + b"%d" % at, 10.0) for at in range(count)]
+    joinall(jobs, raise_error=True)
+    return [job.value for job in jobs]
+
+
+def test_a_command_is_answered_and_reaches_every_machine(fleet):
+    leader = fleet.start_all()
+    answer = leader.propose(b"one", 5.0)
+    assert answer.endswith(b":one")
+    for name in NAMES:
+        wait_until(partial(lambda n: fleet.machines[n].commands == [b"one"], name))
+
+
+def test_a_follower_refuses_and_names_the_leader(fleet):
+    leader = fleet.start_all()
+    follower = next(g for g in fleet.groups.values() if not g.is_leader)
+    wait_until(lambda: follower.leader is not None)
+    with pytest.raises(NotLeaderError) as caught:
+        follower.propose(b"one", 5.0)
+    assert fleet.groups[caught.value.leader] is leader
+    assert caught.value.run is Run.NOT_RUN
+
+
+def test_without_a_majority_the_outcome_is_unknown_and_ages_rise(fleet):
+    leader = fleet.start_all()
+    wait_until(lambda: leader.holds_lease(read_clock()))
+    fleet.cut.update(name for name in NAMES if fleet.groups[name] is not leader)
+    with pytest.raises(ReplicationError) as caught:
+        leader.propose(b"lost?", 0.5)
+    assert caught.value.run is Run.MAY_HAVE_RUN
+    assert not leader.holds_lease(read_clock())
+    assert leader.confirmed_age(read_clock()) > 0.4
+    with pytest.raises(NotLeaderError):
+        leader.propose(b"refused", 5.0)
+
+
+def test_a_planned_stop_hands_over(fleet):
+    leader = fleet.start_all()
+    leader.propose(b"one", 5.0)
+    name = next(n for n in NAMES if fleet.groups[n] is leader)
+    term = leader.term
+    fleet.stop(name, handover=True)
+    successor = fleet.wait_for_leader()
+    assert successor.term == term + 1
+    successor.propose(b"two", 5.0)
+
+
+def test_a_restart_of_all_after_many_commands_keeps_them_in_order(fleet):
+    leader = fleet.start_all()
+    propose_many(leader, 1200)
+    kept = list(leader._machine.commands)
+    fleet.stop_all()
+    leader = fleet.start_all()
+    leader.read_barrier(5.0)
+    assert leader._machine.commands == kept
+    assert len(kept) == 1200
+
+
+def test_a_follower_long_away_returns_by_snapshot_and_tail(fleet):
+    leader = fleet.start_all()
+    away = next(n for n in NAMES if fleet.groups[n] is not leader)
+    fleet.stop(away)
+    for part in range(7):
+        propose_many(leader, 100, b"%d-" % part)
+    fleet.start(away)
+    wait_until(lambda: len(fleet.machines[away].commands) == 700)
+    assert fleet.machines[away].commands == leader._machine.commands
+    assert fleet.groups[away].snapshot_index >= 200
+
+
+def test_a_lost_disk_is_swapped_in_and_a_second_loss_loses_nothing(fleet):
+    leader = fleet.start_all()
+    propose_many(leader, 50)
+    others = [n for n in NAMES if fleet.groups[n] is not leader]
+    for lost in others:
+        leader = fleet.wait_for_leader()
+        identities = leader.membership.voters
+        fleet.stop(lost)
+        for file in (fleet.folder / lost / "control").iterdir():
+            file.unlink()
+        fleet.start(lost)
+        wait_until(
+            lambda before=identities: (
+                len(set(fleet.wait_for_leader().membership.voters) - set(before)) == 1
+                and len(fleet.wait_for_leader().membership.voters) == 3
+            )
+        )
+        propose_many(fleet.wait_for_leader(), 10)
+    leader = fleet.wait_for_leader()
+    assert len(leader._machine.commands) == 70
+    for name in NAMES:
+        wait_until(partial(lambda n: len(fleet.machines[n].commands) == 70, name))
+
+
+def test_two_empty_folders_do_not_form_a_second_group(fleet):
+    leader = fleet.start_all()
+    propose_many(leader, 5)
+    fleet.stop_all()
+    for name in NAMES[:2]:
+        for file in (fleet.folder / name / "control").iterdir():
+            file.unlink()
+    for name in NAMES:
+        fleet.start(name)
+    wait_until(lambda: fleet.groups["a"]._replica.state.genesis is not None)
+    assert all(not group.is_leader for group in fleet.groups.values())
+    voters = fleet.groups["c"].membership.voters
+    assert fleet.groups["a"].membership.voters == voters
+    assert fleet.groups["a"]._replica.state.replica not in voters
+
+
+def test_a_single_voter_commits_alone_and_returns(tmp_path):
+    fleet = Fleet(tmp_path, names=NAMES[:1])
+    leader = fleet.start_all()
+    assert len(propose_many(leader, 100)) == 100
+    fleet.stop_all()
+    leader = fleet.start_all()
+    leader.read_barrier(5.0)
+    assert len(leader._machine.commands) == 100
+    fleet.stop_all()
+
+
+def test_many_proposals_share_a_write(fleet, monkeypatch):
+    leader = fleet.start_all()
+    writes = []
+    save = leader._journal.save
+    monkeypatch.setattr(
+        leader._journal, "save", lambda records: (writes.append(1), save(records))
+    )
+    propose_many(leader, 150)
+    assert len(writes) < 50
+
+
+def test_a_disk_that_fails_stops_the_replica(fleet, monkeypatch):
+    leader = fleet.start_all()
+
+    def fail(records):
+        raise OSError("no space")
+
+    monkeypatch.setattr(leader._journal, "save", fail)
+    with pytest.raises(ReplicationError) as caught:
+        leader.propose(b"one", 5.0)
+    assert caught.value.run is Run.MAY_HAVE_RUN
+    assert isinstance(leader.failure, OSError)
+    with pytest.raises(ReplicationError) as caught:
+        leader.propose(b"two", 5.0)
+    assert caught.value.run is Run.NOT_RUN
+    assert not leader.holds_lease(read_clock())
