--- /dev/null
+++ b/packages/core/src/bergamotwood_core/directory.py
@@ -0,0 +1,255 @@
+"""Directory of endpoints and entries: who is there now."""
+
+from collections.abc import Hashable
+from typing import TypeVar
+
+from bergamotwood_core.address import ENTRY_EXPIRY, choose_addresses
+from bergamotwood_core.announcement import decode_announcement
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import EndpointId, InstanceId
+from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.states import EndpointState, EntryState
+from bergamotwood_core.tables import Departure, DirectoryTables, Endpoint, Entry
+
+__all__ = [
+    "choose_addresses",
+    "decode_announcement",
+    "expire_endpoints",
+    "expire_entries",
+    "merge_announcement",
+    "merge_report",
+]
+
+# Seconds without a word after which an endpoint is taken out.
+ENDPOINT_EXPIRY = 5.0
+# Seconds for which the last word of a departed one is remembered.
+DEPARTURE_RETENTION = 600.0
+# Entities that a table holds at most.
+MAX_ENDPOINTS = 8_192
+MAX_ENTRIES = 2_048
+MAX_DEPARTURES = 16_384
+
+Key = TypeVar("Key", bound=Hashable)
+
+
+def merge_announcement(
+    tables: DirectoryTables, announcement: Announcement, now: Seconds
+) -> bool:
+    """Take in what an endpoint says of itself.
+
+    The newest (incarnation, sequence) wins, whichever way it came. Leaving is
+    final for an incarnation, also when it arrives late. A new incarnation
+    starts with nothing of the old one: a new `Endpoint` replaces it, so that
+    requests still counted on the old one cannot disturb it.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Changed in place.
+    announcement : Announcement
+        A checked announcement.
+    now : Seconds
+        When the endpoint said it; for a forwarded one, its age is taken off.
+
+    Returns
+    -------
+    bool
+        Whether it was news.
+    """
+    endpoint = tables.endpoints.get(announcement.id)
+    if endpoint is None:
+        return _add_endpoint(tables, announcement, now)
+    known = endpoint.announcement
+    if announcement.incarnation < known.incarnation:
+        return False
+    if announcement.incarnation > known.incarnation:
+        _put_endpoint(tables, announcement, now)
+        return True
+    if not endpoint.serving:
+        return False
+    if announcement.sequence <= known.sequence:
+        return _merge_late_leaving(tables, endpoint, announcement)
+    if not _has_same_membership(known, announcement):
+        tables.membership += 1
+    endpoint.announcement = announcement
+    endpoint.heard_at = max(endpoint.heard_at, now)
+    endpoint.outstanding_at_report = endpoint.outstanding
+    return True
+
+
+def merge_report(tables: DirectoryTables, report: EntryReport, now: Seconds) -> bool:
+    """Take in what an entry says of itself, by the rules of announcements.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Changed in place.
+    report : EntryReport
+        The report.
+    now : Seconds
+        When the entry said it.
+
+    Returns
+    -------
+    bool
+        Whether it was news.
+    """
+    entry = tables.entries.get(report.id)
+    if entry is None:
+        return _add_entry(tables, report, now)
+    known = entry.report
+    if report.incarnation < known.incarnation:
+        return False
+    if report.incarnation > known.incarnation:
+        tables.entries[report.id] = Entry(report, now)
+        return True
+    if known.state is EntryState.DRAINING and report.state is EntryState.SERVING:
+        return False
+    if report.sequence <= known.sequence and report.state is known.state:
+        return False
+    entry.report = report
+    entry.heard_at = max(entry.heard_at, now)
+    return True
+
+
+def expire_endpoints(
+    tables: DirectoryTables, now: Seconds, expiry: float = ENDPOINT_EXPIRY
+) -> tuple[EndpointId, ...]:
+    """Take out the endpoints that were not heard for some time.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Changed in place.
+    now : Seconds
+        The time.
+    expiry : float
+        Seconds without a word.
+
+    Returns
+    -------
+    tuple of EndpointId
+        What was taken out.
+    """
+    silent = [
+        endpoint
+        for endpoint in tables.endpoints.values()
+        if now - endpoint.heard_at > expiry
+    ]
+    for endpoint in silent:
+        word = endpoint.announcement
+        departure = Departure(
+            word.incarnation, word.sequence, not endpoint.serving, now
+        )
+        del tables.endpoints[endpoint.id]
+        tables.membership += 1
+        _keep_departure(tables.departed_endpoints, endpoint.id, departure)
+    _forget_departures(tables.departed_endpoints, now)
+    return tuple(endpoint.id for endpoint in silent)
+
+
+def expire_entries(
+    tables: DirectoryTables, now: Seconds, expiry: float = ENTRY_EXPIRY
+) -> tuple[InstanceId, ...]:
+    """Take out the entries that were not heard for some time.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Changed in place.
+    now : Seconds
+        The time.
+    expiry : float
+        Seconds without a word.
+
+    Returns
+    -------
+    tuple of InstanceId
+        What was taken out.
+    """
+    silent = [
+        entry.report
+        for entry in tables.entries.values()
+        if now - entry.heard_at > expiry
+    ]
+    for report in silent:
+        leaving = report.state is EntryState.DRAINING
+        departure = Departure(report.incarnation, report.sequence, leaving, now)
+        del tables.entries[report.id]
+        _keep_departure(tables.departed_entries, report.id, departure)
+    _forget_departures(tables.departed_entries, now)
+    return tuple(report.id for report in silent)
+
+
+def _has_same_membership(before: Announcement, after: Announcement) -> bool:
+    return (
+        before.state is after.state
+        and before.kind is after.kind
+        and before.data_centre == after.data_centre
+        and before.versions == after.versions
+        and before.address == after.address
+    )
+
+
+def _put_endpoint(
+    tables: DirectoryTables, announcement: Announcement, now: Seconds
+) -> None:
+    tables.endpoints[announcement.id] = Endpoint(announcement, now)
+    tables.membership += 1
+
+
+def _merge_late_leaving(
+    tables: DirectoryTables, endpoint: Endpoint, announcement: Announcement
+) -> bool:
+    if announcement.state is not EndpointState.LEAVING:
+        return False
+    tables.membership += 1
+    endpoint.announcement = announcement
+    return True
+
+
+def _add_endpoint(
+    tables: DirectoryTables, announcement: Announcement, now: Seconds
+) -> bool:
+    departure = tables.departed_endpoints.get(announcement.id)
+    if departure is not None and not _is_newer(announcement, departure):
+        return False
+    if len(tables.endpoints) >= MAX_ENDPOINTS:
+        return False
+    tables.departed_endpoints.pop(announcement.id, None)
+    _put_endpoint(tables, announcement, now)
+    return True
+
+
+def _add_entry(tables: DirectoryTables, report: EntryReport, now: Seconds) -> bool:
+    departure = tables.departed_entries.get(report.id)
+    if departure is not None and not _is_newer(report, departure):
+        return False
+    if len(tables.entries) >= MAX_ENTRIES:
+        return False
+    tables.departed_entries.pop(report.id, None)
+    tables.entries[report.id] = Entry(report, now)
+    return True
+
+
+def _is_newer(word: Announcement | EntryReport, departure: Departure) -> bool:
+    if word.incarnation != departure.incarnation:
+        return word.incarnation > departure.incarnation
+    return not departure.leaving and word.sequence > departure.sequence
+
+
+def _keep_departure(
+    departures: dict[Key, Departure], key: Key, departure: Departure
+) -> None:
+    departures.pop(key, None)
+    departures[key] = departure
+    while len(departures) > MAX_DEPARTURES:
+        del departures[next(iter(departures))]
+
+
+def _forget_departures(departures: dict[Key, Departure], now: Seconds) -> None:
+    while departures:
+        key = next(iter(departures))
+        if now - departures[key].at <= DEPARTURE_RETENTION:
+            return
+        del departures[key]
