--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/billing.py
@@ -0,0 +1,57 @@
+"""Bills of requests: made once, committed before the end of the answer."""
+
+from bergamotwood_core.errors import Code, IdempotencyError, ReplicationError
+from bergamotwood_core.ids import IdempotencyKey
+from bergamotwood_core.ledger import (
+    Bill,
+    BillAnswer,
+    RecordBill,
+    decode_answer,
+    encode_command,
+)
+from bergamotwood_core.states import BillOutcome, Run
+from bergamotwood_daemon.entry import Entry, Work
+
+_REFUSALS = {
+    BillOutcome.CONFLICT: (Code.KEY_CONFLICT, "its key stands for another request"),
+    BillOutcome.EXPIRED: (Code.KEY_EXPIRED, "its key is too old"),
+    BillOutcome.FULL: (Code.LEDGER_UNAVAILABLE, "the ledger has no room for its key"),
+    BillOutcome.INVALID: (Code.INTERNAL, "the ledger refused it"),
+}
+
+
+def make_bill(work: Work, key: IdempotencyKey | None, digest: str) -> Bill:
+    """Make the bill of a request from all of its attempts."""
+    return Bill(
+        request=work.id,
+        workspace=work.workspace.key,
+        key=key,
+        digest=digest,
+        attempts=tuple(work.attempts),
+        cost=sum(attempt.cost for attempt in work.attempts),
+    )
+
+
+def commit_bill(entry: Entry, bill: Bill) -> None:
+    """Commit a bill; a request that was billed before is not billed again.
+
+    Raises
+    ------
+    IdempotencyError
+        The ledger did not confirm it, or refused it.
+    """
+    command = encode_command(RecordBill(bill))
+    try:
+        reply = entry.ledger.propose(command, entry.settings.timeouts.ledger)
+    except ReplicationError as error:
+        raise IdempotencyError(
+            "the ledger did not confirm the bill",
+            Code.LEDGER_UNAVAILABLE,
+            Run.RAN,
+            retry_after=2.0,
+        ) from error
+    answer = decode_answer(reply)
+    refused = isinstance(answer, BillAnswer) and _REFUSALS.get(answer.outcome)
+    if refused:
+        code, reason = refused
+        raise IdempotencyError(f"bill of {bill.request}: {reason}", code, Run.RAN)
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -11,30 +11,21 @@
     BergamotwoodError,
     Code,
     EndpointError,
-    IdempotencyError,
     RefusedError,
-    ReplicationError,
     RequestError,
 )
 from bergamotwood_core.evidence import CellKey
 from bergamotwood_core.frontier import Step
 from bergamotwood_core.ids import VersionId
-from bergamotwood_core.ledger import (
-    Bill,
-    BillOutcome,
-    RecordBill,
-    StoredAnswer,
-    decode_bill_answer,
-    encode_command,
-)
+from bergamotwood_core.ledger import StoredAnswer
 from bergamotwood_core.outcome import Outcome
 from bergamotwood_core.session import make_session
-from bergamotwood_core.states import Run
 from bergamotwood_core.stream import Chunk
 from bergamotwood_core.tables import InFlight
 from bergamotwood_daemon.admittance import Admittance
 from bergamotwood_daemon.answer import VersionAnswer
 from bergamotwood_daemon.authorization import find_workspace
+from bergamotwood_daemon.billing import commit_bill, make_bill
 from bergamotwood_daemon.chatcall import ChatCall, list_candidates, read_chat_call
 from bergamotwood_daemon.claims import KeyedRequest, Ran
 from bergamotwood_daemon.completion import (
@@ -245,7 +236,8 @@
                 self._leave(call)
             receipt = self._make_receipt(call, answer)
             body = encode_completion(call.work.id, chunks, answer.usage, receipt)
-            return Ran(StoredAnswer(200, JSON, body), self._make_bill(call))
+            bill = make_bill(call.work, call.key, call.digest)
+            return Ran(StoredAnswer(200, JSON, body), bill)
 
         stored = self._entry.claims.run_once(
             keyed, act, self._entry.settings.timeouts.request
@@ -254,45 +246,10 @@
         return Response(stored.status, stored.content_type, [stored.body])
 
     def _bill(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
-        """Commit the bill.
-
-        Raises
-        ------
-        IdempotencyError
-            The ledger did not confirm it, or the key stands for another request.
-        """
         self._learn(call, answer)
-        command = encode_command(RecordBill(self._make_bill(call)))
-        timeout = self._entry.settings.timeouts.ledger
-        try:
-            reply = self._entry.ledger.propose(command, timeout)
-        except ReplicationError as error:
-            raise IdempotencyError(
-                "the ledger did not confirm the bill",
-                Code.LEDGER_UNAVAILABLE,
-                Run.RAN,
-                retry_after=2.0,
-            ) from error
-        if decode_bill_answer(reply).outcome is BillOutcome.CONFLICT:
-            raise IdempotencyError(
-                f"key {call.key}: used for another request",
-                Code.KEY_CONFLICT,
-                Run.RAN,
-            )
+        commit_bill(self._entry, make_bill(call.work, call.key, call.digest))
         return self._make_receipt(call, answer)
 
-    def _make_bill(self, call: ChatCall) -> Bill:
-        work = call.work
-        cost = sum(attempt.cost for attempt in work.attempts)
-        return Bill(
-            request=work.id,
-            workspace=work.workspace.key,
-            key=call.key,
-            digest=call.digest,
-            attempts=tuple(work.attempts),
-            cost=cost,
-        )
-
     def _make_receipt(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
         return Receipt(
             version=answer.version.id,
--- a/packages/daemon/src/bergamotwood_daemon/claims.py
+++ b/packages/daemon/src/bergamotwood_daemon/claims.py
@@ -25,13 +25,16 @@
     Done,
     Expired,
     Finish,
+    Full,
     Granted,
     Held,
     LedgerCommand,
+    Refused,
     Release,
+    Released,
     StoredAnswer,
     Unknown,
-    decode_claim_answer,
+    decode_answer,
     encode_command,
 )
 from bergamotwood_core.states import Run
@@ -108,7 +111,7 @@
         match self._claim(request):
             case Granted():
                 return self._run(request, act, wait_seconds)
-            case Done(answer):
+            case Done(StoredAnswer() as answer):
                 return answer
             case other:
                 raise _explain_claim(request, other)
@@ -127,7 +130,7 @@
                 Code.LEDGER_UNAVAILABLE,
                 retry_after=2.0,
             ) from error
-        return decode_claim_answer(reply)
+        return decode_answer(reply)
 
     def _run(
         self, request: KeyedRequest, act: Callable[[], Ran], wait_seconds: float
@@ -232,6 +235,12 @@
             )
         case Conflict():
             return IdempotencyError(f"key {key}: used for another request")
+        case Full() | Released() | Refused():
+            return IdempotencyError(
+                f"key {key}: the ledger cannot take it now",
+                Code.LEDGER_UNAVAILABLE,
+                retry_after=1.0,
+            )
         case _:
             return IdempotencyError(
                 f"key {key}: it ran but its answer is not kept",
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -23,7 +23,8 @@
 from bergamotwood_daemon.directoryfeed import DirectoryFeed
 from bergamotwood_daemon.entry import Entry
 from bergamotwood_daemon.feed import ControlFeed
-from bergamotwood_daemon.group import GroupSettings, LogGroup
+from bergamotwood_daemon.group import LogGroup
+from bergamotwood_daemon.groupsettings import GroupSettings
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.metrics import Metrics
 from bergamotwood_daemon.operations import Operations
@@ -163,8 +164,8 @@
         voters = tuple(InstanceId(replica.id) for replica in self.settings.replicas)
         settings = GroupSettings(
             instance=self._name,
-            voters=voters,
-            data_folder=self.settings.data_folder / name,
+            initial_voters=voters,
+            folder=self.settings.data_folder,
         )
         return LogGroup(
             name,
--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -8,19 +8,10 @@
     Code,
     EndpointError,
     IdempotencyError,
-    ReplicationError,
     RequestError,
 )
 from bergamotwood_core.ids import IdempotencyKey, ServiceName
-from bergamotwood_core.ledger import (
-    Attempt,
-    Bill,
-    BillOutcome,
-    RecordBill,
-    StoredAnswer,
-    decode_bill_answer,
-    encode_command,
-)
+from bergamotwood_core.ledger import Attempt, StoredAnswer
 from bergamotwood_core.states import Run
 from bergamotwood_core.tables import InFlight
 from bergamotwood_core.target import ServiceTarget
@@ -33,6 +24,7 @@
     settle_failure,
 )
 from bergamotwood_daemon.authorization import find_workspace
+from bergamotwood_daemon.billing import commit_bill, make_bill
 from bergamotwood_daemon.chatcall import digest_request, make_work, read_key
 from bergamotwood_daemon.claims import KeyedRequest, Ran
 from bergamotwood_daemon.endpointcall import Header
@@ -137,7 +129,7 @@
                     raise
                 if not allow_retry(self._entry, call.work, attempts):
                     raise
-        self._record_bill(call)
+        commit_bill(self._entry, make_bill(call.work, call.key, call.digest))
         return answer
 
     def _answer_once(self, call: ServiceCall) -> StoredAnswer:
@@ -150,7 +142,7 @@
                 answer = self._attempt(call)
             finally:
                 self._leave(call.work)
-            return Ran(answer, _make_bill(call))
+            return Ran(answer, make_bill(call.work, call.key, call.digest))
 
         timeouts = self._entry.settings.timeouts
         try:
@@ -196,25 +188,6 @@
         )
         return StoredAnswer(status, attempt.call.content_type, body)
 
-    def _record_bill(self, call: ServiceCall) -> None:
-        command = encode_command(RecordBill(_make_bill(call)))
-        timeout = self._entry.settings.timeouts.ledger
-        try:
-            reply = self._entry.ledger.propose(command, timeout)
-        except ReplicationError as error:
-            raise IdempotencyError(
-                "the ledger did not confirm the bill",
-                Code.LEDGER_UNAVAILABLE,
-                Run.RAN,
-                retry_after=2.0,
-            ) from error
-        if decode_bill_answer(reply).outcome is BillOutcome.CONFLICT:
-            raise IdempotencyError(
-                f"key {call.key}: used for another request",
-                Code.KEY_CONFLICT,
-                Run.RAN,
-            )
-
     def _enter(self, call: ServiceCall) -> None:
         work = call.work
         self._entry.retries.record_offered()
@@ -248,15 +221,3 @@
     if name == "content-type":
         return request.environ.get("CONTENT_TYPE")
     return request.read_header(name)
-
-
-def _make_bill(call: ServiceCall) -> Bill:
-    work = call.work
-    return Bill(
-        request=work.id,
-        workspace=work.workspace.key,
-        key=call.key,
-        digest=call.digest,
-        attempts=tuple(work.attempts),
-        cost=sum(attempt.cost for attempt in work.attempts),
-    )
