--- a/packages/daemon/src/bergamotwood_daemon/admittance.py
+++ b/packages/daemon/src/bergamotwood_daemon/admittance.py
@@ -1,6 +1,7 @@
 """Waiting for admission: greenlets over the pure queue."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from gevent.event import AsyncResult
 
@@ -9,10 +10,12 @@
     Admitted,
     Queued,
     Refused,
+    compute_limit,
 )
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import Code, RefusedError
 from bergamotwood_core.ids import RequestId
+from bergamotwood_core.tables import DirectoryTables, Endpoint
 from bergamotwood_daemon.entry import Work
 
 DISPLACED_RETRY_SECONDS = 1.0
@@ -62,6 +65,19 @@
         """Refuse whoever can no longer start in time."""
         self._refuse_all(self._admission.expire(now), Code.DEADLINE_EXCEEDED)
 
+    def set_limits(self, directory: DirectoryTables, now: Seconds) -> None:
+        """Fit the limit of each pool to what its endpoints announce."""
+        totals: dict[str, _PoolTotal] = {}
+        for endpoint in directory.endpoints.values():
+            if endpoint.serving:
+                _add_to_pools(totals, endpoint)
+        entries = len(directory.entries)
+        for pool, total in totals.items():
+            limit = compute_limit(
+                total.capacity, total.load, total.outstanding, entries
+            )
+            self._admit_all(self._admission.set_limit(pool, limit, now))
+
     def _wait(self, id: RequestId) -> None:
         outcome: AsyncResult[None] = AsyncResult()
         self._waiting[id] = outcome
@@ -79,6 +95,24 @@
             self._waiting[id].set_exception(_refuse(code, DISPLACED_RETRY_SECONDS))
 
 
+@dataclass(slots=True)
+class _PoolTotal:
+    """What the endpoints of one version or service announce in all."""
+
+    capacity: float = 0.0
+    load: float = 0.0
+    outstanding: int = 0
+
+
+def _add_to_pools(totals: dict[str, _PoolTotal], endpoint: Endpoint) -> None:
+    announcement = endpoint.announcement
+    for name in announcement.versions:
+        total = totals.setdefault(name, _PoolTotal())
+        total.capacity += announcement.capacity
+        total.load += announcement.load
+        total.outstanding += endpoint.outstanding
+
+
 def _refuse(code: Code, retry_after: float) -> RefusedError:
     reason = {
         Code.WORKSPACE_LIMIT: "the workspace has too many requests in flight",
--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -226,7 +226,6 @@
         entry.measure_age(),
         entry.settings.max_config_age_seconds,
         work.fingerprint,
-        now,
     )
     attempt = OpenAttempt(entry, work, row, call)
     if isinstance(clearance, Isolated) or work.suspect:
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -70,28 +70,34 @@
         """Answer a chat request."""
         workspace = find_workspace(request, self._entry.tables.configuration)
         call = read_chat_call(self._entry, request, workspace)
-        candidates = list_candidates(self._entry, call)
+        plan = self._plan(call)
         if not call.work.idempotent and call.key is None:
             raise RequestError(
                 "idempotency-key: needed for a non-idempotent request",
                 Code.KEY_REQUIRED,
             )
-        self._enter(call, candidates[-1].version)
+        index = self._entry.watch.applied
+        self._enter(call, plan.steps[0].version)
         try:
-            return self._answer_admitted(call, candidates)
+            if self._entry.watch.applied != index:
+                plan = self._plan(call)
+            return self._answer_admitted(call, plan)
         except BaseException:
             self._leave(call)
             raise
 
-    def _answer_admitted(self, call: ChatCall, candidates: list) -> Response:
-        plan = self._entry.policy.plan(
+    def _plan(self, call: ChatCall) -> Plan:
+        """Choose the steps by the configuration in force now."""
+        return self._entry.policy.plan(
             call.work.workspace,
             call.request_class,
-            candidates,
+            list_candidates(self._entry, call),
             call.prompt_tokens,
             self._entry.clock(),
             call.work.deadline,
         )
+
+    def _answer_admitted(self, call: ChatCall, plan: Plan) -> Response:
         if not call.work.idempotent:
             return self._answer_once(call, plan)
         answer, chunks = self._run_steps(call, plan.steps)
--- a/packages/daemon/src/bergamotwood_daemon/ticker.py
+++ b/packages/daemon/src/bergamotwood_daemon/ticker.py
@@ -61,6 +61,7 @@
         expire_endpoints(directory, now)
         expire_entries(directory, now)
         self._admittance.expire(now)
+        self._admittance.set_limits(self._entry.tables.directory, now)
         self._watch_rollouts(self._entry.tables.configuration)
         if self._replicas is None:
             return
