Add the state machine of the ledger

Claims with a token for each attempt, stored answers, bills with exact totals in billionths of a unit, a window for the bills of each start of an entry. A released token never holds a claim again, so a claim that commits late blocks nothing. An expired key leaves a hash and is refused, never run again; when there is no room left new keys are refused rather than old ones forgotten.

--- /dev/null
+++ b/packages/core/src/bergamotwood_core/bill_table.py
@@ -0,0 +1,97 @@
+"""Bills and their exact totals."""
+
+from math import isfinite
+
+from msgspec import Struct
+
+from bergamotwood_core.ids import RequestId, WorkspaceId
+from bergamotwood_core.ledger_command import MAX_FIELD, Bill
+from bergamotwood_core.watermark import parse_request_id
+
+# Newest bills that are kept whole; the totals count every bill.
+MAX_BILLS = 20_000
+MAX_ATTEMPTS = 64
+# Cost is summed in whole billionths of a unit, so that no sum is rounded.
+BILLIONTHS = 1_000_000_000
+MAX_COST = 1e9
+MAX_TOKENS = 10**9
+
+
+class Total(Struct, frozen=True):
+    """Sum of a workspace's bills.
+
+    Parameters
+    ----------
+    bills, attempts, prompt_tokens, output_tokens : int
+        How many.
+    cost_billionths : int
+        Cost in billionths of a unit, exact.
+    """
+
+    bills: int = 0
+    attempts: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cost_billionths: int = 0
+
+    @property
+    def cost(self) -> float:
+        """Cost in units."""
+        return self.cost_billionths / BILLIONTHS
+
+
+class BillTable:
+    """The newest bills, and a total for each workspace."""
+
+    def __init__(self) -> None:
+        self.bills: dict[RequestId, Bill] = {}
+        self.totals: dict[WorkspaceId, Total] = {}
+
+    def add(self, bill: Bill) -> None:
+        """Add a checked bill that is known to be new."""
+        self.bills[bill.request] = bill
+        if len(self.bills) > MAX_BILLS:
+            del self.bills[next(iter(self.bills))]
+        total = self.totals.get(bill.workspace, Total())
+        self.totals[bill.workspace] = _add_bill(total, bill)
+
+    def list(self, workspace: WorkspaceId | None, limit: int) -> list[Bill]:
+        """List the newest bills, the newest first."""
+        chosen: list[Bill] = []
+        for bill in reversed(self.bills.values()):
+            if len(chosen) >= limit:
+                break
+            if workspace is None or bill.workspace == workspace:
+                chosen.append(bill)
+        return chosen
+
+
+def is_valid(bill: Bill) -> bool:
+    """Tell whether a bill can be added: sane numbers and an entry's id."""
+    if parse_request_id(bill.request) is None or len(bill.attempts) > MAX_ATTEMPTS:
+        return False
+    if len(bill.key or "") > MAX_FIELD or len(bill.digest) > MAX_FIELD:
+        return False
+    if not _is_cost(bill.cost):
+        return False
+    return all(
+        _is_cost(attempt.cost)
+        and 0 <= attempt.prompt_tokens <= MAX_TOKENS
+        and 0 <= attempt.output_tokens <= MAX_TOKENS
+        for attempt in bill.attempts
+    )
+
+
+def _is_cost(cost: float) -> bool:
+    return isfinite(cost) and 0.0 <= cost <= MAX_COST
+
+
+def _add_bill(total: Total, bill: Bill) -> Total:
+    attempts = bill.attempts
+    return Total(
+        bills=total.bills + 1,
+        attempts=total.attempts + len(attempts),
+        prompt_tokens=total.prompt_tokens + sum(a.prompt_tokens for a in attempts),
+        output_tokens=total.output_tokens + sum(a.output_tokens for a in attempts),
+        cost_billionths=total.cost_billionths + round(bill.cost * BILLIONTHS),
+    )
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/key_table.py
@@ -0,0 +1,252 @@
+"""Idempotency keys: claims, answers and the marks of expired keys."""
+
+from collections.abc import Iterator
+from hashlib import blake2b
+
+from msgspec import Struct
+
+from bergamotwood_core.ids import (
+    IdempotencyKey,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    WorkspaceId,
+)
+from bergamotwood_core.ledger_command import (
+    MAX_FIELD,
+    Claim,
+    ClaimAnswer,
+    Conflict,
+    Done,
+    Expired,
+    Full,
+    Granted,
+    Held,
+    Refused,
+    Release,
+    Released,
+    StoredAnswer,
+    Unknown,
+)
+from bergamotwood_core.states import ClaimState
+from bergamotwood_core.watermark import parse_request_id
+
+# Keys with their whole record, and expired keys of which a hash is kept.
+MAX_KEYS = 50_000
+MAX_EXPIRED = 200_000
+# Seconds of log time after which the hash of an expired key may be dropped.
+KEY_RETENTION = 7 * 86_400.0
+# Seconds of log time after which a held claim counts as unknown.
+CLAIM_EXPIRY = 3_600.0
+# Bytes of one stored answer, and of all of them.
+MAX_ANSWER_BYTES = 1_048_576
+MAX_ANSWERS_BYTES = 33_554_432
+# Tokens given up that are remembered.
+MAX_RELEASED = 4_096
+HASH_BYTES = 8
+
+Scope = tuple[WorkspaceId, IdempotencyKey]
+
+
+class KeyRecord(Struct):
+    """What is known of one key.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request that it was first used for.
+    state : ClaimState
+        Held, done or unknown.
+    token : str
+        Token of the holder; empty for a key that needed no claim.
+    request : RequestId
+        Request that used it first.
+    at : float
+        Log time of that, in seconds.
+    answer : StoredAnswer or None
+        The kept answer.
+    billed : RequestId or None
+        Request whose bill stands.
+    """
+
+    digest: str
+    state: ClaimState
+    token: str
+    request: RequestId
+    at: float
+    answer: StoredAnswer | None = None
+    billed: RequestId | None = None
+
+
+class KeyTable:
+    """Keys of all workspaces, bounded.
+
+    The oldest keys that are not held make room for new ones and leave a hash,
+    so that an expired key is refused rather than run again. When there is no
+    room for hashes either, the oldest hash goes once it is `KEY_RETENTION` old;
+    until then new keys are refused.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[Scope, KeyRecord] = {}
+        self.expired: dict[bytes, float] = {}
+        self.released: dict[str, None] = {}
+        self.answers: dict[Scope, int] = {}
+        self.answer_bytes = 0
+        self._held: dict[Scope, None] = {}
+
+    def claim(self, command: Claim, now: float) -> ClaimAnswer:
+        """Grant a claim, or say why not."""
+        scope = (command.workspace, command.key)
+        record = self.records.get(scope)
+        if record is not None:
+            return _answer_known_key(record, command)
+        if _is_too_long(command.key, command.digest, command.token):
+            return Refused(f"key, digest and token: at most {MAX_FIELD} characters")
+        if parse_request_id(command.request) is None:
+            return Refused("request: must be an id made by an entry")
+        if command.token in self.released:
+            return Released()
+        if hash_scope(scope) in self.expired:
+            return Expired()
+        record = KeyRecord(
+            command.digest, ClaimState.HELD, command.token, command.request, now
+        )
+        return Granted() if self.add(scope, record, now) else Full()
+
+    def add(self, scope: Scope, record: KeyRecord, now: float) -> bool:
+        """Add a new key, if there is room."""
+        if len(self.records) >= MAX_KEYS and not self._expire_oldest(now):
+            return False
+        self.records[scope] = record
+        if record.state is ClaimState.HELD:
+            self._held[scope] = None
+        return True
+
+    def release(self, command: Release) -> bool:
+        """Give up a claim; its token never holds one again."""
+        scope = (command.workspace, command.key)
+        record = self.records.get(scope)
+        is_holder = record is not None and record.token == command.token
+        if is_holder and record.state is ClaimState.DONE:
+            return False
+        self.released[command.token] = None
+        _drop_oldest(self.released, MAX_RELEASED)
+        if not is_holder:
+            return False
+        del self.records[scope]
+        self._held.pop(scope, None)
+        return True
+
+    def settle(
+        self, scope: Scope, state: ClaimState, answer: StoredAnswer | None
+    ) -> None:
+        """End a claim as done or unknown."""
+        record = self.records[scope]
+        record.state = state
+        self._held.pop(scope, None)
+        if answer is None or len(answer.body) > MAX_ANSWER_BYTES:
+            return
+        record.answer = answer
+        self.answers[scope] = len(answer.body)
+        self.answer_bytes += len(answer.body)
+        while self.answer_bytes > MAX_ANSWERS_BYTES:
+            self._drop_answer(next(iter(self.answers)))
+
+    def abandon(self, instance: InstanceId, incarnation: Incarnation) -> int:
+        """Mark the held claims of an entry as unknown."""
+        lost = [
+            scope
+            for scope in self._held
+            if _is_made_by(self.records[scope].request, instance, incarnation)
+        ]
+        return self._lose(lost)
+
+    def expire_claims(self, now: float) -> int:
+        """Mark the claims that were held too long as unknown."""
+        lost = [
+            scope for scope in self._held if now - self.records[scope].at > CLAIM_EXPIRY
+        ]
+        return self._lose(lost)
+
+    def rebuild(self) -> None:
+        """Fill what follows from the records, after a restore."""
+        self._held = {
+            scope: None
+            for scope, record in self.records.items()
+            if record.state is ClaimState.HELD
+        }
+        self.answer_bytes = sum(self.answers.values())
+
+    def count_held(self) -> int:
+        """Count the claims that are held."""
+        return len(self._held)
+
+    def _lose(self, scopes: list[Scope]) -> int:
+        for scope in scopes:
+            self.settle(scope, ClaimState.UNKNOWN, None)
+        return len(scopes)
+
+    def _expire_oldest(self, now: float) -> bool:
+        if len(self.expired) >= MAX_EXPIRED:
+            oldest = next(iter(self.expired))
+            if now - self.expired[oldest] < KEY_RETENTION:
+                return False
+            del self.expired[oldest]
+        scope = next(self._list_unheld(), None)
+        if scope is None:
+            return False
+        self._drop_answer(scope)
+        self.expired[hash_scope(scope)] = self.records.pop(scope).at
+        return True
+
+    def _list_unheld(self) -> Iterator[Scope]:
+        for scope, record in self.records.items():
+            if record.state is not ClaimState.HELD:
+                yield scope
+
+    def _drop_answer(self, scope: Scope) -> None:
+        size = self.answers.pop(scope, None)
+        if size is None:
+            return
+        self.answer_bytes -= size
+        self.records[scope].answer = None
+
+
+def hash_scope(scope: Scope) -> bytes:
+    """Hash a workspace and key to the form in which expired keys are kept."""
+    workspace, key = scope
+    content = f"{len(workspace)}:{workspace}{key}".encode()
+    return blake2b(content, digest_size=HASH_BYTES).digest()
+
+
+def _answer_known_key(record: KeyRecord, command: Claim) -> ClaimAnswer:
+    if record.digest != command.digest:
+        return Conflict()
+    match record.state:
+        case ClaimState.DONE:
+            return Done(record.answer, record.request)
+        case ClaimState.UNKNOWN:
+            return Unknown(record.request)
+        case ClaimState.HELD:
+            if record.token == command.token:
+                return Granted()
+            return Held(record.request)
+
+
+def _is_made_by(
+    request: RequestId, instance: InstanceId, incarnation: Incarnation
+) -> bool:
+    origin = parse_request_id(request)
+    if origin is None or origin.instance != instance:
+        return False
+    return origin.incarnation <= incarnation
+
+
+def _is_too_long(*fields: str) -> bool:
+    return any(len(field) > MAX_FIELD for field in fields)
+
+
+def _drop_oldest(table: dict, limit: int) -> None:
+    while len(table) > limit:
+        del table[next(iter(table))]
