Give each replica in the group tests its own election delays

Leadership of 0.2 s was also lost to a slow step. Each replica is seeded by its name and elections wait 0.6 s; the test of a lost majority waits until the leader stepped down before it expects the refusal.

--- a/tests/daemon/loggroups.py
+++ b/tests/daemon/loggroups.py
@@ -68,16 +68,16 @@
             self.folder / name,
             **{
                 "tick_seconds": 0.01,
-                "heartbeat_seconds": 0.03,
-                "election_seconds": 0.2,
-                "lease_seconds": 0.15,
+                "heartbeat_seconds": 0.05,
+                "election_seconds": 0.6,
+                "lease_seconds": 0.5,
                 **self.settings,
             },
         )
         self.machines[name] = machine or ListMachine()
         transport = MemoryTransport(name, self.groups, self.cut)
         group = LogGroup(
-            "control", settings, self.machines[name], transport, read_clock, Random(1)
+            "control", settings, self.machines[name], transport, read_clock, Random(name)
         )
         group.start()
         self.groups[name] = group
--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -46,6 +46,7 @@
     with pytest.raises(ReplicationError) as caught:
         leader.propose(b"lost?", 0.5)
     assert caught.value.run is Run.MAY_HAVE_RUN
+    wait_until(lambda: not leader.is_leader)
     assert not leader.holds_lease(read_clock())
     assert leader.confirmed_age(read_clock()) > 0.4
     with pytest.raises(NotLeaderError):
