--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 	$(PY) -m grpc_tools.protoc -I proto --python_out=packages/daemon/src \
 	  --grpc_python_out=packages/daemon/src \
 	  proto/bergamotwood_daemon/peer.proto
+
+check-log: setup
+	PYTHONPATH=$(SRC):tests $(PY) -m core.logcheck
--- a/packages/core/src/bergamotwood_core/replica.py
+++ b/packages/core/src/bergamotwood_core/replica.py
@@ -266,7 +266,7 @@
         match body:
             case Append() | SnapshotPart():
                 refuse_old_leader(state, message, body, now)
-            case PreVote():
+            case PreVote() | PreVoteReply(granted=True):
                 return True
         return False
 
--- /dev/null
+++ b/tests/core/logcheck.py
@@ -0,0 +1,34 @@
+"""The long form of the step check: many seeds, three and five replicas."""
+
+import click
+from core.logcluster import Cluster, InvariantError
+
+
+@click.command()
+@click.option("--first", default=0, help="First seed.")
+@click.option("--seeds", default=300, help="Number of seeds.")
+@click.option("--steps", default=5000, help="Steps with faults for each seed.")
+def check(first, seeds, steps):
+    """Drive the replicated log through random faults; fail on a broken promise."""
+    committed = elections = lost_disks = 0
+    for seed in range(first, first + seeds):
+        cluster = Cluster(seed, size=5 if seed % 3 == 0 else 3)
+        try:
+            cluster.run(steps)
+            reached = len(cluster.committed)
+            cluster.settle(15.0)
+        except InvariantError as error:
+            raise click.ClickException(f"seed {seed}: {error}")
+        if len(cluster.committed) == reached:
+            raise click.ClickException(f"seed {seed}: no progress after healing")
+        committed += len(cluster.committed)
+        elections += len(cluster.leaders)
+        lost_disks += cluster.counts["loses"]
+    click.echo(
+        f"{seeds} seeds of {steps} steps: {committed} entries committed, "
+        f"{elections} elections, {lost_disks} disks lost, no promise broken"
+    )
+
+
+if __name__ == "__main__":
+    check()
--- a/tests/core/logcluster.py
+++ b/tests/core/logcluster.py
@@ -1,6 +1,7 @@
 """Replicas of one log group, driven step by step through every kind of fault."""
 
 from bisect import bisect_left
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -73,7 +74,6 @@
     clock_offset: float
     replica: Replica | None = None
     unsynced: Effects | None = None
-    saving: bool = False
     inbox: list[bytes] = field(default_factory=list)
     applied: list[tuple[int, bytes]] = field(default_factory=list)
     applied_index: int = 0
@@ -95,10 +95,9 @@
         self.blocked: set[tuple[InstanceId, InstanceId]] = set()
         self.committed: list[Entry] = []
         self.committed_at: list[float] = []
-        self.commands: list[bytes] = []
         self.leaders: dict[int, ReplicaId] = {}
         self.proposed = 0
-        self.counts: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()
         self.trace: list[str] = []
         self.nodes = {name: self._make_node(name) for name in self.names}
 
@@ -175,7 +174,6 @@
             node.replica.propose([command], self.clock(node))
         except NotLeaderError:
             return
-        self.commands.append(command)
 
     def carry_out(self, node):
         """Take the effects: early messages go, the rest waits for the disk."""
@@ -206,6 +204,35 @@
     def tick(self, node):
         node.replica.tick(self.clock(node))
 
+    def elect(self, node, names):
+        """Let one node win an election among some, and say no more."""
+        while not node.replica.is_leader:
+            self.now += 5.0
+            node.replica.state.election_at = NEVER
+            self.work(node, self.tick)
+            self.exchange(names, lambda: node.replica.is_leader)
+        self.network.clear()
+
+    def exchange(self, names, done=lambda: False):
+        """Deliver messages among some nodes in order; the others get none."""
+        while self.network and not done():
+            source, target, body = self.network.pop(0)
+            if source in names and target in names:
+                message = decode_message(body)
+                node = self.nodes[target]
+                self.work(node, lambda n, m=message: n.replica.step(m, self.clock(n)))
+
+    def start_round(self, node):
+        self.now += 1.0
+        self.work(node, lambda n: n.replica.start_round(self.clock(n)))
+
+    def restart_all(self):
+        """Start every process anew, with nothing in the network."""
+        for node in self.nodes.values():
+            self.crash(node)
+            self.start(node)
+        self.network.clear()
+
     def settle(self, seconds):
         """Heal everything, and run without faults."""
         self.faults = False
@@ -226,9 +253,7 @@
 
     def note(self, text):
         self.trace.append(f"{self.now:8.3f} {text}")
-        self.counts[text.split(" ", 1)[1].split(" ")[0]] = (
-            self.counts.get(text.split(" ", 1)[1].split(" ")[0], 0) + 1
-        )
+        self.counts[text.split()[1]] += 1
 
     # -- invariants ----------------------------------------------------------
 
@@ -282,7 +307,6 @@
     def _make_node(self, name):
         offset = self.rng.random() * 1000.0
         node = Node(name, Disk(ReplicaId(f"{name}-0")), offset)
-        self.nodes = getattr(self, "nodes", {})
         self.start(node)
         return node
 
@@ -290,11 +314,11 @@
         if node.unsynced is not None:
             self.sync(node)
             return
-        node.replica.tick(self.clock(node))
         taken = self.rng.randint(1, 4)
         for body in node.inbox[:taken]:
             node.replica.step(decode_message(body), self.clock(node))
         del node.inbox[:taken]
+        node.replica.tick(self.clock(node))
         if node.replica.is_leader and self.rng.random() < 0.5:
             self.propose(node)
         self.carry_out(node)
