--- a/packages/core/src/bergamotwood_core/bill_table.py
+++ b/packages/core/src/bergamotwood_core/bill_table.py
@@ -55,6 +55,12 @@
         total = self.totals.get(bill.workspace, Total())
         self.totals[bill.workspace] = _add_bill(total, bill)
 
+    def remove(self, bill: Bill) -> None:
+        """Take a bill that was added out of the table and the total."""
+        self.bills.pop(bill.request, None)
+        total = self.totals.get(bill.workspace, Total())
+        self.totals[bill.workspace] = _add_bill(total, bill, sign=-1)
+
     def list(self, workspace: WorkspaceId | None, limit: int) -> list[Bill]:
         """List the newest bills, the newest first."""
         chosen: list[Bill] = []
@@ -86,12 +92,15 @@
     return isfinite(cost) and 0.0 <= cost <= MAX_COST
 
 
-def _add_bill(total: Total, bill: Bill) -> Total:
+def _add_bill(total: Total, bill: Bill, sign: int = 1) -> Total:
     attempts = bill.attempts
+    prompt_tokens = sum(attempt.prompt_tokens for attempt in attempts)
+    output_tokens = sum(attempt.output_tokens for attempt in attempts)
+    cost = round(bill.cost * BILLIONTHS)
     return Total(
-        bills=total.bills + 1,
-        attempts=total.attempts + len(attempts),
-        prompt_tokens=total.prompt_tokens + sum(a.prompt_tokens for a in attempts),
-        output_tokens=total.output_tokens + sum(a.output_tokens for a in attempts),
-        cost_billionths=total.cost_billionths + round(bill.cost * BILLIONTHS),
+        bills=total.bills + sign,
+        attempts=total.attempts + sign * len(attempts),
+        prompt_tokens=total.prompt_tokens + sign * prompt_tokens,
+        output_tokens=total.output_tokens + sign * output_tokens,
+        cost_billionths=total.cost_billionths + sign * cost,
     )
--- a/packages/core/src/bergamotwood_core/ledger.py
+++ b/packages/core/src/bergamotwood_core/ledger.py
@@ -37,6 +37,7 @@
     StoredAnswer,
     Tick,
     Unknown,
+    VoidBill,
     decode_answer,
     decode_command,
     encode_answer,
@@ -77,6 +78,7 @@
     "Tick",
     "Total",
     "Unknown",
+    "VoidBill",
     "decode_answer",
     "encode_command",
 ]
@@ -229,6 +231,8 @@
                 return self._finish(command)
             case RecordBill():
                 return self._record_bill(command.bill)
+            case VoidBill():
+                return self._void_bill(command.bill)
             case Abandon():
                 return Noted(self.keys.abandon(command.instance, command.incarnation))
             case Tick():
@@ -289,12 +293,24 @@
     def _bill_key(self, record: KeyRecord, bill: Bill) -> BillAnswer:
         if record.billed is not None:
             return BillAnswer(BillOutcome.DUPLICATE, record.billed)
-        record.billed = bill.request
+        answer = self._bill_request(bill)
+        if answer.outcome is BillOutcome.RECORDED:
+            record.billed = bill.request
+        return answer
+
+    def _void_bill(self, bill: Bill) -> LedgerAnswer:
+        """Take a bill back, and keep one that is still under way from standing."""
+        if not is_valid(bill):
+            return BillAnswer(BillOutcome.INVALID, bill.request)
         origin = parse_request_id(bill.request)
-        if origin is not None:
-            self.windows.mark(origin)
-        self.bills.add(bill)
-        return BillAnswer(BillOutcome.RECORDED, bill.request)
+        standing = self.bills.bills.get(bill.request)
+        if self.windows.mark(origin) is not Mark.SEEN or standing is None:
+            return Noted(0)
+        self.bills.remove(standing)
+        record = self.keys.records.get((bill.workspace, bill.key))
+        if record is not None and record.billed == bill.request:
+            record.billed = None
+        return Noted(1)
 
     def _bill_request(self, bill: Bill) -> BillAnswer:
         origin = parse_request_id(bill.request)
--- a/packages/core/src/bergamotwood_core/ledger_command.py
+++ b/packages/core/src/bergamotwood_core/ledger_command.py
@@ -133,6 +133,12 @@
     bill: Bill
 
 
+class VoidBill(Struct, frozen=True, tag="void"):
+    """Take back a bill whose commit was not confirmed; it never stands later."""
+
+    bill: Bill
+
+
 class Abandon(Struct, frozen=True, tag="abandon"):
     """Mark the claims of a dead entry, up to an incarnation, as unknown."""
 
@@ -146,7 +152,7 @@
     elapsed: float
 
 
-LedgerCommand = Claim | Release | Finish | RecordBill | Abandon | Tick
+LedgerCommand = Claim | Release | Finish | RecordBill | VoidBill | Abandon | Tick
 
 
 class Granted(Struct, frozen=True, tag="granted"):
--- a/packages/daemon/src/bergamotwood_daemon/answer.py
+++ b/packages/daemon/src/bergamotwood_daemon/answer.py
@@ -150,6 +150,10 @@
             if event == DONE:
                 done = True
                 break
+            if self._entry.clock() >= self._work.deadline:
+                raise EndpointError(
+                    "the deadline passed before the end", Code.DEADLINE_EXCEEDED
+                )
             for chunk in self._assembler.accept(_decode_chunk(event)):
                 self._note_first_token(attempt)
                 yield chunk
@@ -200,7 +204,8 @@
             Header("Bergamotwood-Resume-From", str(self._assembler.next_index)),
             Header("Traceparent", self._work.trace_parent),
         )
-        return Outgoing("POST", CHAT_PATH, headers, json.encode(document))
+        wait = self._entry.settings.timeouts.first_chunk
+        return Outgoing("POST", CHAT_PATH, headers, json.encode(document), wait)
 
 
 def _decode_chunk(event: bytes) -> Chunk:
--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -38,12 +38,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Outgoing:
-    """The HTTP request of an attempt."""
+    """The HTTP request of an attempt.
+
+    Parameters
+    ----------
+    method, path : str
+        Request line.
+    headers : tuple of Header
+        Header fields.
+    body : bytes
+        Request body.
+    wait_seconds : float
+        Silence allowed until the answer begins.
+    """
 
     method: str
     path: str
     headers: tuple[Header, ...]
     body: bytes
+    wait_seconds: float
 
 
 class OpenAttempt:
@@ -145,7 +158,7 @@
             _note_dial_failure(entry, row)
             continue
         try:
-            return _dispatch(entry, work, target, row, call)
+            return _dispatch(entry, work, target, row, call, outgoing.wait_seconds)
         except RefusedError as error:
             call.close()
             if error.code is not Code.NO_ENDPOINT:
@@ -213,7 +226,12 @@
 
 
 def _dispatch(
-    entry: Entry, work: Work, target: Target, row: Endpoint, call: EndpointCall
+    entry: Entry,
+    work: Work,
+    target: Target,
+    row: Endpoint,
+    call: EndpointCall,
+    wait_seconds: float,
 ) -> OpenAttempt:
     now = entry.clock()
     if now >= work.deadline:
@@ -238,7 +256,7 @@
                 retry_after=1.0,
             )
     try:
-        call.send(entry.settings.timeouts.first_chunk)
+        call.send(min(wait_seconds, work.deadline - now))
     except EndpointError as error:
         settle_failure(entry, work, attempt, error.code is Code.STREAM_BROKEN)
         raise
--- a/packages/daemon/src/bergamotwood_daemon/billing.py
+++ b/packages/daemon/src/bergamotwood_daemon/billing.py
@@ -6,6 +6,7 @@
     Bill,
     BillAnswer,
     RecordBill,
+    VoidBill,
     decode_answer,
     encode_command,
 )
@@ -44,6 +45,8 @@
     try:
         reply = entry.ledger.propose(command, entry.settings.timeouts.ledger)
     except ReplicationError as error:
+        # The bill may still commit, but its request has failed.
+        entry.claims.settle(VoidBill(bill))
         raise IdempotencyError(
             "the ledger did not confirm the bill",
             Code.LEDGER_UNAVAILABLE,
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -157,10 +157,19 @@
         for chunk in chunks:
             kept.append(chunk)
             yield chunk
-        key = self._make_cell(call, answer, escalated)
-        if self._entry.policy.should_sample(key, self._entry.clock()):
+        if self._is_sampled(call, answer, escalated):
             spawn(self._rate, call, answer, kept, escalated)
 
+    def _is_sampled(
+        self, call: ChatCall, answer: VersionAnswer, escalated: bool
+    ) -> bool:
+        """Whether to rate a returned answer; those of a roll-out come first."""
+        policy = self._entry.policy
+        now = self._entry.clock()
+        if self._entry.outcomes.is_candidate(answer.version.version_id):
+            return policy.budget.take(now)
+        return policy.should_sample(self._make_cell(call, answer, escalated), now)
+
     def _is_accepted(
         self,
         call: ChatCall,
@@ -312,6 +321,7 @@
 
     def _enter(self, call: ChatCall, version: VersionId) -> None:
         work = call.work
+        self._entry.claims.check_room()
         self._entry.retries.record_offered()
         self._admittance.enter(work, version)
         self._entry.tables.in_flight[work.id] = InFlight(
--- a/packages/daemon/src/bergamotwood_daemon/claims.py
+++ b/packages/daemon/src/bergamotwood_daemon/claims.py
@@ -16,8 +16,15 @@
     RefusedError,
     ReplicationError,
 )
-from bergamotwood_core.ids import IdempotencyKey, RequestId, WorkspaceId
+from bergamotwood_core.ids import (
+    IdempotencyKey,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    WorkspaceId,
+)
 from bergamotwood_core.ledger import (
+    Abandon,
     Bill,
     Claim,
     ClaimAnswer,
@@ -106,8 +113,6 @@
         EndpointError, RefusedError
             The run failed; `run` tells how far it came.
         """
-        if self.settling >= MAX_SETTLING:
-            raise RefusedError("too many claims are being settled", Code.OVERLOADED)
         match self._claim(request):
             case Granted():
                 return self._run(request, act, wait_seconds)
@@ -116,6 +121,19 @@
             case other:
                 raise _explain_claim(request, other)
 
+    def check_room(self) -> None:
+        """Refuse new work while too much of the old is not settled."""
+        if self.settling >= MAX_SETTLING:
+            raise RefusedError(
+                "too many claims and bills are not settled yet",
+                Code.LEDGER_UNAVAILABLE,
+                retry_after=5.0,
+            )
+
+    def abandon(self, instance: InstanceId, before: Incarnation) -> None:
+        """Mark what an earlier start of this instance had claimed as unknown."""
+        self.settle(Abandon(instance, Incarnation(before - 1)))
+
     def _claim(self, request: KeyedRequest) -> ClaimAnswer:
         claim = Claim(
             request.workspace, request.key, request.digest, request.id, request.id
@@ -124,7 +142,7 @@
             reply = self._ledger.propose(encode_command(claim), self._timeout)
         except ReplicationError as error:
             # The claim may still commit, and would then block a resend.
-            self._settle(self._make_release(request))
+            self.settle(self._make_release(request))
             raise RefusedError(
                 "the ledger did not confirm the claim",
                 Code.LEDGER_UNAVAILABLE,
@@ -157,14 +175,14 @@
             outcome.set_exception(_name_outcome(error))
             return
         except Exception as error:
-            self._settle(self._make_finish(request, None))
+            self.settle(self._make_finish(request, None))
             outcome.set_exception(error)
             return
         finish = self._make_finish(request, ran)
         try:
             self._ledger.propose(encode_command(finish), self._timeout)
         except ReplicationError:
-            self._settle(finish)
+            self.settle(finish)
             outcome.set_exception(
                 IdempotencyError(
                     "the request ran but its bill is not confirmed yet",
@@ -178,11 +196,12 @@
 
     def _give_up(self, request: KeyedRequest, error: BergamotwoodError) -> None:
         if error.run is Run.NOT_RUN:
-            self._settle(self._make_release(request))
+            self.settle(self._make_release(request))
             return
-        self._settle(self._make_finish(request, None))
+        self.settle(self._make_finish(request, None))
 
-    def _settle(self, command: LedgerCommand) -> None:
+    def settle(self, command: LedgerCommand) -> None:
+        """Submit a command until the ledger confirms it."""
         spawn(self._settle_forever, encode_command(command))
 
     def _settle_forever(self, command: bytes) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -83,6 +83,7 @@
             self._peer_server.start(Address(peer.host, peer.port))
             self.replicas.start()
         self.entry.watch.start()
+        self.entry.claims.abandon(self._name, self.incarnation)
         self._ticker.start()
         self._server.start()
         log_event(
@@ -217,7 +218,9 @@
 
     def _make_server(self) -> WSGIServer:
         listen = self.settings.listen
-        application = Application(self._make_routes(), self.settings.limits)
+        application = Application(
+            self._make_routes(), self.settings.limits, self.presence.list_others
+        )
         return WSGIServer(
             (listen.host, listen.port), application, log=None, error_log=None
         )
--- a/packages/daemon/src/bergamotwood_daemon/presence.py
+++ b/packages/daemon/src/bergamotwood_daemon/presence.py
@@ -83,6 +83,15 @@
         headers = (("Cache-Control", f"max-age={ttl}"),)
         return Response(200, response.content_type, response.body, headers)
 
+    def list_others(self) -> tuple[str, ...]:
+        """List the addresses of the other entries that serve."""
+        return tuple(
+            str(entry.report.address)
+            for entry in self._entry.tables.directory.entries.values()
+            if entry.report.id != self._entry.settings.instance
+            and entry.report.state is EntryState.SERVING
+        )
+
     def describe(self) -> EntryReport:
         """Make this entry's report on itself."""
         self._sequence += 1
@@ -92,7 +101,7 @@
             id=InstanceId(settings.instance),
             incarnation=self._entry.incarnation,
             sequence=self._sequence,
-            address=Address(settings.listen.host, settings.listen.port),
+            address=Address(settings.advertised.host, settings.advertised.port),
             data_centre=DataCentre(settings.data_centre),
             state=EntryState.DRAINING if draining else EntryState.SERVING,
             in_flight=len(self._entry.tables.in_flight),
--- a/packages/daemon/src/bergamotwood_daemon/routes.py
+++ b/packages/daemon/src/bergamotwood_daemon/routes.py
@@ -19,6 +19,8 @@
 
 Handler = Callable[..., Response]
 ANY_METHOD = "*"
+# Codes of refusals that another entry may not give.
+SERVED_ELSEWHERE = (Code.CONFIG_STALE, Code.LEDGER_UNAVAILABLE, Code.OVERLOADED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +64,19 @@
         Tried in order.
     limits : Limits
         Bounds on requests.
+    list_others : callable
+        Addresses of other entries, told to callers that this one cannot serve.
     """
 
-    def __init__(self, routes: tuple[Route, ...], limits: Limits) -> None:
+    def __init__(
+        self,
+        routes: tuple[Route, ...],
+        limits: Limits,
+        list_others: Callable[[], tuple[str, ...]],
+    ) -> None:
         self._routes = routes
         self._limits = limits
+        self._list_others = list_others
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -79,7 +89,8 @@
         try:
             return self._dispatch(request)
         except BergamotwoodError as error:
-            return answer_problem(error)
+            others = self._list_others() if error.code in SERVED_ELSEWHERE else ()
+            return answer_problem(error, others)
         except Exception:
             log_failure("http", "Request failed.", path=request.path)
             return answer_problem(BergamotwoodError("internal error"))
--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -112,11 +112,30 @@
         return ServiceCall(
             work=work,
             service=service,
-            outgoing=_make_outgoing(request, work, path),
+            outgoing=self._make_outgoing(request, work, path),
             key=read_key(request),
             digest=digest_request(request),
         )
 
+    def _make_outgoing(self, request: WebRequest, work: Work, path: str) -> Outgoing:
+        headers = [
+            Header(name, value)
+            for name in PASSED_HEADERS
+            if (value := _read_passed(request, name))
+        ]
+        headers.append(Header("X-Request-Id", work.id))
+        headers.append(Header("Traceparent", work.trace_parent))
+        key = read_key(request)
+        if key is not None:
+            headers.append(Header("Idempotency-Key", key))
+        query = request.environ.get("QUERY_STRING", "")
+        target = f"/{path}?{query}" if query else f"/{path}"
+        timeouts = self._entry.settings.timeouts
+        wait = timeouts.call if work.idempotent else timeouts.late
+        return Outgoing(
+            request.method, target, tuple(headers), request.read_body(), wait
+        )
+
     def _answer_idempotent(self, call: ServiceCall) -> StoredAnswer:
         attempts = 0
         while True:
@@ -162,7 +181,7 @@
         settings = self._entry.settings
         try:
             body = attempt.call.read_all(
-                settings.timeouts.late, settings.limits.answer_bytes
+                call.outgoing.wait_seconds, settings.limits.answer_bytes
             )
         except EndpointError as error:
             reset = error.code is Code.STREAM_BROKEN
@@ -190,6 +209,7 @@
 
     def _enter(self, call: ServiceCall) -> None:
         work = call.work
+        self._entry.claims.check_room()
         self._entry.retries.record_offered()
         self._admittance.enter(work, call.service.name)
         self._entry.tables.in_flight[work.id] = InFlight(
@@ -201,22 +221,6 @@
         self._admittance.leave(work.id)
 
 
-def _make_outgoing(request: WebRequest, work: Work, path: str) -> Outgoing:
-    headers = [
-        Header(name, value)
-        for name in PASSED_HEADERS
-        if (value := _read_passed(request, name))
-    ]
-    headers.append(Header("X-Request-Id", work.id))
-    headers.append(Header("Traceparent", work.trace_parent))
-    key = read_key(request)
-    if key is not None:
-        headers.append(Header("Idempotency-Key", key))
-    query = request.environ.get("QUERY_STRING", "")
-    target = f"/{path}?{query}" if query else f"/{path}"
-    return Outgoing(request.method, target, tuple(headers), request.read_body())
-
-
 def _read_passed(request: WebRequest, name: str) -> str | None:
     if name == "content-type":
         return request.environ.get("CONTENT_TYPE")
--- a/packages/daemon/src/bergamotwood_daemon/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -98,6 +98,8 @@
         Name and place of the instance.
     listen, peer_listen : Listen
         Where callers and other daemons reach it.
+    advertise : Listen or None
+        What callers are told in place of `listen`.
     roles : tuple of Role
         Entry, control, or both.
     data_folder : Path or None
@@ -126,6 +128,7 @@
     data_centre: Name
     listen: Listen
     peer_listen: Listen
+    advertise: Listen | None = None
     roles: tuple[Role, ...] = (Role.ENTRY,)
     data_folder: Path | None = None
     replicas: tuple[ReplicaAddress, ...] = Field(min_length=1, max_length=7)
@@ -151,6 +154,11 @@
             raise ValueError("replicas: must name this instance, which has control")
         return self
 
+    @property
+    def advertised(self) -> Listen:
+        """Where callers are told to connect."""
+        return self.advertise or self.listen
+
     @property
     def is_control(self) -> bool:
         """Whether this instance is a control replica."""
--- a/packages/daemon/src/bergamotwood_daemon/ticker.py
+++ b/packages/daemon/src/bergamotwood_daemon/ticker.py
@@ -6,16 +6,20 @@
 from bergamotwood_core.control import RecordProgress, encode_command
 from bergamotwood_core.directory import expire_endpoints, expire_entries
 from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.ledger import Tick
+from bergamotwood_core.ledger import encode_command as encode_ledger_command
 from bergamotwood_core.rollout import advance_rollouts
 from bergamotwood_core.states import RolloutState
 from bergamotwood_core.tables import ConfigurationTables
 from bergamotwood_daemon.admittance import Admittance
 from bergamotwood_daemon.entry import Entry
+from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.replicas import Replicas
 
 TICK_SECONDS = 0.05
 COMMIT_SECONDS = 2.0
+LEDGER_TICK_SECONDS = 10.0
 ACTIVE_STATES = (RolloutState.RUNNING, RolloutState.PAUSED)
 
 
@@ -39,6 +43,7 @@
         self._admittance = admittance
         self._replicas = replicas
         self._greenlet = None
+        self._ledger_time = entry.clock()
 
     def start(self) -> None:
         """Begin to tick."""
@@ -68,6 +73,7 @@
         self._replicas.expire(now)
         if self._replicas.control.is_leader:
             self._advance_rollouts(now)
+        self._pass_ledger_time(now)
 
     def _watch_rollouts(self, tables: ConfigurationTables) -> None:
         """Count outcomes under each roll-out that is under way."""
@@ -82,6 +88,16 @@
                 continue
             outcomes.watch(id, progress.ticket, rollout.candidate, model.current)
 
+    def _pass_ledger_time(self, now: Seconds) -> None:
+        """Let the ledger's time pass, while this replica leads it."""
+        elapsed = now - self._ledger_time
+        if elapsed < LEDGER_TICK_SECONDS:
+            return
+        self._ledger_time = now
+        if self._replicas.ledger.is_leader:
+            tick = encode_ledger_command(Tick(elapsed))
+            spawn(_commit, self._replicas.ledger, tick)
+
     def _advance_rollouts(self, now: Seconds) -> None:
         replicas = self._replicas
         changes = advance_rollouts(
@@ -110,7 +126,11 @@
                 exposed=progress.exposed,
                 reason=progress.reason,
             )
-            try:
-                replicas.control.propose(encode_command(command), COMMIT_SECONDS)
-            except ReplicationError as error:
-                log_event("rollout", "Step not committed.", detail=error.detail)
+            _commit(replicas.control, encode_command(command))
+
+
+def _commit(group: LogGroup, command: bytes) -> None:
+    try:
+        group.propose(command, COMMIT_SECONDS)
+    except ReplicationError as error:
+        log_event("tick", "Not committed.", group=group.name, detail=error.detail)
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -167,18 +167,21 @@
     return Response(status, JSON, [json.encode(document)])
 
 
-def answer_problem(error: BergamotwoodError, request_id: str = "") -> Response:
+def answer_problem(
+    error: BergamotwoodError, addresses: tuple[str, ...] = ()
+) -> Response:
     """Answer with a problem document (RFC 9457)."""
     headers = ()
     if error.retry_after is not None:
         headers = (("Retry-After", str(max(1, round(error.retry_after)))),)
-    return Response(
-        error.status, PROBLEM_JSON, [encode_problem(error, request_id)], headers
-    )
+    body = encode_problem(error, addresses=addresses)
+    return Response(error.status, PROBLEM_JSON, [body], headers)
 
 
-def encode_problem(error: BergamotwoodError, request_id: str = "") -> bytes:
-    """Encode an error as a problem document."""
+def encode_problem(
+    error: BergamotwoodError, request_id: str = "", addresses: tuple[str, ...] = ()
+) -> bytes:
+    """Encode an error as a problem document, with other entries to try."""
     document = {
         "type": f"urn:bergamotwood:error:{int(error.code)}",
         "title": error.code.name.lower(),
@@ -189,6 +192,8 @@
     }
     if request_id:
         document["request"] = request_id
+    if addresses:
+        document["addresses"] = addresses
     if error.retry_after is not None:
         document["retry_after"] = error.retry_after
     if isinstance(error, TicketError | SettingsError) and error.faults:
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -24,6 +24,7 @@
     StoredAnswer,
     Tick,
     Unknown,
+    VoidBill,
     decode_answer,
     encode_command,
 )
@@ -354,3 +355,22 @@
             assert billed.setdefault(bill.key, command) is command
     total = driver.machine.total("karen").bills
     assert total >= len(billed)
+
+
+def test_voided_bill_is_taken_back_and_never_stands_later(driver):
+    driver.bill("a-1-1")
+    driver.bill("a-1-2")
+    assert driver.run(VoidBill(make_bill("a-1-1", None))).count == 1
+    assert driver.run(VoidBill(make_bill("a-1-3", None))).count == 0
+    assert driver.bill("a-1-1").outcome is BillOutcome.DUPLICATE
+    assert driver.bill("a-1-3").outcome is BillOutcome.DUPLICATE
+    assert driver.machine.total("karen").bills == 1
+    assert driver.machine.total("karen").cost == 0.1
+
+
+def test_key_of_a_voided_bill_can_be_billed_by_its_resend(driver):
+    driver.bill("a-1-1", key="k")
+    driver.run(VoidBill(make_bill("a-1-1", "k")))
+    assert driver.bill("b-1-1", key="k").outcome is BillOutcome.RECORDED
+    assert driver.machine.find_bill_of_key("karen", "k").request == "b-1-1"
+    assert driver.machine.total("karen").bills == 1
--- /dev/null
+++ b/tests/daemon/test_endpointcall.py
@@ -0,0 +1,129 @@
+import pytest
+from gevent import spawn
+from gevent.server import StreamServer
+
+from bergamotwood_core.errors import Code, EndpointError
+from bergamotwood_core.messages import Address
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.endpointcall import EndpointCall
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+
+
+class RawServer:
+    """Answers each connection with fixed bytes, then closes or stays silent."""
+
+    def __init__(self, answer, stay=False):
+        self.connections = 0
+        self._answer = answer
+        self._stay = stay
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = Address("127.0.0.1", self._server.server_port)
+
+    def _serve(self, sock, _):
+        self.connections += 1
+        sock.recv(65_536)
+        sock.sendall(self._answer)
+        if self._stay:
+            sock.recv(1)
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+def make_call(server):
+    call = EndpointCall(server.address, "POST", "/x", (), b"{}")
+    call.dial(1.0)
+    return call
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(answer, stay=False):
+        servers.append(RawServer(answer, stay))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+def test_whole_body_is_read_to_its_checked_end(serve):
+    server = serve(HEAD + b"Content-Length: 5\r\n\r\nhello", stay=True)
+    call = make_call(server)
+    call.send(1.0)
+    assert call.read_all(1.0, 100) == b"hello"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 9\r\n\r\nhello",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    ],
+)
+def test_short_body_is_an_error_and_never_a_short_answer(serve, answer):
+    call = make_call(serve(answer))
+    call.send(1.0)
+    with pytest.raises(EndpointError) as caught:
+        call.read_all(1.0, 100)
+    assert caught.value.code is Code.STREAM_BROKEN
+    assert caught.value.run is Run.MAY_HAVE_RUN
+
+
+def test_silence_is_told_apart_from_a_broken_connection(serve):
+    server = serve(HEAD + b"Content-Length: 9\r\n\r\nhello", stay=True)
+    call = make_call(server)
+    call.send(1.0)
+    with pytest.raises(EndpointError) as caught:
+        call.read_all(0.05, 100)
+    assert caught.value.code is Code.STREAM_SILENT
+
+
+def test_connection_closed_before_the_answer_is_not_sent_again(serve):
+    server = serve(b"")
+    call = make_call(server)
+    with pytest.raises(EndpointError) as caught:
+        call.send(1.0)
+    assert caught.value.run is Run.MAY_HAVE_RUN
+    assert server.connections == 1
+
+
+def test_refused_connection_says_not_run():
+    server = RawServer(b"")
+    server.stop()
+    with pytest.raises(EndpointError) as caught:
+        make_call(server)
+    assert caught.value.run is Run.NOT_RUN
+
+
+def test_events_are_split_wherever_the_bytes_are_cut(serve):
+    events = b"data: one\n\ndata: two\r\n\r\ndata: three\n\n"
+    chunks = b"".join(
+        b"1\r\n" + events[i : i + 1] + b"\r\n" for i in range(len(events))
+    )
+    server = serve(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+    call = make_call(server)
+    call.send(1.0)
+    assert list(call.read_events(1.0, 1.0)) == [b"one", b"two", b"three"]
+
+
+def test_answer_larger_than_the_limit_is_refused(serve):
+    call = make_call(serve(HEAD + b"Content-Length: 5\r\n\r\nhello"))
+    call.send(1.0)
+    with pytest.raises(EndpointError) as caught:
+        call.read_all(1.0, 4)
+    assert caught.value.code is Code.ANSWER_TOO_LARGE
+
+
+def test_closing_cancels_a_reader(serve):
+    call = make_call(serve(HEAD + b"Content-Length: 9\r\n\r\nhello", stay=True))
+    call.send(5.0)
+    reader = spawn(call.read_all, 5.0, 100)
+    reader.join(0.01)
+    call.close()
+    reader.join(1.0)
+    assert isinstance(reader.exception, EndpointError)
