--- a/packages/core/src/bergamotwood_core/errors.py
+++ b/packages/core/src/bergamotwood_core/errors.py
@@ -244,3 +244,36 @@
     def __init__(self, detail: str, faults: tuple[str, ...] = ()) -> None:
         super().__init__(detail)
         self.faults = faults
+
+
+class AnswerError(BergamotwoodError):
+    """An instance answered an operator with a refusal.
+
+    Parameters
+    ----------
+    detail : str
+        What the instance said.
+    code : Code
+        Result code of the answer.
+    status : int
+        HTTP status of the answer.
+    faults : tuple of str
+        Every fault that the answer lists.
+    """
+
+    run = Run.NOT_RUN
+
+    def __init__(
+        self, detail: str, code: Code, status: int, faults: tuple[str, ...] = ()
+    ) -> None:
+        super().__init__(detail, code)
+        self.answered_status = status
+        self.faults = faults
+
+
+class UnreachableError(BergamotwoodError):
+    """No instance answered an operator."""
+
+
+class WaitError(BergamotwoodError):
+    """An operator's wait ended before what it was for."""
--- /dev/null
+++ b/packages/ctl/src/bergamotctl/client.py
@@ -0,0 +1,135 @@
+"""HTTP client of an entry's interface for operators."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode, urlsplit
+
+from click import UsageError
+from geventhttpclient import HTTPClient
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from bergamotwood_core.errors import AnswerError, Code, UnreachableError
+
+# Seconds to dial, and seconds without a byte of the answer.
+CONNECT_SECONDS = 3.0
+ANSWER_SECONDS = 15.0
+ENTRIES_VARIABLE = "BERGAMOTWOOD_ENTRIES"
+KEY_VARIABLE = "BERGAMOTWOOD_OPERATOR_KEY"
+DEFAULT_PORTS = {"http": 80, "https": 443}
+
+
+@dataclass(frozen=True)
+class Client:
+    """Asks the entries in turn until one answers.
+
+    A request may reach an entry whose answer is lost and then go to the next
+    one. That is safe: reads change nothing, a ticket is numbered, and a drain
+    is asked of one entry only.
+
+    Parameters
+    ----------
+    entries : tuple of str
+        `host:port`, or a URL with `http` or `https`.
+    key : str
+        The operator's key.
+    operator : str
+        Name that is kept with a ticket.
+    ca_file : str or None
+        Certificates to trust for `https`.
+    """
+
+    entries: tuple[str, ...]
+    key: str
+    operator: str = ""
+    ca_file: str | None = None
+
+    def get(self, path: str, **parameters: object) -> Any:
+        """Read a JSON document."""
+        chosen = {name: value for name, value in parameters.items() if value}
+        query = f"?{urlencode(chosen)}" if chosen else ""
+        return self._call("GET", path + query, b"")
+
+    def post(self, path: str, body: bytes = b"") -> Any:
+        """Send a body and read the JSON document of the answer.
+
+        Raises
+        ------
+        AnswerError
+            The entry refused.
+        UnreachableError
+            No entry answered.
+        UsageError
+            No entry is named, or no key given.
+        """
+        return self._call("POST", path, body)
+
+    def _call(self, method: str, path: str, body: bytes) -> Any:
+        if not self.entries:
+            raise UsageError(f"name an entry with --entry or {ENTRIES_VARIABLE}")
+        if not self.key:
+            raise UsageError(f"give a key with --key-file or {KEY_VARIABLE}")
+        failures = []
+        for entry in self.entries:
+            try:
+                status, content = self._send(entry, method, path, body)
+            except (OSError, ValueError) as error:
+                failures.append(f"{entry}: {error or type(error).__name__}")
+                continue
+            return _read_answer(entry, status, content)
+        raise UnreachableError("; ".join(failures))
+
+    def _send(
+        self, entry: str, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes]:
+        url = urlsplit(entry if "://" in entry else f"http://{entry}")
+        if url.scheme not in DEFAULT_PORTS or not url.hostname:
+            raise ValueError("must be host:port or a URL")
+        client = HTTPClient(
+            url.hostname,
+            url.port or DEFAULT_PORTS[url.scheme],
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=ANSWER_SECONDS,
+            ssl=url.scheme == "https",
+            ssl_options={"ca_certs": self.ca_file} if self.ca_file else None,
+        )
+        try:
+            answer = client.request(method, path, body, self._make_headers())
+            return answer.status_code, bytes(answer.read())
+        finally:
+            client.close()
+
+    def _make_headers(self) -> Mapping[str, str]:
+        headers = {
+            "Authorization": f"Bearer {self.key}",
+            "Content-Type": "application/octet-stream",
+            "Connection": "close",
+        }
+        if self.operator:
+            headers["Bergamotwood-Operator"] = self.operator
+        return headers
+
+
+def _read_answer(entry: str, status: int, content: bytes) -> Any:
+    try:
+        document = decode(content)
+    except DecodeError:
+        document = None
+    if status < 300 and document is not None:
+        return document
+    problem = document if isinstance(document, dict) else {}
+    detail = problem.get("detail") or f"answered with HTTP status {status}"
+    raise AnswerError(
+        f"{entry}: {detail}",
+        _read_code(problem),
+        status,
+        tuple(map(str, problem.get("faults", ()))),
+    )
+
+
+def _read_code(problem: Mapping[str, Any]) -> Code:
+    try:
+        return Code(problem.get("code"))
+    except ValueError:
+        return Code.INTERNAL
--- /dev/null
+++ b/packages/ctl/src/bergamotctl/command.py
@@ -0,0 +1,41 @@
+"""The operators' command line."""
+
+from os import environ
+from typing import IO
+
+from click import Context, File, group, option, pass_context, version_option
+
+from bergamotctl.bills import bill, claim
+from bergamotctl.client import ENTRIES_VARIABLE, KEY_VARIABLE, Client
+from bergamotctl.instances import drain, endpoints, entries, status
+from bergamotctl.rollouts import rollout
+from bergamotctl.tickets import ticket
+
+
+@group(epilog="Exit codes are listed in docs/OPERATIONS.md.")
+@option(
+    "--entry",
+    "entries_given",
+    multiple=True,
+    envvar=ENTRIES_VARIABLE,
+    help="Entry to ask, host:port or URL; repeat it to name others to try next.",
+)
+@option("--key-file", type=File("r"), help=f"File with the key; else {KEY_VARIABLE}.")
+@option("--operator", envvar="BERGAMOTWOOD_OPERATOR", help="Name kept with tickets.")
+@option("--ca-file", help="Certificates to trust for https.")
+@version_option(package_name="bergamotctl")
+@pass_context
+def main(
+    context: Context,
+    entries_given: tuple[str, ...],
+    key_file: IO[str] | None,
+    operator: str | None,
+    ca_file: str | None,
+) -> None:
+    """Operate a fleet of bergamotwood through any of its entries."""
+    key = key_file.read() if key_file else environ.get(KEY_VARIABLE, "")
+    context.obj = Client(entries_given, key.strip(), operator or "", ca_file)
+
+
+for _command in (ticket, status, endpoints, entries, rollout, bill, claim, drain):
+    main.add_command(_command)
