Give the replicas of the group tests different seeds

Cause: equal seeds gave equal election delays, so the votes split again and again under load and a test waited in vain.

--- a/tests/daemon/loggroups.py
+++ b/tests/daemon/loggroups.py
@@ -77,7 +77,12 @@
         self.machines[name] = machine or ListMachine()
         transport = MemoryTransport(name, self.groups, self.cut)
         group = LogGroup(
-            "control", settings, self.machines[name], transport, read_clock, Random(1)
+            "control",
+            settings,
+            self.machines[name],
+            transport,
+            read_clock,
+            Random(self.names.index(name)),
         )
         group.start()
         self.groups[name] = group
