Order loads under the lease, paced and fenced

Loads follow models and roll-outs, are paced by an allowance that a new leader begins without, and are issued only with a token of the lease's holder.

--- /dev/null
+++ b/tests/core/test_orders.py
@@ -0,0 +1,210 @@
+from core.logcluster import Cluster
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Model, Rollout, Version
+from bergamotwood_core.fencing import FencingToken
+from bergamotwood_core.ids import LogIndex, Term
+from bergamotwood_core.messages import Address, Announcement
+from bergamotwood_core.orders import (
+    LOAD_RETRY_SECONDS,
+    LoadPace,
+    OrderTables,
+    order_loads,
+)
+from bergamotwood_core.states import EndpointKind, EndpointState, VersionState
+from bergamotwood_core.tables import ConfigurationTables, DirectoryTables, Endpoint
+
+TOKEN = FencingToken(Term(3), LogIndex(7))
+PACE = LoadPace(loads_per_second=2.0, burst=3)
+ALL_AT_ONCE = LoadPace(loads_per_second=1000.0, burst=1000)
+
+
+def build_configuration(candidate_state=VersionState.SERVING, rollout=True):
+    versions = (Version(id="m:1"), Version(id="m:2", state=candidate_state))
+    configuration = ConfigurationTables()
+    configuration.models["m"] = Model(name="m", current="m:1", versions=versions)
+    if rollout:
+        move = Rollout(name="r", model="m", candidate="m:2")
+        configuration.rollouts["r"] = move
+    return configuration
+
+
+def build_directory(*endpoints):
+    directory = DirectoryTables()
+    for name, versions, *rest in endpoints:
+        state = rest[0] if rest else EndpointState.SERVING
+        announcement = Announcement(
+            name,
+            1,
+            1,
+            Address("127.0.0.1", 1),
+            "karen",
+            EndpointKind.MODEL,
+            versions,
+            state=state,
+        )
+        directory.endpoints[name] = Endpoint(announcement, Seconds(0.0))
+    return directory
+
+
+def order_at(now, configuration, directory, orders, pace=ALL_AT_ONCE, token=TOKEN):
+    found = order_loads(configuration, directory, orders, token, pace, Seconds(now))
+    return [(order.endpoint, order.version) for order in found]
+
+
+def run_all(configuration, directory):
+    orders = OrderTables()
+    order_at(0.0, configuration, directory, orders)
+    return order_at(1.0, configuration, directory, orders)
+
+
+def test_a_candidate_is_loaded_where_its_model_runs():
+    directory = build_directory(
+        ("a", ("m:1",)), ("b", ("m:1", "m:2")), ("c", ("other:1",))
+    )
+    assert run_all(build_configuration(), directory) == [("a", "m:2")]
+
+
+def test_a_withdrawn_version_is_not_loaded_and_a_leaving_endpoint_not_used():
+    withdrawn = build_configuration(VersionState.WITHDRAWN)
+    assert run_all(withdrawn, build_directory(("a", ("m:1",)))) == []
+    leaving = build_directory(("a", ("m:1",), EndpointState.LEAVING))
+    assert run_all(build_configuration(), leaving) == []
+
+
+def test_a_model_that_none_has_goes_to_the_emptiest_endpoints():
+    directory = build_directory(("a", ("x:1", "y:1")), ("b", ()), ("c", ("x:1",)))
+    found = run_all(build_configuration(rollout=False), directory)
+    assert found == [("b", "m:1"), ("c", "m:1")]
+
+
+def test_loads_are_paced_and_a_new_leader_begins_without_a_burst():
+    directory = build_directory(*((f"e{at:02}", ("m:1",)) for at in range(40)))
+    configuration = build_configuration()
+    orders = OrderTables()
+    counts = []
+    for tick in range(41):
+        counts.append(
+            len(order_at(tick * 0.25, configuration, directory, orders, PACE))
+        )
+    assert counts[0] == 0
+    assert sum(counts) == 20
+    assert max(counts) <= PACE.burst
+
+
+def test_a_load_that_does_not_show_is_ordered_again_later():
+    directory = build_directory(("a", ("m:1",)))
+    configuration = build_configuration()
+    orders = OrderTables()
+    order_at(0.0, configuration, directory, orders)
+    assert order_at(1.0, configuration, directory, orders) == [("a", "m:2")]
+    assert order_at(2.0, configuration, directory, orders) == []
+    later = 1.0 + LOAD_RETRY_SECONDS
+    assert order_at(later, configuration, directory, orders) == [("a", "m:2")]
+
+
+def test_without_the_lease_nothing_is_ordered_and_all_is_forgotten():
+    directory = build_directory(("a", ("m:1",)))
+    configuration = build_configuration()
+    orders = OrderTables()
+    order_at(0.0, configuration, directory, orders)
+    assert order_at(1.0, configuration, directory, orders, token=None) == []
+    assert orders == OrderTables()
+
+
+class OrderingCluster:
+    """Replicas that order by their leases, and endpoints that note it."""
+
+    def __init__(self, seed):
+        self.cluster = Cluster(seed, faults=False)
+        self.orders = {name: OrderTables() for name in self.cluster.names}
+        self.configuration = build_configuration()
+        self.directory = build_directory(("plain", ("m:1",)), ("fenced", ("m:1",)))
+        self.received = []
+        self.trace = []
+        self.newest = FencingToken(Term(0), LogIndex(0))
+
+    def order(self, node):
+        """One tick of ordering on one replica, as a daemon does it."""
+        replica = node.replica
+        clock = self.cluster.clock(node)
+        token = None
+        if replica.holds_lease(clock):
+            token = FencingToken(replica.term, LogIndex(node.applied_index))
+        found = order_loads(
+            self.configuration,
+            self.directory,
+            self.orders[node.instance],
+            token,
+            ALL_AT_ONCE,
+            clock,
+        )
+        for order in found:
+            self.deliver(node, order)
+
+    def deliver(self, node, order):
+        refused = order.endpoint == "fenced" and order.token < self.newest
+        if order.endpoint == "fenced":
+            self.newest = max(self.newest, order.token)
+        self.received.append((order.endpoint, order.token, refused))
+        verdict = "refuses" if refused else "loads"
+        self.note(f"{order.endpoint} {verdict} {order.version}, by {node.instance}")
+
+    def note(self, text):
+        self.trace.append(f"{self.cluster.now:8.3f} {text}")
+
+    def run(self, seconds):
+        limit = self.cluster.now + seconds
+        while self.cluster.now < limit:
+            self.cluster.step()
+            for node in self.cluster.nodes.values():
+                if self.cluster.now >= node.paused_until:
+                    self.order(node)
+
+
+def wake_an_old_leader(seed):
+    """Pause the leader until another has ordered; return the world and both."""
+    world = OrderingCluster(seed)
+    cluster = world.cluster
+    world.run(10.0)
+    old = cluster.find_leader()
+    world.note(f"{old.instance} leads term {old.replica.term} and is paused")
+    cluster.pause(old, 8.0)
+    world.run(7.9)
+    new = cluster.find_leader()
+    world.note(f"{new.instance} leads term {new.replica.term}")
+    cluster.now = old.paused_until
+    world.note(f"{old.instance} wakes, still thinks it leads: {old.replica.is_leader}")
+    for _ in range(3):
+        before = len(world.received)
+        world.order(old)
+        world.note(f"{old.instance} orders {len(world.received) - before} loads")
+        cluster.now += 0.001
+    return world, old, new
+
+
+def test_an_old_leader_that_wakes_after_a_long_pause_orders_nothing():
+    world, old, new = wake_an_old_leader(seed=3)
+    assert old is not new and old.replica.is_leader
+    by_term = [token.term for _, token, _ in world.received]
+    assert set(by_term) == {new.replica.term - 1, new.replica.term}
+    assert by_term == sorted(by_term)
+    assert not any(refused for _, _, refused in world.received)
+
+
+def test_an_old_leader_without_the_lease_rule_is_seen_in_the_trace(monkeypatch):
+    monkeypatch.setattr(
+        "bergamotwood_core.replica.Replica.holds_lease",
+        lambda self, now: self.is_leader,
+    )
+    monkeypatch.setattr("core.logcluster.Cluster.check", lambda self, node: None)
+    world, old, _ = wake_an_old_leader(seed=3)
+    world.orders[old.instance] = OrderTables(allowance=10.0)
+    world.order(old)
+    late = [item for item in world.received if item[1].term == old.replica.term][-2:]
+    assert ("plain", late[0][1], False) in late
+    assert any(refused for endpoint, _, refused in late if endpoint == "fenced")
+
+
+if __name__ == "__main__":
+    print("\n".join(wake_an_old_leader(seed=3)[0].trace))
