--- a/packages/daemon/src/bergamotwood_daemon/command.py
+++ b/packages/daemon/src/bergamotwood_daemon/command.py
@@ -51,7 +51,7 @@
     except SettingsError as error:
         echo(error.detail, err=True)
         for fault in error.faults:
-            echo(f"  {fault}", err=True)
+            echo(f"{file}: {fault}", err=True)
         leave(EXIT_SETTINGS)
 
 
--- a/packages/daemon/src/bergamotwood_daemon/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -1,17 +1,29 @@
 """Settings of a daemon, read from one YAML file."""
 
 from enum import StrEnum
+from ipaddress import ip_address
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
-from yaml import YAMLError, safe_load
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from bergamotwood_core.configuration import KeyHash, Name
+from bergamotwood_core.document import DocumentError, list_faults, load_document
 from bergamotwood_core.errors import SettingsError
+from bergamotwood_daemon.settingscheck import SECRETS, find_cross_faults
 
 MAX_SETTINGS_BYTES = 1_000_000
 
+
+def _check_host(host: str) -> str:
+    try:
+        ip_address(host)
+    except ValueError:
+        raise ValueError("must be an IP number")
+    return host
+
+
+Host = Annotated[str, AfterValidator(_check_host)]
 Port = Annotated[int, Field(ge=0, le=65_535)]
 PositiveSeconds = Annotated[float, Field(gt=0.0, le=3_600.0)]
 
@@ -24,13 +36,13 @@
 
 
 class _Part(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid")
+    model_config = ConfigDict(frozen=True, extra="forbid", allow_inf_nan=False)
 
 
 class Listen(_Part):
     """An IP number and a port to listen on."""
 
-    host: str = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Port
 
 
@@ -38,8 +50,8 @@
     """A control replica and where its peers reach it."""
 
     id: Name
-    host: str
-    port: Port
+    host: Host
+    port: Annotated[int, Field(ge=1, le=65_535)]
 
 
 class Limits(_Part):
@@ -120,13 +132,15 @@
         Shown to endpoints with orders.
     trace_file : Path or None
         Where spans are written as OTLP JSON lines.
+    allow_plain : bool
+        Whether it may listen beyond loopback without encryption.
     """
 
     instance: Name
     data_centre: Name
     listen: Listen
     peer_listen: Listen
-    roles: tuple[Role, ...] = (Role.ENTRY,)
+    roles: tuple[Role, ...] = Field(min_length=1, default=(Role.ENTRY,))
     data_folder: Path | None = None
     replicas: tuple[ReplicaAddress, ...] = Field(min_length=1, max_length=7)
     operator_key_hashes: tuple[KeyHash, ...] = ()
@@ -138,19 +152,10 @@
     address_ttl_seconds: int = Field(ge=1, le=3_600, default=5)
     rating_address: Listen | None = None
     trace_file: Path | None = None
+    allow_plain: bool = False
     limits: Limits = Limits()
     timeouts: Timeouts = Timeouts()
 
-    @model_validator(mode="after")
-    def _check_roles(self) -> "Settings":
-        if Role.CONTROL not in self.roles:
-            return self
-        if self.data_folder is None:
-            raise ValueError("data_folder: needed by the control role")
-        if self.instance not in {replica.id for replica in self.replicas}:
-            raise ValueError("replicas: must name this instance, which has control")
-        return self
-
     @property
     def is_control(self) -> bool:
         """Whether this instance is a control replica."""
@@ -165,30 +170,70 @@
 def load_settings(path: Path) -> Settings:
     """Read and check a settings file.
 
+    Parameters
+    ----------
+    path : Path
+        The file.
+
+    Returns
+    -------
+    Settings
+        Valid settings.
+
     Raises
     ------
     SettingsError
-        With every fault at once.
+        With every fault at once: key, value and what is allowed.
     """
     try:
-        raw = path.read_bytes()
+        content = path.read_bytes()
     except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    if len(raw) > MAX_SETTINGS_BYTES:
-        raise SettingsError(f"{path}: larger than {MAX_SETTINGS_BYTES} bytes")
+        faults = (error.strerror or "cannot be read",)
+        raise SettingsError(f"{path}: cannot be read", faults) from error
     try:
-        document = safe_load(raw)
-    except YAMLError as error:
-        raise SettingsError(f"{path}: not YAML: {error}") from error
+        document = load_document(content, MAX_SETTINGS_BYTES)
+    except DocumentError as error:
+        raise SettingsError(f"{path}: cannot be read", error.faults) from error
+    return make_settings(document, str(path))
+
+
+def make_settings(document: Any, source: str) -> Settings:
+    """Check a settings document.
+
+    Parameters
+    ----------
+    document : Any
+        As read from YAML.
+    source : str
+        Where it comes from, for the error.
+
+    Returns
+    -------
+    Settings
+        Valid settings.
+
+    Raises
+    ------
+    SettingsError
+        With every fault at once.
+    """
+    faults = list(find_cross_faults(document))
+    settings = None
     try:
-        return Settings.model_validate(document)
+        settings = Settings.model_validate(document)
     except ValidationError as error:
-        raise SettingsError(f"{path}: invalid settings", _list_faults(error)) from error
+        faults = [*_list_field_faults(error), *faults]
+    if settings is None or faults:
+        raise SettingsError(f"{source}: invalid settings", tuple(faults))
+    return settings
+
+
+def _list_field_faults(error: ValidationError) -> list[str]:
+    return [_hide_secret(fault) for fault in list_faults(error)]
 
 
-def _list_faults(error: ValidationError) -> tuple[str, ...]:
-    faults = []
-    for item in error.errors():
-        place = ".".join(str(part) for part in item["loc"]) or "settings"
-        faults.append(f"{place}: {item['msg']} (found {item['input']!r:.80})")
-    return tuple(faults)
+def _hide_secret(fault: str) -> str:
+    name = fault.partition(":")[0]
+    if name not in SECRETS:
+        return fault
+    return fault.partition(" (got ")[0]
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/settingscheck.py
@@ -0,0 +1,118 @@
+"""Checks between the fields of a settings document, before it is a model."""
+
+from collections.abc import Iterator, Mapping
+from ipaddress import ip_address
+from typing import Any
+
+SECRETS = ("instance_key", "session_secret", "order_key")
+DEFAULT_DRAIN_SECONDS = 6.0
+DEFAULT_TTL_SECONDS = 5
+
+
+def find_cross_faults(document: Any) -> Iterator[str]:
+    """Find the faults that concern more than one field.
+
+    The document need not be valid in itself: what is missing or of a wrong
+    type is passed over here, since the model names it.
+
+    Parameters
+    ----------
+    document : Any
+        Settings as read from YAML.
+
+    Yields
+    ------
+    str
+        Place, value and what is allowed.
+    """
+    if not isinstance(document, Mapping):
+        return
+    yield from _check_control(document)
+    yield from _check_replicas(document)
+    yield from _check_plain(document)
+    yield from _check_secrets(document)
+    yield from _check_drain(document)
+
+
+def _check_control(document: Mapping[str, Any]) -> Iterator[str]:
+    if "control" not in _list_items(document, "roles"):
+        return
+    if not document.get("data_folder"):
+        yield "data_folder: is required by the role control"
+    names = [_find(item, "id") for item in _list_items(document, "replicas")]
+    if document.get("instance") not in names:
+        yield (
+            f"replicas: must name this instance, {document.get('instance')!r}, "
+            "which has the role control"
+        )
+
+
+def _check_replicas(document: Mapping[str, Any]) -> Iterator[str]:
+    replicas = _list_items(document, "replicas")
+    names = [str(_find(item, "id")) for item in replicas]
+    places = [(_find(item, "host"), _find(item, "port")) for item in replicas]
+    for position, (name, place) in enumerate(zip(names, places, strict=True)):
+        if name in names[:position]:
+            yield f"replicas[{position}].id: {name!r} stands twice"
+        if place in places[:position]:
+            yield f"replicas[{position}]: address {place[0]}:{place[1]} stands twice"
+    roles = _list_items(document, "roles")
+    if document.get("instance") in names and roles and "control" not in roles:
+        yield "roles: must have control, since replicas names this instance"
+
+
+def _check_plain(document: Mapping[str, Any]) -> Iterator[str]:
+    if document.get("allow_plain") is True:
+        return
+    for name in ("listen", "peer_listen"):
+        host = _find(document.get(name), "host")
+        if _is_beyond_loopback(host):
+            yield (
+                f"{name}.host: {host!r} without encryption; must be a loopback "
+                "address, or set allow_plain: true"
+            )
+
+
+def _check_secrets(document: Mapping[str, Any]) -> Iterator[str]:
+    seen: dict[str, str] = {}
+    for name in SECRETS:
+        secret = document.get(name)
+        if not isinstance(secret, str) or not secret:
+            continue
+        first = seen.setdefault(secret, name)
+        if first != name:
+            yield f"{name}: must differ from {first}"
+    operators = _list_items(document, "operator_key_hashes")
+    endpoints = _list_items(document, "endpoint_key_hashes")
+    if any(item in operators for item in endpoints):
+        yield "endpoint_key_hashes: must differ from operator_key_hashes"
+
+
+def _check_drain(document: Mapping[str, Any]) -> Iterator[str]:
+    drain = _find(document.get("timeouts"), "drain", DEFAULT_DRAIN_SECONDS)
+    ttl = document.get("address_ttl_seconds", DEFAULT_TTL_SECONDS)
+    if not isinstance(drain, int | float) or not isinstance(ttl, int | float):
+        return
+    if drain < ttl:
+        yield (
+            f"timeouts.drain: {drain!r} must be at least address_ttl_seconds, "
+            f"{ttl!r}, since callers keep an address for that long"
+        )
+
+
+def _is_beyond_loopback(host: object) -> bool:
+    if not isinstance(host, str):
+        return False
+    try:
+        return not ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
+def _find(part: object, name: str, default: object = None) -> Any:
+    return part.get(name, default) if isinstance(part, Mapping) else default
+
+
+def _list_items(document: Mapping[str, Any], name: str) -> list[Any]:
+    items = document.get(name)
+    return list(items) if isinstance(items, list | tuple) else []
