--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,44 @@
+"""Tables and JSON files of the benches."""
+
+from collections.abc import Sequence
+from json import dumps
+from pathlib import Path
+
+from numpy import percentile
+
+OUT = Path("out")
+
+Row = dict[str, float | int | str]
+
+
+def write_figures(name: str, seed: int, rows: Sequence[Row]) -> None:
+    """Print rows as a table and write them as JSON with the seed."""
+    OUT.mkdir(exist_ok=True)
+    text = dumps({"bench": name, "seed": seed, "rows": list(rows)}, indent=1)
+    (OUT / f"{name}.json").write_text(text + "\n")
+    print_table(rows)
+
+
+def print_table(rows: Sequence[Row]) -> None:
+    """Print rows under the names of their columns."""
+    columns = list(rows[0])
+    cells = [columns] + [[_format(row[column]) for column in columns] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    for line in cells:
+        print(
+            "  ".join(
+                cell.rjust(width) for cell, width in zip(line, widths, strict=True)
+            )
+        )
+
+
+def find_quantiles(values: Sequence[float]) -> tuple[float, float, float]:
+    """Find the 50th, 95th and 99th percentile; zeros when there are no values."""
+    if not values:
+        return 0.0, 0.0, 0.0
+    p50, p95, p99 = percentile(values, (50, 95, 99))
+    return float(p50), float(p95), float(p99)
+
+
+def _format(value: float | int | str) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
