Place by what a cache hit saves, across near data centres, and leave silent endpoints

The preferred endpoint was looked for in one data centre only and got the same slack for a prefix of 300 tokens as for one of 5,000. It is now ranked over all near data centres, with slack by the prefix's length, and other data centres are looked at from half load.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -27,6 +27,7 @@
 )
 from bergamotwood_core.messages import Address, Announcement
 from bergamotwood_core.outlier import (
+    is_silent,
     record_failure,
     record_first_token,
     record_start,
@@ -41,6 +42,7 @@
 VERSION = VersionId("reader:1")
 REPORT_SECONDS = 1.0
 TICK_SECONDS = 0.1
+SILENCE_CHECK_SECONDS = 0.5
 EXPIRY_SECONDS = 5.0
 MAX_ATTEMPTS = 3
 
@@ -55,6 +57,8 @@
     ----------
     engines, entries, data_centres : int
         Sizes; engines and entries are spread evenly.
+    nearby : tuple of DataCentre
+        Data centres within a few milliseconds of each other.
     lag_seconds : float
         Mean age of a load report when it arrives.
     loss : float
@@ -70,6 +74,11 @@
     engines: int = 10
     entries: int = 9
     data_centres: int = 3
+    nearby: tuple[DataCentre, ...] = (
+        DataCentre("dc0"),
+        DataCentre("dc1"),
+        DataCentre("dc2"),
+    )
     lag_seconds: float = 1.0
     loss: float = 0.2
     admission: bool = True
@@ -272,7 +281,9 @@
         need = Need(
             VersionTarget(VERSION),
             entry.data_centre,
+            nearby=self.settings.nearby,
             prefix_hash=offer.prefix,
+            prefix_tokens=offer.kind.prefix_tokens,
             excluded=excluded,
         )
         id_ = self.choose(entry.tables, need, self.agenda.now, self.rng)
@@ -324,7 +335,7 @@
             fleet.spilled += 1
         record_start(self.row, fleet.agenda.now)
         self.engine.submit(self.job)
-        fleet.agenda.add(fleet.settings.silence_seconds, self._check_silence)
+        fleet.agenda.add(SILENCE_CHECK_SECONDS, self._check_silence)
 
     def _first(self) -> None:
         now = self.fleet.agenda.now
@@ -349,6 +360,12 @@
     def _check_silence(self) -> None:
         if self.answered or self.ended:
             return
+        now = self.fleet.agenda.now
+        waited = now - self.sent_at
+        patience = self.fleet.settings.silence_seconds
+        if waited < patience and not is_silent(self.row, now):
+            self.fleet.agenda.add(SILENCE_CHECK_SECONDS, self._check_silence)
+            return
         self.engine.cancel(self.job)
         self._fail()
 
--- a/packages/core/src/bergamotwood_core/outlier.py
+++ b/packages/core/src/bergamotwood_core/outlier.py
@@ -8,6 +8,9 @@
 EJECTION_CAP_SECONDS = 60.0
 # Weight of the newest time to the first token in the moving average.
 LATENCY_WEIGHT = 0.2
+# An endpoint counts as silent after this time without any first token.
+MIN_SILENCE_SECONDS = 3.0
+SILENCE_FACTOR = 5.0
 
 
 def record_start(endpoint: Endpoint, now: Seconds) -> None:
@@ -49,6 +52,8 @@
 def record_failure(endpoint: Endpoint, now: Seconds, answered: bool = False) -> None:
     """Note a failed attempt, and eject the endpoint after several in a row.
 
+    One is enough from a silent endpoint: other attempts waited there in vain too.
+
     Parameters
     ----------
     endpoint : Endpoint
@@ -58,6 +63,8 @@
     answered : bool
         Whether the attempt's first token had come.
     """
+    if is_silent(endpoint, now):
+        endpoint.failures = max(endpoint.failures, FAILURES_TO_EJECT - 1)
     record_cancel(endpoint, answered)
     endpoint.failures += 1
     excess = endpoint.failures - FAILURES_TO_EJECT
@@ -80,3 +87,15 @@
     endpoint.outstanding = max(0, endpoint.outstanding - 1)
     if not answered:
         endpoint.waiting = max(0, endpoint.waiting - 1)
+
+
+def is_silent(endpoint: Endpoint, now: Seconds) -> bool:
+    """Whether an endpoint takes work and has sent no first token for long.
+
+    It gets no new work meanwhile; the attempts that wait there go on until their
+    own timeouts.
+    """
+    if endpoint.waiting == 0:
+        return False
+    usual = SILENCE_FACTOR * endpoint.first_token_seconds
+    return now - endpoint.waiting_since > max(MIN_SILENCE_SECONDS, usual)
--- a/packages/core/src/bergamotwood_core/placement.py
+++ b/packages/core/src/bergamotwood_core/placement.py
@@ -9,6 +9,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.ids import DataCentre, EndpointId, SessionId
+from bergamotwood_core.outlier import is_silent
 from bergamotwood_core.pool import find_pool
 from bergamotwood_core.tables import DirectoryTables, Endpoint, Pool, PoolKey
 from bergamotwood_core.target import Target
@@ -19,11 +20,15 @@
 AFFINITY_CHOICES = 3
 # How much busier than the better of two the preferred endpoint may be, in shares
 # of its capacity.
-AFFINITY_SLACK = 0.25
-# Share of its capacity from which an endpoint is taken for full.
-FULL_LOAD = 1.0
+AFFINITY_SLACK = 0.4
+# Prefix length from which a hit is worth the whole slack.
+LONG_PREFIX_TOKENS = 5_000
+# Prefix length where it is not known.
+USUAL_PREFIX_TOKENS = 2_500
+# Share of its capacity from which other data centres are looked at.
+FULL_LOAD = 0.5
 # How much less busy another data centre must be to be worth the way.
-SPILL_MARGIN = 0.25
+SPILL_MARGIN = 0.15
 
 _MIX = uint64(0x9E3779B97F4A7C15)
 _FOLD = uint64(32)
@@ -41,9 +46,12 @@
     data_centre : DataCentre
         Where the entry runs.
     nearby : tuple of DataCentre
-        Data centres tried before all others.
+        Data centres so near that they are tried before all others, and that a
+        prefix held there is worth the way.
     prefix_hash : int or None
         64-bit hash of the prompt's prefix.
+    prefix_tokens : int or None
+        Length of that prefix; None when it is not known.
     session : SessionId or None
         Session of the request.
     excluded : frozenset of EndpointId
@@ -54,6 +62,7 @@
     data_centre: DataCentre
     nearby: tuple[DataCentre, ...] = ()
     prefix_hash: int | None = None
+    prefix_tokens: int | None = None
     session: SessionId | None = None
     excluded: frozenset[EndpointId] = frozenset()
 
@@ -83,16 +92,14 @@
     EndpointId or None
         None when no endpoint runs the target.
     """
-    best: Endpoint | None = None
-    for pool in _list_pools(tables, need):
-        candidate = _choose_in_pool(tables, pool, need, now, rng)
-        if candidate is None:
-            continue
-        if best is None or _is_worth_spill(candidate, best):
-            best = candidate
-        if estimate_load(best) < FULL_LOAD:
-            return best.id
-    return best.id if best is not None else _choose_any(tables, need, rng)
+    best = _choose_by_load(tables, need, now, rng)
+    key = _read_affinity(need)
+    if best is None:
+        return _choose_any(tables, need, rng)
+    if key is None:
+        return best.id
+    preferred = _find_preferred(tables, need, now, key, best)
+    return best.id if preferred is None else preferred.id
 
 
 def estimate_load(endpoint: Endpoint) -> float:
@@ -128,20 +135,45 @@
     return estimate_load(candidate) + SPILL_MARGIN < estimate_load(best)
 
 
-def _choose_in_pool(
-    tables: DirectoryTables, pool: Pool, need: Need, now: Seconds, rng: Random
+def _choose_by_load(
+    tables: DirectoryTables, need: Need, now: Seconds, rng: Random
 ) -> Endpoint | None:
-    """Choose in one pool; None when no endpoint there is fit for work."""
-    best = _choose_of_two(tables, pool, need, now, rng)
-    key = _read_affinity(need)
-    if best is None or key is None:
-        return best
-    bound = estimate_load(best) + AFFINITY_SLACK
-    for position in rank_endpoints(pool, key)[:AFFINITY_CHOICES]:
+    """Choose the better of two in the nearest pool that is not full."""
+    best: Endpoint | None = None
+    for pool in _list_pools(tables, need):
+        candidate = _choose_of_two(tables, pool, need, now, rng)
+        if candidate is None:
+            continue
+        if best is None or _is_worth_spill(candidate, best):
+            best = candidate
+        if estimate_load(best) < FULL_LOAD:
+            return best
+    return best
+
+
+def _find_preferred(
+    tables: DirectoryTables, need: Need, now: Seconds, key: int, best: Endpoint
+) -> Endpoint | None:
+    """Find the endpoint that holds the prefix or session, unless it is too busy.
+
+    All near data centres count alike: a prefix saves more time than the way costs.
+    """
+    near = (need.data_centre, *need.nearby)
+    pool = find_pool(tables, PoolKey(need.target.name, near))
+    bound = estimate_load(best) + _allow_slack(need)
+    for position in rank_endpoints(pool, key):
         endpoint = tables.endpoints[pool.endpoints[position]]
         if _is_fit(endpoint, need, now) and estimate_load(endpoint) <= bound:
             return endpoint
-    return best
+    return None
+
+
+def _allow_slack(need: Need) -> float:
+    """Say how much busier the preferred endpoint may be: by what a hit saves."""
+    tokens = need.prefix_tokens
+    if tokens is None:
+        tokens = USUAL_PREFIX_TOKENS
+    return AFFINITY_SLACK * min(1.0, tokens / LONG_PREFIX_TOKENS)
 
 
 def _choose_of_two(
@@ -152,7 +184,9 @@
     drawn: list[Endpoint] = []
     for _ in range(MAX_DRAWS if size else 0):
         endpoint = tables.endpoints[pool.endpoints[int(rng.random() * size)]]
-        if endpoint not in drawn and _is_fit(endpoint, need, now):
+        if drawn and endpoint is drawn[0]:
+            continue
+        if _is_fit(endpoint, need, now):
             drawn.append(endpoint)
         if len(drawn) == 2:
             break
@@ -175,7 +209,7 @@
     """Whether an endpoint may get the attempt."""
     if endpoint.id in need.excluded or not endpoint.serving:
         return False
-    return endpoint.ejected_until <= now
+    return endpoint.ejected_until <= now and not is_silent(endpoint, now)
 
 
 def _score(endpoint: Endpoint) -> float:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -125,3 +125,38 @@
     endpoints[0].first_token_seconds = 5.0
     chosen = choose_many(make_directory(*endpoints), make_need())
     assert chosen["e0"] < 40
+
+
+def test_an_endpoint_that_takes_and_never_answers_gets_nothing_more():
+    silent, good = make_endpoint("silent"), make_endpoint("good", load=4)
+    tables = make_directory(silent, good)
+    for endpoint in (silent, good):
+        record_start(endpoint, Seconds(NOW - 3.5))
+    record_first_token(good, 0.2, Seconds(NOW - 0.1))
+    assert set(choose_many(tables, make_need())) == {"good"}
+    record_failure(silent, NOW)
+    assert silent.ejected_until > NOW
+    assert silent.waiting == 0
+
+
+def test_a_long_prefix_is_worth_more_load_than_a_short_one():
+    tables = make_directory(*(make_endpoint(f"e{number}") for number in range(8)))
+    long, short = (
+        make_need(prefix_hash=77, prefix_tokens=tokens) for tokens in (5_000, 300)
+    )
+    preferred = choose_endpoint(tables, short, NOW, Random(1))
+    tables.endpoints[preferred].outstanding = 2
+    assert set(choose_many(tables, long)) == {preferred}
+    assert preferred not in choose_many(tables, short)
+
+
+def test_a_prefix_in_a_near_data_centre_is_worth_the_way():
+    near = [make_endpoint(f"w{number}") for number in range(3)]
+    far = [make_endpoint(f"k{number}", KAREN) for number in range(3)]
+    tables = make_directory(*near, *far)
+    needs = [make_need(prefix_hash=key * 7919, nearby=(KAREN,)) for key in range(60)]
+    chosen = {choose_endpoint(tables, need, NOW, Random(1)) for need in needs}
+    assert len(chosen) == 6
+    without = [make_need(prefix_hash=key * 7919) for key in range(60)]
+    chosen = {choose_endpoint(tables, need, NOW, Random(1)) for need in without}
+    assert chosen == {"w0", "w1", "w2"}
