--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -1,8 +1,13 @@
+import json
+from collections.abc import Iterator
 from pathlib import Path
+from typing import get_args, get_origin
 
 import pytest
 import yaml
 from click.testing import CliRunner
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
 
 from bergamotwood_core.control import (
     ApplyTicket,
@@ -15,7 +20,8 @@
 from bergamotwood_daemon.command import main
 from bergamotwood_daemon.settings import Settings, load_settings, make_settings
 
-EXAMPLES = Path(__file__).parents[2] / "examples"
+ROOT = Path(__file__).parents[2]
+EXAMPLES = ROOT / "examples"
 FLEETS = {"kubwa": (8, 4), "colofn": (7, 3)}
 VALID = {
     "instance": "a",
@@ -148,5 +154,40 @@
     assert largest >= 256
 
 
+def test_page_lists_every_key_with_its_default():
+    lines = (ROOT / "docs" / "SETTINGS.md").read_text().splitlines()
+    cells = [line.strip("| ").split(" | ") for line in lines if line.startswith("| `")]
+    assert {cell[0].strip("`"): cell[1].strip("`") for cell in cells} == dict(
+        _list_keys(Settings)
+    )
+
+
+def _list_keys(model: type[BaseModel], prefix: str = "") -> Iterator[tuple[str, str]]:
+    for name, field in model.model_fields.items():
+        place = prefix + name
+        parts = [
+            part
+            for part in (field.annotation, *get_args(field.annotation))
+            if isinstance(part, type) and issubclass(part, BaseModel)
+        ]
+        is_list = get_origin(field.annotation) is tuple
+        if not parts or is_list:
+            yield place, _format_default(field)
+        if parts:
+            yield from _list_keys(parts[0], f"{place}[]." if is_list else f"{place}.")
+
+
+def _format_default(field: FieldInfo) -> str:
+    if field.is_required():
+        return "required"
+    if field.default is None:
+        return "none"
+    if isinstance(field.default, tuple):
+        return f"[{', '.join(field.default)}]"
+    if isinstance(field.default, str):
+        return field.default or '""'
+    return json.dumps(field.default)
+
+
 def _list_ports(settings: Settings) -> tuple[int, int]:
     return settings.listen.port, settings.peer_listen.port
