--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -13,10 +13,15 @@
 
 def write_figures(name: str, seed: int, rows: Sequence[Row]) -> None:
     """Print rows as a table and write them as JSON with the seed."""
+    write_json(name, seed, rows)
+    print_table(rows)
+
+
+def write_json(name: str, seed: int, rows: Sequence[Row]) -> None:
+    """Write rows as JSON with the seed."""
     OUT.mkdir(exist_ok=True)
     text = dumps({"bench": name, "seed": seed, "rows": list(rows)}, indent=1)
     (OUT / f"{name}.json").write_text(text + "\n")
-    print_table(rows)
 
 
 def print_table(rows: Sequence[Row]) -> None:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -153,7 +153,7 @@
         if not self.settings.admission:
             self._dispatch(entry, offer, frozenset())
             return
-        request = RequestId(f"{offer.number}/{offer.tries}")
+        request = name_request(offer)
         decision = entry.admission.offer(
             request,
             self.workspaces[offer.workspace],
@@ -271,7 +271,7 @@
 
     def _release(self, entry: EntryFake, offer: Offer) -> None:
         if self.settings.admission:
-            request = RequestId(f"{offer.number}/{offer.tries}")
+            request = name_request(offer)
             self._start(entry, entry.admission.release(request, self.agenda.now))
 
     def _dispatch(
@@ -294,6 +294,11 @@
         Attempt(self, entry, offer, id_, excluded).send()
 
 
+def name_request(offer: Offer) -> RequestId:
+    """Name a request; offers of several streams may share their numbers."""
+    return RequestId(str(id(offer)))
+
+
 class Attempt:
     """One attempt of a request on one engine."""
 
--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,203 @@
+"""Fair shares, priorities, retry budgets and hedged requests."""
+
+from dataclasses import replace
+from heapq import heapreplace
+from random import Random
+
+from click import command, option
+
+from benchmarks.figures import Row, find_quantiles, print_table, write_json
+from benchmarks.fleet import Fleet, FleetSettings
+from benchmarks.placement import WORKSPACES, find_capacity
+from benchmarks.workload import KINDS, Offer, make_offers
+from bergamotwood_core.configuration import Workspace
+from bergamotwood_core.placement import choose_endpoint
+from bergamotwood_core.retry import HedgeBudget, RetryBudget
+
+RUN_SECONDS = 240.0
+DRAIN_SECONDS = 60.0
+FLOOD_AT = 60.0
+OUTAGE_AT = 60.0
+OUTAGE_SECONDS = 60.0
+RESEND_SECONDS = 0.5
+MAX_RESENDS = 3
+HEDGE_CALLS = 40_000
+HEDGE_SERVERS = 10
+HEDGE_LOAD = 0.3
+CALL_SECONDS = 0.03
+STRAGGLER_SHARE = 0.02
+STRAGGLER_SECONDS = 0.6
+
+COLOFN = tuple(kind for kind in KINDS if kind.workspace == "colofn")
+KUBWA = tuple(kind for kind in KINDS if kind.workspace == "kubwa")
+
+
+def run_flood(seed: int, capacity: float, fair: bool) -> list[Row]:
+    """Let one workspace flood while the other asks for a fifth of the capacity."""
+    names = {name: name if fair else "all" for name in ("kubwa", "colofn")}
+    workspaces = {
+        name: Workspace(name=key, max_in_flight=10_000) for name, key in names.items()
+    }
+    fleet = Fleet(FleetSettings(), choose_endpoint, seed, workspaces)
+    rng = Random(seed)
+    small = list(make_offers(capacity * 0.2, RUN_SECONDS, rng, COLOFN))
+    usual = list(make_offers(capacity * 0.3, FLOOD_AT, rng, KUBWA))
+    flood = list(make_offers(capacity * 3.0, RUN_SECONDS - FLOOD_AT, rng, KUBWA))
+    for offer in flood:
+        offer.at += FLOOD_AT
+    fleet.run([*small, *usual, *flood], RUN_SECONDS + DRAIN_SECONDS)
+    rows = []
+    for name, offers in (("colofn", small), ("kubwa", flood)):
+        counted = [offer for offer in offers if offer.at > FLOOD_AT + 10.0]
+        head: Row = {"fair": str(fair), "workspace": name}
+        rows.append(head | summarize_offers(counted))
+    return rows
+
+
+def summarize_offers(offers: list[Offer]) -> Row:
+    """Sum offers up by their outcome."""
+    done = [offer for offer in offers if offer.done_at is not None]
+    first = find_quantiles([offer.first_at - offer.at for offer in done])
+    return {
+        "offered": len(offers),
+        "good": sum(offer.good for offer in offers) / max(1, len(offers)),
+        "refused": sum(offer.refused for offer in offers) / max(1, len(offers)),
+        "first50": first[0],
+        "first95": first[1],
+        "first99": first[2],
+    }
+
+
+def run_priorities(seed: int, capacity: float) -> list[Row]:
+    """Offer 120 percent and sum up by kind."""
+    fleet = Fleet(FleetSettings(), choose_endpoint, seed, WORKSPACES)
+    offers = list(make_offers(capacity * 1.2, RUN_SECONDS, Random(seed)))
+    fleet.run(offers, RUN_SECONDS + DRAIN_SECONDS)
+    rows = []
+    for kind in KINDS:
+        counted = [o for o in offers if o.kind is kind and o.at > 30.0]
+        head: Row = {"kind": kind.name, "priority": kind.priority.name}
+        rows.append(head | summarize_offers(counted))
+    return rows
+
+
+def run_outage(seed: int, capacity: float, admission: bool, budget: bool) -> Row:
+    """Lose half of the engines for a minute, under callers that send again."""
+    fleet = Fleet(FleetSettings(admission=admission), choose_endpoint, seed, WORKSPACES)
+    if not budget:
+        for entry in fleet.entries:
+            entry.budget = RetryBudget(ratio=10.0, max_tokens=1e9)
+    offers = list(make_offers(capacity * 0.8, RUN_SECONDS, Random(seed)))
+    resent: list[Offer] = []
+
+    def resend(offer: Offer) -> None:
+        if not (offer.failed or offer.refused) or offer.tries > MAX_RESENDS:
+            return
+        again = make_resend(offer, fleet.agenda.now + RESEND_SECONDS)
+        resent.append(again)
+        fleet.agenda.add(RESEND_SECONDS, lambda: fleet.offer(again))
+
+    fleet.on_end = resend
+    for engine in list(fleet.engines.values())[::2]:
+        fleet.agenda.add(OUTAGE_AT, lambda e=engine: e.crash(OUTAGE_SECONDS))
+    fleet.run(offers, RUN_SECONDS + DRAIN_SECONDS)
+    return summarize_outage(fleet, offers, resent) | {
+        "admission": str(admission),
+        "budget": str(budget),
+    }
+
+
+def make_resend(offer: Offer, at: float) -> Offer:
+    """Make the offer of a caller that sends a request again."""
+    return replace(
+        offer,
+        at=at,
+        tries=offer.tries + 1,
+        first_at=None,
+        refused=False,
+        failed=False,
+        attempts=0,
+    )
+
+
+def summarize_outage(fleet: Fleet, offers: list[Offer], resent: list[Offer]) -> Row:
+    """Sum up the goodput before, during and after an outage."""
+    everything = [*offers, *resent]
+    end = OUTAGE_AT + OUTAGE_SECONDS
+
+    def count_good(start: float, stop: float) -> float:
+        good = sum(offer.good for offer in everything if start <= offer.at < stop)
+        return good / (stop - start)
+
+    return {
+        "before": count_good(20.0, OUTAGE_AT),
+        "during": count_good(OUTAGE_AT, end),
+        "after_10s": count_good(end, end + 10.0),
+        "after_30s": count_good(end + 10.0, end + 30.0),
+        "later": count_good(end + 30.0, RUN_SECONDS),
+        "attempts": fleet.attempts / len(everything),
+        "resent": len(resent) / len(offers),
+        "wasted": fleet.wasted / max(1.0, fleet.work),
+    }
+
+
+def run_hedges(seed: int, hedge: bool) -> Row:
+    """Call plain servers of which a few answers straggle."""
+    rng = Random(seed)
+    free_at = [0.0] * HEDGE_SERVERS
+    hedges = HedgeBudget(RetryBudget())
+    mean = CALL_SECONDS + STRAGGLER_SHARE * STRAGGLER_SECONDS
+    now, latencies, extra = 0.0, [], 0
+    for _ in range(HEDGE_CALLS):
+        now += rng.expovariate(HEDGE_LOAD * HEDGE_SERVERS / mean)
+        hedges.retries.record_offered()
+        latency = call_server(free_at, now, rng)
+        delay = hedges.delay_seconds
+        if hedge and delay is not None and latency > delay and hedges.try_spend():
+            extra += 1
+            latency = min(latency, delay + call_server(free_at, now + delay, rng))
+        hedges.record_latency(latency)
+        latencies.append(latency)
+    p50, p95, p99 = find_quantiles(latencies)
+    return {
+        "hedged": str(hedge),
+        "p50": p50,
+        "p95": p95,
+        "p99": p99,
+        "extra": extra / HEDGE_CALLS,
+    }
+
+
+def call_server(free_at: list[float], now: float, rng: Random) -> float:
+    """Let the server that is free first answer one call; its latency."""
+    seconds = rng.expovariate(1 / CALL_SECONDS)
+    if rng.random() < STRAGGLER_SHARE:
+        seconds += STRAGGLER_SECONDS
+    start = max(now, free_at[0])
+    heapreplace(free_at, start + seconds)
+    return start + seconds - now
+
+
+@command()
+@option("--seed", default=11, show_default=True)
+def main(seed: int) -> None:
+    """Run all parts and write their figures."""
+    capacity = find_capacity(FleetSettings(), seed)
+    print(f"seed {seed}, capacity {capacity:.2f} requests/s")
+    flood = [row for fair in (False, True) for row in run_flood(seed, capacity, fair)]
+    print_table(flood)
+    priorities = run_priorities(seed, capacity)
+    print_table(priorities)
+    outage = [
+        run_outage(seed, capacity, admission, budget)
+        for admission in (False, True)
+        for budget in (False, True)
+    ]
+    print_table(outage)
+    hedges = [run_hedges(seed, hedge) for hedge in (False, True)]
+    print_table(hedges)
+    write_json("limits", seed, flood + priorities + outage + hedges)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bergamotwood_core/admission.py
+++ b/packages/core/src/bergamotwood_core/admission.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from itertools import count
+from math import ceil
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import Workspace
@@ -10,6 +11,8 @@
 from bergamotwood_core.states import Priority
 
 DEFAULT_POOL = ""
+# Slots beyond the limit, as a part of it, for workspaces below their share.
+RESERVE = 0.15
 # Weight of the newest running time in the moving average.
 SERVICE_WEIGHT = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.1
@@ -261,8 +264,12 @@
 
     def _has_room(self, state: _PoolState, row: _Row) -> bool:
         """Whether the pool and the workspace may run one more."""
-        running = self._in_flight.get(row.workspace.key, 0)
-        return state.in_flight < state.limit and running < row.workspace.max_in_flight
+        if self._in_flight.get(row.workspace.key, 0) >= row.workspace.max_in_flight:
+            return False
+        limit = state.limit
+        if row.in_flight < _count_slots(state, row):
+            limit += ceil(limit * RESERVE)
+        return state.in_flight < limit
 
     def _start(
         self,
@@ -370,16 +377,26 @@
     return len(row.queue)
 
 
-def _estimate_wait(state: _PoolState, row: _Row, ahead: int) -> float:
-    """Estimate how long a request with so many ahead of it waits, in seconds."""
+def _count_slots(state: _PoolState, row: _Row) -> float:
+    """Count the slots that are the workspace's share of a pool."""
     active = sum(
         other.workspace.share
         for other in state.rows.values()
         if other.queue or other.in_flight or other is row
     )
-    slots = max(1.0, state.limit * row.workspace.share / active)
-    slots = min(slots, row.workspace.max_in_flight)
-    return (ahead + 1) * state.service_seconds / slots
+    return max(1.0, state.limit * row.workspace.share / active)
+
+
+def _estimate_wait(state: _PoolState, row: _Row, ahead: int) -> float:
+    """Estimate how long a request with so many ahead of it waits, in seconds.
+
+    Up to its share the workspace gets every slot that comes free; beyond it, only
+    those that it frees itself.
+    """
+    slots = min(_count_slots(state, row), row.workspace.max_in_flight)
+    fast = min(ahead + 1.0, max(0.0, slots - row.in_flight))
+    slow = ahead + 1.0 - fast
+    return (fast / state.limit + slow / slots) * state.service_seconds
 
 
 def _clip(seconds: float) -> float:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -43,18 +43,22 @@
 def test_a_flood_takes_no_more_than_its_share():
     admission = make_admission(limit=12)
     flood, small = make_workspace("flood"), make_workspace("small", share=2.0)
-    running = [
-        request
-        for request, decision in offer_many(admission, flood, 100).items()
-        if decision == Admitted()
-    ]
-    offer_many(admission, small, 40)
+    decisions = offer_many(admission, flood, 100) | offer_many(admission, small, 40)
+    running = [id_ for id_, answer in decisions.items() if answer == Admitted()]
     for _ in range(30):
         running.extend(admission.release(running.pop(0), NOW))
     held = Counter(request.split("-")[0] for request in running)
     assert held == {"flood": 4, "small": 8}
 
 
+def test_a_workspace_below_its_share_need_not_wait_for_a_flood():
+    admission = make_admission(limit=20)
+    offer_many(admission, make_workspace("flood"), 100)
+    decisions = list(offer_many(admission, make_workspace("small"), 5).values())
+    assert decisions == [Admitted()] * 3 + [Queued()] * 2
+    assert admission.in_flight == 23
+
+
 def test_a_workspace_keeps_to_its_limit_while_slots_are_free():
     admission = make_admission(limit=10)
     workspace = make_workspace(most=2)
