--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -0,0 +1,247 @@
+"""Settings of a daemon, read from one YAML file."""
+
+from enum import StrEnum
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from bergamotwood_core.configuration import KeyHash, Name
+from bergamotwood_core.document import DocumentError, list_faults, load_document
+from bergamotwood_core.errors import SettingsError
+from bergamotwood_daemon.settingscheck import SECRETS, find_cross_faults
+
+MAX_SETTINGS_BYTES = 1_000_000
+
+
+def _check_host(host: str) -> str:
+    try:
+        ip_address(host)
+    except ValueError:
+        raise ValueError("must be an IP number")
+    return host
+
+
+Host = Annotated[str, AfterValidator(_check_host)]
+Port = Annotated[int, Field(ge=0, le=65_535)]
+PositiveSeconds = Annotated[float, Field(gt=0.0, le=3_600.0)]
+
+
+class Role(StrEnum):
+    """What an instance does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid", allow_inf_nan=False)
+
+
+class Listen(_Part):
+    """An IP number and a port to listen on."""
+
+    host: Host = "127.0.0.1"
+    port: Port
+
+
+class ReplicaAddress(_Part):
+    """A control replica and where its peers reach it."""
+
+    id: Name
+    host: Host
+    port: Annotated[int, Field(ge=1, le=65_535)]
+
+
+class Limits(_Part):
+    """Bounds on what comes from outside.
+
+    Parameters
+    ----------
+    body_bytes, answer_bytes : int
+        Largest request body, and largest stored answer.
+    body_seconds : float
+        Time that a sender has for its body.
+    """
+
+    body_bytes: int = Field(ge=1_024, default=4_000_000)
+    answer_bytes: int = Field(ge=1_024, default=256_000)
+    body_seconds: PositiveSeconds = 10.0
+
+
+class Timeouts(_Part):
+    """Waits, in seconds.
+
+    Parameters
+    ----------
+    connect : float
+        Dialling an endpoint.
+    first_chunk, next_chunk : float
+        Silence allowed before the first and between later chunks of an answer.
+    call : float
+        Time that a caller is kept waiting for a non-idempotent request.
+    late : float
+        Silence after which a plain service's answer is given up.
+    ledger : float
+        Waiting for the ledger to commit.
+    request : float
+        Whole request where the caller names no deadline.
+    drain : float
+        Time that a leaving entry serves on while callers keep old answers.
+    """
+
+    connect: PositiveSeconds = 1.0
+    first_chunk: PositiveSeconds = 10.0
+    next_chunk: PositiveSeconds = 2.0
+    call: PositiveSeconds = 10.0
+    late: PositiveSeconds = 60.0
+    ledger: PositiveSeconds = 4.0
+    request: PositiveSeconds = 120.0
+    drain: PositiveSeconds = 6.0
+
+
+class Settings(_Part):
+    """Everything a daemon is told at its start.
+
+    Parameters
+    ----------
+    instance, data_centre : str
+        Name and place of the instance.
+    listen, peer_listen : Listen
+        Where callers and other daemons reach it.
+    advertise : Listen or None
+        What callers are told in place of `listen`.
+    roles : tuple of Role
+        Entry, control, or both.
+    data_folder : Path or None
+        Needed by the control role.
+    replicas : tuple of ReplicaAddress
+        The control replicas.
+    operator_key_hashes, endpoint_key_hashes : tuple of str
+        SHA-256 of the keys that operators and endpoints show.
+    instance_key : str
+        Shared by the daemons.
+    session_secret : str
+        Authenticates session ids.
+    max_config_age_seconds : float
+        An entry with an older configuration takes no new work.
+    address_ttl_seconds : int
+        How long callers may keep the answer of `/v1/addresses`.
+    rating_address : Listen or None
+        Where the rating service is.
+    order_key : str
+        Shown to endpoints with orders.
+    trace_file : Path or None
+        Where spans are written as OTLP JSON lines.
+    allow_plain : bool
+        Whether it may listen beyond loopback without encryption.
+    """
+
+    instance: Name
+    data_centre: Name
+    listen: Listen
+    peer_listen: Listen
+    advertise: Listen | None = None
+    roles: tuple[Role, ...] = Field(min_length=1, default=(Role.ENTRY,))
+    data_folder: Path | None = None
+    replicas: tuple[ReplicaAddress, ...] = Field(min_length=1, max_length=7)
+    operator_key_hashes: tuple[KeyHash, ...] = ()
+    endpoint_key_hashes: tuple[KeyHash, ...] = ()
+    instance_key: str = Field(min_length=16)
+    session_secret: str = Field(min_length=16)
+    order_key: str = ""
+    max_config_age_seconds: PositiveSeconds = 5.0
+    address_ttl_seconds: int = Field(ge=1, le=3_600, default=5)
+    rating_address: Listen | None = None
+    trace_file: Path | None = None
+    allow_plain: bool = False
+    limits: Limits = Limits()
+    timeouts: Timeouts = Timeouts()
+
+    @property
+    def advertised(self) -> Listen:
+        """Where callers are told to connect."""
+        return self.advertise or self.listen
+
+    @property
+    def is_control(self) -> bool:
+        """Whether this instance is a control replica."""
+        return Role.CONTROL in self.roles
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether this instance serves callers."""
+        return Role.ENTRY in self.roles
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+
+    Returns
+    -------
+    Settings
+        Valid settings.
+
+    Raises
+    ------
+    SettingsError
+        With every fault at once: key, value and what is allowed.
+    """
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        faults = (error.strerror or "cannot be read",)
+        raise SettingsError(f"{path}: cannot be read", faults) from error
+    try:
+        document = load_document(content, MAX_SETTINGS_BYTES)
+    except DocumentError as error:
+        raise SettingsError(f"{path}: cannot be read", error.faults) from error
+    return make_settings(document, str(path))
+
+
+def make_settings(document: Any, source: str) -> Settings:
+    """Check a settings document.
+
+    Parameters
+    ----------
+    document : Any
+        As read from YAML.
+    source : str
+        Where it comes from, for the error.
+
+    Returns
+    -------
+    Settings
+        Valid settings.
+
+    Raises
+    ------
+    SettingsError
+        With every fault at once.
+    """
+    faults = list(find_cross_faults(document))
+    settings = None
+    try:
+        settings = Settings.model_validate(document)
+    except ValidationError as error:
+        faults = [*_list_field_faults(error), *faults]
+    if settings is None or faults:
+        raise SettingsError(f"{source}: invalid settings", tuple(faults))
+    return settings
+
+
+def _list_field_faults(error: ValidationError) -> list[str]:
+    return [_hide_secret(fault) for fault in list_faults(error)]
+
+
+def _hide_secret(fault: str) -> str:
+    name = fault.partition(":")[0]
+    if name not in SECRETS:
+        return fault
+    return fault.partition(" (got ")[0]
