Explore the cheapest version that may be as good as the planned option

The joint hopeful allocation before seldom tried a version of a class that another class could make up for.

--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -31,7 +31,7 @@
     weigh_quality,
 )
 from bergamotwood_core.ids import RequestClass, VersionId, WorkspaceId
-from bergamotwood_core.segment import Segment, SegmentKey, WorkspaceState
+from bergamotwood_core.segment import Hope, Segment, SegmentKey, WorkspaceState
 from bergamotwood_core.usage import Candidate, Usage, UsageAverage
 
 SHORT_PROMPT_TOKENS = 512
@@ -39,14 +39,16 @@
 # Quality believed of the dearest candidate and of the others before any rating.
 DEAREST_PRIOR = 0.9
 OTHERS_PRIOR = 0.6
+# Part of the way from one version to the best that the next one is believed to go.
+PRIOR_STEP = 0.25
+# Share of the cost that a version has to save to be worth a try.
+LEAST_SAVING = 0.2
 # Quality that an answer loses on average when another version failed before.
 ESCALATION_LOSS = 0.05
 # Ratings that this belief counts as.
 ESCALATION_RATINGS = 5.0
 # Ratings with which a version counts as known.
 KNOWN_RATINGS = 40.0
-# Further ratings, as a multiple of these, if all of the cost may be saved.
-SAVING_FACTOR = 5.0
 # Share of the ratings that is for samples.
 SAMPLE_RESERVE = 0.25
 # Share of the answers that were rated before that are rated again.
@@ -300,21 +302,17 @@
     def _allocate(
         self, workspace: Workspace, state: WorkspaceState, now: Seconds
     ) -> None:
-        options = self._list_options(workspace, state, self.settings.caution)
-        hopeful = self._list_options(workspace, state, -self.settings.hope)
+        options = self._list_options(workspace, state)
         weights = state.list_weights()
         target = workspace.quality_target + self.settings.margin + state.correction
         mixes = self._find_mixes(options, weights, target, now)
         singles = [[o for o in listed if not o.ratings] for listed in options]
         unrated = _allocate_at_price(singles, weights, target, 0.0)
-        hopes = _allocate_at_price(hopeful, weights, target, 0.0)
-        for segment, mix, spare, hope in zip(
-            state.segments.values(), mixes, unrated, hopes, strict=True
+        for segment, mix, spare in zip(
+            state.segments.values(), mixes, unrated, strict=True
         ):
             segment.mix = mix
             segment.unrated = spare
-            segment.hopes = _list_versions(hope)
-            segment.hoped_cost = hope.low.cost
         state.planned_at = now
 
     def _find_mixes(
@@ -341,15 +339,15 @@
         return mixes if self.budget.find_level(now) > 0.5 else within
 
     def _list_options(
-        self, workspace: Workspace, state: WorkspaceState, caution: float
+        self, workspace: Workspace, state: WorkspaceState
     ) -> list[list[Option]]:
         return [
-            self._list_segment_options(workspace, key, segment, caution)
+            self._list_segment_options(workspace, key, segment)
             for key, segment in state.segments.items()
         ]
 
     def _list_segment_options(
-        self, workspace: Workspace, key: SegmentKey, segment: Segment, caution: float
+        self, workspace: Workspace, key: SegmentKey, segment: Segment
     ) -> list[Option]:
         prospects: list[Prospect] = []
         prior = OTHERS_PRIOR
@@ -360,15 +358,21 @@
                 workspace, key.request_class, segment, candidate, prior
             )
             prospects.append(prospect)
-            prior = max(OTHERS_PRIOR, prospect.fresh.mean)
+            mean = max(OTHERS_PRIOR, prospect.fresh.mean)
+            prior = mean + PRIOR_STEP * max(DEAREST_PRIOR - mean, 0.0)
+        segment.hopes = [self._find_hope(prospect) for prospect in prospects]
         terms = Terms(
             latency_weight=workspace.latency_weight,
             rating_seconds=self.settings.rating_seconds,
             reliability=self._reliability.value,
-            caution=caution,
+            caution=self.settings.caution,
         )
         return list_options(prospects, terms)
 
+    def _find_hope(self, prospect: Prospect) -> Hope:
+        quality = weigh_quality(prospect.fresh, -self.settings.hope)
+        return Hope(prospect.version, prospect.cost, quality)
+
     def _weigh_candidate(
         self,
         workspace: Workspace,
@@ -409,40 +413,25 @@
         now: Seconds,
     ) -> tuple[Step, ...]:
         steps = option.steps
-        version = self._find_least_known(workspace, request_class, segment.hopes)
-        key = CellKey(workspace.key, request_class, version)
-        weight = self.find_estimate(key).weight
-        saving = max(1.0 - segment.hoped_cost / max(option.cost, 1e-9), 0.0)
-        wanted = KNOWN_RATINGS * (1.0 + SAVING_FACTOR * saving**2)
-        if version == steps[0].version or weight > wanted:
+        hope = segment.find_hope(option)
+        if hope is None:
             return steps
-        if self._rng.random() >= self.settings.explore_share * saving:
+        saving = 1.0 - hope.cost / option.cost
+        chance = self.settings.explore_share * saving
+        if saving < LEAST_SAVING or self._rng.random() >= chance:
             return steps
-        if version == steps[-1].version:
-            return steps[-1:]
-        if not self._take_sample(weight, now):
+        key = CellKey(workspace.key, request_class, hope.version)
+        if not self._take_sample(self.find_estimate(key).weight, now):
             return steps
         threshold = min(workspace.quality_target, max(THRESHOLDS))
-        kept = tuple(step for step in steps if step.version != version)
-        return (Step(version, True, threshold), *kept)
+        kept = tuple(step for step in steps if step.version != hope.version)
+        return (Step(hope.version, True, threshold), *kept)
 
     def _take_sample(self, weight: float, now: Seconds) -> bool:
         if self.samples.take(now):
             return True
         return weight < KNOWN_RATINGS and self.budget.take(now)
 
-    def _find_least_known(
-        self,
-        workspace: Workspace,
-        request_class: RequestClass,
-        versions: Sequence[VersionId],
-    ) -> VersionId:
-        def weigh(version: VersionId) -> float:
-            key = CellKey(workspace.key, request_class, version)
-            return self.find_estimate(key).weight
-
-        return min(versions, key=weigh)
-
     def _fit_deadline(
         self,
         steps: tuple[Step, ...],
@@ -476,11 +465,6 @@
     return allocate(hulls, weights, target)
 
 
-def _list_versions(mix: Mix) -> tuple[VersionId, ...]:
-    options = (mix.low, mix.high) if mix.share else (mix.low,)
-    return tuple(step.version for option in options for step in option.steps)
-
-
 def _count_ratings(mixes: Sequence[Mix], weights: Sequence[float]) -> float:
     return sum(
         weight * (mix.low.ratings + mix.share * (mix.high.ratings - mix.low.ratings))
--- a/packages/core/src/bergamotwood_core/segment.py
+++ b/packages/core/src/bergamotwood_core/segment.py
@@ -28,6 +28,15 @@
     versions: tuple[VersionId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Hope:
+    """Cost of a version and the quality that it may have at best."""
+
+    version: VersionId
+    cost: float
+    quality: float
+
+
 @dataclass(slots=True)
 class Segment:
     """State of the requests that are planned alike."""
@@ -38,11 +47,20 @@
     prompt_tokens: float = 0.0
     mix: Mix | None = None
     unrated: Mix | None = None
-    hopes: tuple[VersionId, ...] = ()
-    hoped_cost: float = 0.0
+    hopes: Sequence[Hope] = ()
     credit: float = 0.0
     unrated_credit: float = 0.0
 
+    def find_hope(self, option: Option) -> Hope | None:
+        """Find the cheapest version that may be as good as an option."""
+        last = option.steps[-1].version
+        able = [
+            hope
+            for hope in self.hopes
+            if hope.quality >= option.quality and hope.version != last
+        ]
+        return min(able, key=lambda hope: hope.cost, default=None)
+
     def draw_rated(self) -> Option:
         """Choose an option of the mix, each as often as its share says."""
         mix = self.mix
