--- a/benchmarks/cascade.py
+++ b/benchmarks/cascade.py
@@ -8,6 +8,7 @@
 from math import sqrt
 from pathlib import Path
 from random import Random
+from time import perf_counter
 
 import numpy as np
 from click import command, echo, option
@@ -49,6 +50,7 @@
     costs: Floats
     qualities: Floats
     ratings: int = 0
+    plan_seconds: Sequence[float] = (0.0,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +70,8 @@
         and all windows after the first.
     ratings : float
         Ratings used for each request.
+    plan_micros, plan_micros_p99 : float
+        Microseconds of one plan, mean and 99th percentile.
     """
 
     name: str
@@ -78,6 +82,8 @@
     missed: int
     windows: int
     ratings: float
+    plan_micros: float
+    plan_micros_p99: float
 
 
 def summarize(track: Track, target: float) -> Summary:
@@ -98,6 +104,8 @@
         missed=missed,
         windows=len(starts),
         ratings=track.ratings / count,
+        plan_micros=1e6 * float(np.mean(track.plan_seconds)),
+        plan_micros_p99=1e6 * float(np.quantile(track.plan_seconds, 0.99)),
     )
 
 
@@ -170,11 +178,13 @@
         count = len(self.answers.times)
         costs = np.zeros(count)
         qualities = np.zeros(count)
+        plan_seconds: list[float] = []
         for index in range(count):
             now = float(self.answers.times[index])
             self._deliver(now)
             policy = self.rng.choice(self.policies)
             request_class = self.classes[self.answers.classes[index]]
+            started = perf_counter()
             plan = policy.plan(
                 self.workspace,
                 request_class,
@@ -182,10 +192,11 @@
                 int(self.answers.prompts[index]),
                 Seconds(now),
             )
+            plan_seconds.append(perf_counter() - started)
             costs[index], qualities[index] = self._answer(
                 policy, plan, request_class, index, now
             )
-        return Track("policy", costs, qualities, self.ratings)
+        return Track("policy", costs, qualities, self.ratings, plan_seconds)
 
     def _answer(
         self,
@@ -444,13 +455,14 @@
         f"{_mean(c.policy.ratings for c in cases):6.2f}"
         f"{_mean(c.policy.start_cost / c.policy.cost for c in cases):7.2f}"
         f"{_mean(c.policy.start_quality for c in cases):7.3f}"
+        f"{_mean(c.policy.plan_micros for c in cases):7.0f}"
     )
 
 
 HEADER = (
     f"{'workload':10}{'drift':10}{'ratings':9}{'n':>2}{'cost':>8}{'/bound':>7}"
     f"{'/fixed':>7}{'dearer':>7}{'/dear':>7}{'qual':>7}{'missed':>8}{'bnd':>4}"
-    f"{'rated':>6}{'start$':>7}{'startq':>7}"
+    f"{'rated':>6}{'start$':>7}{'startq':>7}{'us':>7}"
 )
 
 
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -21,6 +21,7 @@
     """How good and how many ratings are."""
 
     ENOUGH = "enough"
+    ONE = "one"
     LIMITED = "limited"
     SCARCE = "scarce"
     DELAYED = "delayed"
@@ -47,11 +48,12 @@
 
 
 RATING_TERMS = {
-    Ratings.ENOUGH: RatingTerms(1.0, 5.0, 8.0),
+    Ratings.ENOUGH: RatingTerms(2.0, 5.0, 8.0),
+    Ratings.ONE: RatingTerms(1.0, 5.0, 8.0),
     Ratings.LIMITED: RatingTerms(0.2, 5.0, 8.0),
     Ratings.SCARCE: RatingTerms(0.05, 5.0, 8.0),
-    Ratings.DELAYED: RatingTerms(1.0, 120.0, 8.0),
-    Ratings.NOISY: RatingTerms(1.0, 5.0, 3.0),
+    Ratings.DELAYED: RatingTerms(2.0, 120.0, 8.0),
+    Ratings.NOISY: RatingTerms(2.0, 5.0, 3.0),
 }
 
 
--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -50,7 +50,7 @@
 # Ratings with which a version counts as known.
 KNOWN_RATINGS = 40.0
 # Share of the ratings that is for samples.
-SAMPLE_RESERVE = 0.25
+SAMPLE_RESERVE = 0.12
 # Share of the answers that were rated before that are rated again.
 REPEAT_SHARE = 0.05
 MAX_CELLS = 4_096
--- a/packages/core/src/bergamotwood_core/estimate.py
+++ b/packages/core/src/bergamotwood_core/estimate.py
@@ -17,10 +17,10 @@
 # Scores of a good and of a poor answer, as a prior has them.
 GOOD_SCORE = 0.92
 POOR_SCORE = 0.35
-# Share of the variance of scores that is true quality, before it is measured.
+# Share of an accepted score's excess that is true quality, before it is measured.
 PRIOR_RELIABILITY = 0.9
-# Weight of that prior, as a sum of squared deviations.
-PRIOR_SQUARES = 1.0
+# Weight of that prior, as a sum of excesses.
+PRIOR_EXCESS = 3.0
 
 
 def find_bin(score: float) -> int:
@@ -180,22 +180,24 @@
 
 @dataclass(slots=True)
 class Reliability:
-    """Share of the variance of scores that is true quality.
+    """Share of an accepted score's excess over the mean that is true quality.
 
-    Learned from answers that were rated twice: the regression of the second score
-    on the first, around the mean of their kind.
+    Learned from accepted answers that were rated twice: the mean excess of the
+    second score, which was not selected, over that of the first.
     """
 
-    products: float = PRIOR_RELIABILITY * PRIOR_SQUARES
-    squares: float = PRIOR_SQUARES
+    second_excess: float = PRIOR_RELIABILITY * PRIOR_EXCESS
+    first_excess: float = PRIOR_EXCESS
 
     def add(self, mean: float, first: float, second: float) -> None:
-        """Take in two scores of one answer."""
+        """Take in two scores of one answer of a kind with a mean quality."""
+        if first <= mean:
+            return
         factor = 1.0 - 1.0 / MEMORY_RATINGS
-        self.products = self.products * factor + (second - mean) * (first - mean)
-        self.squares = self.squares * factor + (first - mean) ** 2
+        self.second_excess = self.second_excess * factor + second - mean
+        self.first_excess = self.first_excess * factor + first - mean
 
     @property
     def value(self) -> float:
         """The share, 0 to 1."""
-        return min(max(self.products / self.squares, 0.0), 1.0)
+        return min(max(self.second_excess / self.first_excess, 0.0), 1.0)
--- a/packages/core/src/bergamotwood_core/rollout.py
+++ b/packages/core/src/bergamotwood_core/rollout.py
@@ -30,6 +30,8 @@
 PASS_RATE = 0.05
 # Time that a stage lasts at least, so that delayed reports arrive.
 MIN_STAGE_SECONDS = 60.0
+# Time that the last stage lasts at least, to notice a version that turns bad.
+MIN_FINAL_SECONDS = 300.0
 # Requests between two starting points of the tests, and how many are kept.
 START_SPACING = 25
 MAX_STARTS = 16
@@ -174,12 +176,14 @@
     if harm is not None:
         return Stop(f"worse than the current version: {harm}")
     _add_start(watch, candidate)
-    if now - watch.stage_at < MIN_STAGE_SECONDS:
+    final = progress.stage + 1 >= len(rollout.stages)
+    least = MIN_FINAL_SECONDS if final else MIN_STAGE_SECONDS
+    if now - watch.stage_at < least:
         return Hold("waiting for reports")
     missing = _find_missing(progress.stage, baselines, candidate, ratings_expected)
     if missing is not None:
         return Hold(missing)
-    if progress.stage + 1 >= len(rollout.stages):
+    if final:
         return Complete()
     return Advance(progress.stage + 1)
 
