--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -109,7 +109,7 @@
     hope: float = 1.5
     caution: float = 0.25
     margin: float = 0.006
-    replan_seconds: float = 5.0
+    replan_seconds: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -413,10 +413,9 @@
         now: Seconds,
     ) -> tuple[Step, ...]:
         steps = option.steps
-        hope = segment.find_hope(option)
+        hope, saving = segment.find_hope()
         if hope is None:
             return steps
-        saving = 1.0 - hope.cost / option.cost
         chance = self.settings.explore_share * saving
         if saving < LEAST_SAVING or self._rng.random() >= chance:
             return steps
--- a/packages/core/src/bergamotwood_core/segment.py
+++ b/packages/core/src/bergamotwood_core/segment.py
@@ -51,15 +51,25 @@
     credit: float = 0.0
     unrated_credit: float = 0.0
 
-    def find_hope(self, option: Option) -> Hope | None:
-        """Find the cheapest version that may be as good as an option."""
-        last = option.steps[-1].version
-        able = [
-            hope
-            for hope in self.hopes
-            if hope.quality >= option.quality and hope.version != last
-        ]
-        return min(able, key=lambda hope: hope.cost, default=None)
+    def find_hope(self) -> tuple[Hope | None, float]:
+        """Find the version that may save the most, and the share of cost it saves."""
+        best, most = None, 0.0
+        for hope in self.hopes:
+            saving = self._find_saving(hope)
+            if saving > most:
+                best, most = hope, saving
+        return best, most
+
+    def _find_saving(self, hope: Hope) -> float:
+        mix = self.mix
+        if mix is None or hope.quality < mix.low.quality:
+            return 0.0
+        if hope.version in (mix.low.steps[0].version, mix.high.steps[0].version):
+            return 0.0
+        gain = mix.high.quality - mix.low.quality
+        place = min((hope.quality - mix.low.quality) / gain, 1.0) if gain else 0.0
+        replaced = mix.low.cost + place * (mix.high.cost - mix.low.cost)
+        return 1.0 - hope.cost / replaced if replaced else 0.0
 
     def draw_rated(self) -> Option:
         """Choose an option of the mix, each as often as its share says."""
