Keep only the changed ratings after a drop; split the allocation out

A test of a drop showed that a restarted estimate kept the good ratings from before the change (mean 0.64 after 15 poor answers). An explored version that was also the last step could again leave a rated step last; a test over many plans rules it out.

--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -6,6 +6,7 @@
 from random import Random
 from re import fullmatch
 
+from bergamotwood_core.allocation import find_mixes, find_unrated_mixes
 from bergamotwood_core.budget import RatingBudget
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import NAME_PATTERN, Workspace
@@ -19,15 +20,11 @@
 )
 from bergamotwood_core.frontier import (
     THRESHOLDS,
-    Mix,
     Option,
     Prospect,
     Step,
     Terms,
-    allocate,
-    drop_poor,
     list_options,
-    trace_hull,
     weigh_quality,
 )
 from bergamotwood_core.ids import RequestClass, VersionId, WorkspaceId
@@ -55,10 +52,8 @@
 REPEAT_SHARE = 0.05
 MAX_CELLS = 4_096
 MAX_WORKSPACES = 1_024
-# Price of a rating while there are enough, as a share of the least cost.
-LEAST_PRICE = 0.02
-# Steps of the search for the price of a rating.
-PRICE_STEPS = 6
+# Level of the rating budget above which more is spent than comes in.
+AMPLE_LEVEL = 0.5
 
 
 def classify_request(prompt_tokens: int, explicit: str | None = None) -> RequestClass:
@@ -305,9 +300,9 @@
         options = self._list_options(workspace, state)
         weights = state.list_weights()
         target = workspace.quality_target + self.settings.margin + state.correction
-        mixes = self._find_mixes(options, weights, target, now)
-        singles = [[o for o in listed if not o.ratings] for listed in options]
-        unrated = _allocate_at_price(singles, weights, target, 0.0)
+        ample = self.budget.find_level(now) > AMPLE_LEVEL
+        mixes = find_mixes(options, weights, target, self.budget.share, ample)
+        unrated = find_unrated_mixes(options, weights, target)
         for segment, mix, spare in zip(
             state.segments.values(), mixes, unrated, strict=True
         ):
@@ -315,29 +310,6 @@
             segment.unrated = spare
         state.planned_at = now
 
-    def _find_mixes(
-        self,
-        options: list[list[Option]],
-        weights: list[float],
-        target: float,
-        now: Seconds,
-    ) -> list[Mix]:
-        limit = self.budget.share
-        costs = [option.cost for listed in options for option in listed]
-        low, high = LEAST_PRICE * min(costs), max(costs)
-        mixes = _allocate_at_price(options, weights, target, low)
-        if _count_ratings(mixes, weights) <= limit:
-            return mixes
-        within = mixes
-        for _ in range(PRICE_STEPS):
-            price = 0.5 * (low + high)
-            found = _allocate_at_price(options, weights, target, price)
-            if _count_ratings(found, weights) <= limit:
-                high, within = price, found
-            else:
-                low, mixes = price, found
-        return mixes if self.budget.find_level(now) > 0.5 else within
-
     def _list_options(
         self, workspace: Workspace, state: WorkspaceState
     ) -> list[list[Option]]:
@@ -419,6 +391,8 @@
         chance = self.settings.explore_share * saving
         if saving < LEAST_SAVING or self._rng.random() >= chance:
             return steps
+        if hope.version == steps[-1].version:
+            return steps[-1:]
         key = CellKey(workspace.key, request_class, hope.version)
         if not self._take_sample(self.find_estimate(key).weight, now):
             return steps
@@ -452,20 +426,3 @@
                 spare -= wait
                 kept.append(step)
         return (*kept, steps[-1])
-
-
-def _allocate_at_price(
-    options: Sequence[Sequence[Option]],
-    weights: Sequence[float],
-    target: float,
-    rating_price: float,
-) -> list[Mix]:
-    hulls = [trace_hull(drop_poor(listed, target), rating_price) for listed in options]
-    return allocate(hulls, weights, target)
-
-
-def _count_ratings(mixes: Sequence[Mix], weights: Sequence[float]) -> float:
-    return sum(
-        weight * (mix.low.ratings + mix.share * (mix.high.ratings - mix.low.ratings))
-        for weight, mix in zip(weights, mixes, strict=True)
-    )
--- a/packages/core/src/bergamotwood_core/estimate.py
+++ b/packages/core/src/bergamotwood_core/estimate.py
@@ -12,6 +12,8 @@
 RECENT_RATINGS = 12
 # Standard errors between the newest ratings and the long run that mean a change.
 CHANGE_LIMIT = 3.5
+# Ratings that are kept at least when quality has changed.
+LEAST_CHANGED = 4
 # Ratings that a prior counts as.
 PRIOR_RATINGS = 4.0
 # Scores of a good and of a poor answer, as a prior has them.
@@ -173,10 +175,24 @@
         return abs(newest / count - past) > CHANGE_LIMIT * error
 
     def _restart(self) -> None:
+        past = self.mean
+        kept = self._find_changed(past)
         self.ratings = ScoreHistogram()
-        for score in self.recent:
+        self.recent.clear()
+        self.recent.extend(kept)
+        for score in kept:
             self.ratings.add(score)
 
+    def _find_changed(self, past: float) -> list[float]:
+        scores = list(self.recent)
+
+        def contrast(start: int) -> float:
+            count = len(scores) - start
+            return abs(sum(scores[start:]) / count - past) * sqrt(count)
+
+        start = max(range(len(scores) - LEAST_CHANGED + 1), key=contrast)
+        return scores[start:]
+
 
 @dataclass(slots=True)
 class Reliability:
--- a/packages/core/src/bergamotwood_core/frontier.py
+++ b/packages/core/src/bergamotwood_core/frontier.py
@@ -89,15 +89,6 @@
     ratings: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Mix:
-    """Two options of one class; `share` of the requests take the higher one."""
-
-    low: Option
-    high: Option
-    share: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class _Weighed:
     """Figures of one prospect as a first, a later and a last step."""
@@ -225,46 +216,6 @@
     return hull
 
 
-def allocate(
-    hulls: Sequence[Sequence[Option]], weights: Sequence[float], target: float
-) -> list[Mix]:
-    """Mix of options for each class, of least cost at a mean quality.
-
-    Parameters
-    ----------
-    hulls : sequence of sequence of Option
-        One hull for each class.
-    weights : sequence of float
-        Share of the requests in each class; they sum to 1.
-    target : float
-        Wanted mean quality over all classes.
-
-    Returns
-    -------
-    list of Mix
-        One for each class; the best quality there is if the target is too high.
-    """
-    mixes = [Mix(hull[0], hull[0]) for hull in hulls]
-    quality = sum(w * m.low.quality for w, m in zip(weights, mixes, strict=True))
-    segments = sorted(
-        (_find_slope(low, high), index, low, high)
-        for index, hull in enumerate(hulls)
-        for low, high in _list_neighbours(hull)
-    )
-    for _, index, low, high in segments:
-        if quality >= target:
-            break
-        gain = weights[index] * (high.quality - low.quality)
-        share = min(1.0, (target - quality) / gain) if gain > 0.0 else 1.0
-        mixes[index] = Mix(low, high, share)
-        quality += gain * share
-    return mixes
-
-
-def _list_neighbours(hull: Sequence[Option]) -> Iterator[tuple[Option, Option]]:
-    return zip(hull, hull[1:], strict=False)
-
-
 def _add_price(option: Option, price: float) -> Option:
     cost = option.cost + price * option.ratings
     return Option(option.steps, cost, option.quality, option.ratings)
@@ -275,8 +226,9 @@
 
 
 def _is_above(low: Option, middle: Option, high: Option) -> bool:
-    return _find_slope(low, middle) >= _find_slope(middle, high)
+    return find_slope(low, middle) >= find_slope(middle, high)
 
 
-def _find_slope(low: Option, high: Option) -> float:
+def find_slope(low: Option, high: Option) -> float:
+    """Cost of one unit of quality between two options."""
     return (high.cost - low.cost) / (high.quality - low.quality)
--- a/packages/core/src/bergamotwood_core/segment.py
+++ b/packages/core/src/bergamotwood_core/segment.py
@@ -4,8 +4,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bergamotwood_core.allocation import Mix
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.frontier import Mix, Option
+from bergamotwood_core.frontier import Option
 from bergamotwood_core.ids import RequestClass, VersionId
 from bergamotwood_core.usage import Candidate
 
--- a/tests/core/test_cascade.py
+++ b/tests/core/test_cascade.py
@@ -153,3 +153,18 @@
     for score in (float("nan"), -0.1, 1.1, float("inf")):
         policy.record_rating(key, score, Seconds(0.0))
     assert policy.take_evidence().cells == ()
+
+
+def test_last_step_is_never_rated_and_no_version_runs_twice():
+    rng = Random(3)
+    settings = CascadeSettings(ratings_per_second=100.0)
+    for seed in range(20):
+        policy = CascadePolicy(settings, Random(seed))
+        quality = {SMALL: rng.random(), LARGE: rng.random()}
+        for now in range(200):
+            plan = policy.plan(WORKSPACE, LETTERS, CANDIDATES, 400, Seconds(now * 2.0))
+            versions = [step.version for step in plan.steps]
+            assert not plan.steps[-1].rate
+            assert len(set(versions)) == len(versions)
+            score = min(quality[versions[0]] * rng.uniform(0.8, 1.2), 1.0)
+            rate(policy, versions[0], score, count=1)
--- /dev/null
+++ b/tests/core/test_estimate.py
@@ -0,0 +1,76 @@
+from random import Random
+
+import pytest
+
+from bergamotwood_core.estimate import MEMORY_RATINGS, Estimate, Reliability
+
+
+def draw(rng, good):
+    return rng.betavariate(18, 2) if rng.random() < good else rng.betavariate(4, 7)
+
+
+def test_mean_follows_the_ratings_and_its_error_shrinks():
+    rng = Random(1)
+    estimate = Estimate(0.6)
+    before = estimate.standard_error
+    scores = [draw(rng, 0.8) for _ in range(200)]
+    for score in scores:
+        estimate.add(score)
+    mean = sum(scores) / len(scores)
+    assert estimate.mean == pytest.approx(mean, abs=4 * estimate.standard_error)
+    assert estimate.standard_error < before / 3
+
+
+def test_prior_stands_without_ratings():
+    assert Estimate(0.7).mean == pytest.approx(0.7)
+
+
+def test_drop_of_quality_is_taken_up_within_few_ratings():
+    rng = Random(2)
+    estimate = Estimate(0.6)
+    for _ in range(300):
+        estimate.add(draw(rng, 0.95))
+    for _ in range(15):
+        estimate.add(draw(rng, 0.1))
+    assert estimate.mean < 0.6
+
+
+def test_slow_drift_is_followed():
+    rng = Random(3)
+    estimate = Estimate(0.6)
+    for index in range(2_000):
+        estimate.add(draw(rng, 0.9 - 0.5 * index / 2_000))
+    assert estimate.mean < 0.75
+
+
+def test_weight_is_bounded():
+    estimate = Estimate(0.6)
+    for _ in range(10_000):
+        estimate.add(0.9)
+    assert estimate.ratings.weight <= MEMORY_RATINGS
+
+
+def test_acceptance_matches_what_is_accepted():
+    rng = Random(4)
+    estimate = Estimate(0.6)
+    scores = [draw(rng, 0.7) for _ in range(250)]
+    for score in scores:
+        estimate.add(score)
+    chance, quality = estimate.list_acceptance((0.6,), 1.0)[0]
+    accepted = [score for score in scores if score >= 0.6]
+    assert chance == pytest.approx(len(accepted) / len(scores), abs=0.08)
+    assert quality == pytest.approx(sum(accepted) / len(accepted), abs=0.05)
+
+
+@pytest.mark.parametrize(
+    ("noise", "least", "most"), [(0.0, 0.97, 1.0), (1.0, 0.0, 0.4)]
+)
+def test_reliability_falls_with_noise(noise, least, most):
+    rng = Random(5)
+    reliability = Reliability()
+    for _ in range(400):
+        true, other = draw(rng, 0.7), draw(rng, 0.7)
+        first = draw(rng, 0.7) if noise else true
+        if first >= 0.6:
+            reliability.add(0.75, first, true if not noise else other)
+    assert least <= reliability.value <= most
