--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -377,15 +377,19 @@
         self._waiters.pass_over(snapshot.index)
 
     def _compact(self) -> None:
-        written = self.applied - self._journal.snapshot_index
+        journal = self._journal
+        written = self.applied - journal.snapshot_index
         if written < self._settings.snapshot_entries:
             return
+        # A large state is not written again for each few changes of it.
+        if journal.size_bytes < journal.snapshot_bytes:
+            return
         data = self._machine.snapshot()
         snapshot = self._replica.compact(
             self.applied, data, self._settings.kept_entries
         )
         tail = self._replica.get_entries_after(self.applied)
-        self._run_blocking(self._journal.compact, snapshot, tail)
+        self._run_blocking(journal.compact, snapshot, tail)
 
     def _announce_progress(self) -> None:
         self._progressed.set()
--- a/packages/daemon/src/bergamotwood_daemon/groupsettings.py
+++ b/packages/daemon/src/bergamotwood_daemon/groupsettings.py
@@ -35,7 +35,8 @@
     lease_seconds : float
         Less than `election_seconds`.
     snapshot_entries : int
-        Entries after which a snapshot replaces the log on disk.
+        Entries after which a snapshot replaces the log on disk, once the log
+        is as large as the snapshot before.
     kept_entries : int
         Entries before a snapshot that stay in memory, for followers.
     inbox_limit : int
--- a/packages/daemon/src/bergamotwood_daemon/journal.py
+++ b/packages/daemon/src/bergamotwood_daemon/journal.py
@@ -97,6 +97,11 @@
         """Bytes of the log file."""
         return self._size
 
+    @property
+    def snapshot_bytes(self) -> int:
+        """Bytes of the snapshot file."""
+        return self._snapshot_bytes
+
     def save(self, records: list[Record | Snapshot]) -> None:
         """Write records and sync them, in order."""
         batch: list[Record] = []
@@ -121,6 +126,7 @@
         """
         frame = _build_frame(_ENCODER.encode(snapshot))
         self._replace_file(SNAPSHOT_NAME, frame)
+        self._snapshot_bytes = len(frame)
         self._snapshot_index = snapshot.index
         self._begin_log(tail)
 
@@ -164,9 +170,11 @@
 
     def _read_snapshot(self) -> Snapshot | None:
         path = self._folder / SNAPSHOT_NAME
+        self._snapshot_bytes = 0
         if not path.exists():
             return None
         data = path.read_bytes()
+        self._snapshot_bytes = len(data)
         payload = _read_frame(data, 0)
         if payload is None:
             raise LogCorruptError(f"{path} is damaged")
--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -1,7 +1,7 @@
 from functools import partial
 
 import pytest
-from daemon.loggroups import NAMES, Fleet, read_clock, wait_until
+from daemon.loggroups import NAMES, Fleet, ListMachine, read_clock, wait_until
 from gevent import joinall, spawn
 
 from bergamotwood_core.errors import NotLeaderError, ReplicationError
@@ -149,6 +149,27 @@
     assert len(writes) < 50
 
 
+def test_a_large_state_is_not_written_for_each_few_changes(tmp_path):
+    class LargeMachine(ListMachine):
+        def snapshot(self):
+            return super().snapshot() + bytes(100_000)
+
+        def restore(self, snapshot):
+            super().restore(snapshot[:-100_000])
+
+    fleet = Fleet(tmp_path, names=NAMES[:1], snapshot_entries=50)
+    fleet.start(NAMES[0], LargeMachine())
+    leader = fleet.wait_for_leader()
+    propose_many(leader, 60)
+    wait_until(lambda: leader.snapshot_index >= 50)
+    first = leader.snapshot_index
+    propose_many(leader, 200)
+    assert leader.snapshot_index == first
+    propose_many(leader, 60, b"x" * 2000)
+    wait_until(lambda: leader.snapshot_index > first)
+    fleet.stop_all()
+
+
 def test_a_disk_that_fails_stops_the_replica(fleet, monkeypatch):
     leader = fleet.start_all()
 
