--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -120,7 +120,8 @@
             file.unlink()
     for name in NAMES:
         fleet.start(name)
-    wait_until(lambda: fleet.groups["a"]._replica.state.genesis is not None)
+    for name in NAMES[:2]:
+        wait_until(partial(lambda n: fleet.groups[n].membership.members != (), name))
     assert all(not group.is_leader for group in fleet.groups.values())
     voters = fleet.groups["c"].membership.voters
     assert fleet.groups["a"].membership.voters == voters
