--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -255,6 +255,7 @@
         self._call(lambda replica, now: replica.start_round(now))
         limit = asked_at + timeout
         while self._confirmed_at < asked_at:
+            self._check_running()
             if not self.is_leader:
                 raise NotLeaderError(f"{self.name}: not the leader", self.leader)
             left = limit - self._clock()
@@ -262,9 +263,12 @@
                 raise ReplicationError(f"{self.name}: no majority", run=Run.NOT_RUN)
             self._progressed.wait(min(left, self._settings.tick_seconds))
 
-    def _check_command(self, command: bytes) -> None:
+    def _check_running(self) -> None:
         if self.failure is not None or not self._running:
             raise ReplicationError(f"{self.name}: not running", run=Run.NOT_RUN)
+
+    def _check_command(self, command: bytes) -> None:
+        self._check_running()
         if len(command) > self._settings.command_bytes:
             raise ReplicationError(
                 f"{self.name}: command of {len(command)} bytes",
@@ -283,8 +287,7 @@
             self._progressed.wait(self._settings.tick_seconds)
 
     def _call(self, action: Callable[[Replica, Seconds], object]) -> object:
-        if self.failure is not None or not self._running:
-            raise ReplicationError(f"{self.name}: not running", run=Run.NOT_RUN)
+        self._check_running()
         call = Call(action, AsyncResult())
         self._inbox.put(call)
         return call.result.get()
@@ -295,11 +298,14 @@
             sleep(self._settings.tick_seconds)
 
     def _work(self) -> None:
+        batch: list[Input] = []
         try:
             while self._running:
-                self._take_batch(self._wait_for_inputs())
+                batch = self._wait_for_inputs()
+                self._take_batch(batch)
         except Exception as error:
             self.failure = error
+            self._fail_inputs(batch, str(error))
             self._fail_waiting(str(error))
             raise
 
@@ -397,10 +403,18 @@
 
     def _fail_waiting(self, detail: str) -> None:
         self._waiters.fail(f"{self.name}: {detail}")
-        while self._inbox.qsize() > 0:
-            item = self._inbox.get_nowait()
-            if isinstance(item, Proposal | Call):
-                error = ReplicationError(f"{self.name}: {detail}", run=Run.NOT_RUN)
+        inputs = [self._inbox.get_nowait() for _ in range(self._inbox.qsize())]
+        self._fail_inputs(inputs, detail)
+
+    def _fail_inputs(self, inputs: list[Input], detail: str) -> None:
+        error = ReplicationError(f"{self.name}: {detail}", run=Run.NOT_RUN)
+        for item in inputs:
+            if (
+                isinstance(item, Proposal)
+                and not item.appended
+                or isinstance(item, Call)
+                and not item.result.ready()
+            ):
                 item.result.set_exception(error)
 
     def _run_blocking(self, function: Callable, *arguments: object) -> object:
--- a/tests/core/logcluster.py
+++ b/tests/core/logcluster.py
@@ -372,8 +372,8 @@
         if newest is None:
             return False
         voters = set(newest.replica.membership.voters)
-        alive = {other.disk.replica for other in self.nodes.values()}
-        return len(voters) == len(self.names) and voters <= alive
+        kept = {o.disk.replica for o in self.nodes.values() if o is not node}
+        return len(voters - kept) <= (len(voters) - 1) // 2
 
     def _send(self, node, messages: list[Outgoing]):
         for outgoing in messages:
--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -139,6 +139,34 @@
     fleet.stop_all()
 
 
+def test_a_group_grows_when_its_settings_name_more_instances(tmp_path):
+    fleet = Fleet(tmp_path, names=NAMES[:1])
+    leader = fleet.start_all()
+    propose_many(leader, 20)
+    fleet.stop_all()
+    fleet.names = NAMES
+    fleet.start_all()
+    wait_until(lambda: len(fleet.wait_for_leader().membership.voters) == 3)
+    for name in NAMES:
+        wait_until(partial(lambda n: len(fleet.machines[n].commands) == 20, name))
+    fleet.stop_all()
+
+
+def test_a_replica_that_fails_answers_all_that_waits(fleet, monkeypatch):
+    leader = fleet.start_all()
+
+    def fail(commands, now):
+        raise OSError("broken")
+
+    monkeypatch.setattr(leader._replica, "propose", fail)
+    waiting = spawn(leader.propose, b"one", 10.0)
+    reading = spawn(leader.read_barrier, 10.0)
+    joinall([waiting, reading], timeout=10.0)
+    assert isinstance(waiting.exception, ReplicationError)
+    assert waiting.exception.run is Run.NOT_RUN
+    assert reading.ready()
+
+
 def test_many_proposals_share_a_write(fleet, monkeypatch):
     leader = fleet.start_all()
     writes = []
