Order loads, hedge short calls, trace each hop and encrypt both listeners

Loads go out under the leader's lease with term and index, checked again after the dial; calls of plain services that are later than the 95th percentile get a second attempt within the retry budget; each attempt, bill and request is a span in the caller's W3C trace, exported as OTLP JSON lines; TLS files are taken up again when they change. A path is quoted again before it goes into a request line: a decoded line break would have ended the header.

--- a/packages/daemon/src/bergamotwood_daemon/answer.py
+++ b/packages/daemon/src/bergamotwood_daemon/answer.py
@@ -202,7 +202,6 @@
             Header("X-Request-Id", self._work.id),
             Header("Bergamotwood-Version", self.version.id),
             Header("Bergamotwood-Resume-From", str(self._assembler.next_index)),
-            Header("Traceparent", self._work.trace_parent),
         )
         wait = self._entry.settings.timeouts.first_chunk
         return Outgoing("POST", CHAT_PATH, headers, json.encode(document), wait)
--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from gevent import sleep, spawn
+from opentelemetry.trace import Span
 
 from bergamotwood_core.control import ClearSuspect, RecordCrash, encode_command
 from bergamotwood_core.dispatch import check_dispatch
@@ -28,6 +29,7 @@
 from bergamotwood_daemon.endpointcall import EndpointCall, Header
 from bergamotwood_daemon.entry import Entry, Work
 from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.tracing import format_parent
 
 MAX_ATTEMPTS = 3
 MAX_DIALS = 4
@@ -72,8 +74,11 @@
         From dispatch to the first token.
     """
 
-    def __init__(self, entry: Entry, work: Work, row: Endpoint, call: EndpointCall):
+    def __init__(
+        self, entry: Entry, work: Work, row: Endpoint, call: EndpointCall, span: Span
+    ) -> None:
         self.call = call
+        self._span = span
         self.endpoint = row.id
         self.incarnation = row.announcement.incarnation
         self.started_at = entry.clock()
@@ -83,6 +88,7 @@
         self._row = row
         self._isolated = False
         self._open = True
+        work.running.add(row.id)
         record_start(row, self.started_at)
 
     def isolate(self) -> bool:
@@ -123,6 +129,9 @@
         was_open = self._open
         self._open = False
         self.call.close()
+        if was_open:
+            self._work.running.discard(self.endpoint)
+            self._span.end()
         if self._isolated:
             self._entry.isolation.stop(self._work.fingerprint, self.endpoint)
         return was_open
@@ -143,11 +152,12 @@
     refused: EndpointError | RefusedError | None = None
     for _ in range(MAX_DIALS):
         row = _choose_row(entry, work, target, refused)
+        span = work.trace.open_span("attempt", target=target.name, endpoint=row.id)
         call = EndpointCall(
             row.announcement.address,
             outgoing.method,
             outgoing.path,
-            outgoing.headers,
+            (*outgoing.headers, Header("Traceparent", format_parent(span))),
             outgoing.body,
         )
         try:
@@ -156,10 +166,14 @@
             work.excluded.add(row.id)
             refused = error
             _note_dial_failure(entry, row)
+            span.end()
             continue
         try:
-            return _dispatch(entry, work, target, row, call, outgoing.wait_seconds)
+            return _dispatch(
+                entry, work, target, row, call, span, outgoing.wait_seconds
+            )
         except RefusedError as error:
+            span.end()
             call.close()
             if error.code is not Code.NO_ENDPOINT:
                 raise
@@ -208,7 +222,7 @@
     target: Target,
     refused: EndpointError | RefusedError | None,
 ) -> Endpoint:
-    excluded = frozenset(work.excluded)
+    excluded = frozenset(work.excluded | work.running)
     if work.suspect:
         excluded |= entry.isolation.endpoints
     need = Need(
@@ -231,6 +245,7 @@
     target: Target,
     row: Endpoint,
     call: EndpointCall,
+    span: Span,
     wait_seconds: float,
 ) -> OpenAttempt:
     now = entry.clock()
@@ -245,7 +260,7 @@
         entry.settings.max_config_age_seconds,
         work.fingerprint,
     )
-    attempt = OpenAttempt(entry, work, row, call)
+    attempt = OpenAttempt(entry, work, row, call, span)
     if isinstance(clearance, Isolated) or work.suspect:
         work.suspect = True
         if not attempt.isolate():
--- a/packages/daemon/src/bergamotwood_daemon/billing.py
+++ b/packages/daemon/src/bergamotwood_daemon/billing.py
@@ -12,6 +12,7 @@
 )
 from bergamotwood_core.states import BillOutcome, Run
 from bergamotwood_daemon.entry import Entry, Work
+from bergamotwood_daemon.tracing import Trace
 
 _REFUSALS = {
     BillOutcome.CONFLICT: (Code.KEY_CONFLICT, "its key stands for another request"),
@@ -33,7 +34,7 @@
     )
 
 
-def commit_bill(entry: Entry, bill: Bill) -> None:
+def commit_bill(entry: Entry, bill: Bill, trace: Trace) -> None:
     """Commit a bill; a request that was billed before is not billed again.
 
     Raises
@@ -42,6 +43,7 @@
         The ledger did not confirm it, or refused it.
     """
     command = encode_command(RecordBill(bill))
+    span = trace.open_span("bill", request=bill.request, cost=bill.cost)
     try:
         reply = entry.ledger.propose(command, entry.settings.timeouts.ledger)
     except ReplicationError as error:
@@ -53,6 +55,8 @@
             Run.RAN,
             retry_after=2.0,
         ) from error
+    finally:
+        span.end()
     answer = decode_answer(reply)
     refused = isinstance(answer, BillAnswer) and _REFUSALS.get(answer.outcome)
     if refused:
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -262,7 +262,8 @@
 
     def _bill(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
         self._learn(call, answer)
-        commit_bill(self._entry, make_bill(call.work, call.key, call.digest))
+        bill = make_bill(call.work, call.key, call.digest)
+        commit_bill(self._entry, bill, call.work.trace)
         return self._make_receipt(call, answer)
 
     def _make_receipt(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
@@ -321,6 +322,7 @@
 
     def _enter(self, call: ChatCall, version: VersionId) -> None:
         work = call.work
+        work.trace.annotate(request=work.id, workspace=work.workspace.name)
         self._entry.claims.check_room()
         self._entry.retries.record_offered()
         self._admittance.enter(work, version)
@@ -331,3 +333,4 @@
     def _leave(self, call: ChatCall) -> None:
         self._entry.tables.in_flight.pop(call.work.id, None)
         self._admittance.leave(call.work.id)
+        call.work.trace.end()
--- a/packages/daemon/src/bergamotwood_daemon/chatcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/chatcall.py
@@ -30,7 +30,7 @@
 from bergamotwood_core.states import Priority, VersionState
 from bergamotwood_core.tables import ConfigurationTables
 from bergamotwood_daemon.entry import Entry, Work
-from bergamotwood_daemon.tracing import read_trace_parent
+from bergamotwood_daemon.tracing import Trace
 from bergamotwood_daemon.web import WebRequest
 
 CHARACTERS_PER_TOKEN = 4
@@ -123,7 +123,7 @@
         idempotent=request.read_header("bergamotwood-idempotent") != "false",
         priority=_read_priority(request),
         session=SessionId(session) if session else None,
-        trace_parent=read_trace_parent(request, id),
+        trace=Trace(entry.tracer, request, f"{request.method} {request.path}"),
     )
 
 
--- a/packages/daemon/src/bergamotwood_daemon/claims.py
+++ b/packages/daemon/src/bergamotwood_daemon/claims.py
@@ -88,6 +88,7 @@
         self._timeout = timeout_seconds
         self._rng = rng
         self.settling = 0
+        self.running = 0
 
     def run_once(
         self,
@@ -168,6 +169,7 @@
     def _run_to_end(
         self, request: KeyedRequest, act: Callable[[], Ran], outcome: AsyncResult
     ) -> None:
+        self.running += 1
         try:
             ran = act()
         except BergamotwoodError as error:
@@ -178,6 +180,8 @@
             self.settle(self._make_finish(request, None))
             outcome.set_exception(error)
             return
+        finally:
+            self.running -= 1
         finish = self._make_finish(request, ran)
         try:
             self._ledger.propose(encode_command(finish), self._timeout)
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -13,6 +13,7 @@
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.ledger import LedgerMachine
 from bergamotwood_core.messages import Address
+from bergamotwood_core.orders import LoadPace
 from bergamotwood_core.outcome import OutcomeCounter
 from bergamotwood_core.tables import Tables
 from bergamotwood_daemon.admittance import Admittance
@@ -21,6 +22,7 @@
 from bergamotwood_daemon.claims import Claims
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.directoryfeed import DirectoryFeed
+from bergamotwood_daemon.encryption import PeerEncryption, ServerEncryption
 from bergamotwood_daemon.entry import Entry
 from bergamotwood_daemon.feed import ControlFeed
 from bergamotwood_daemon.group import LogGroup
@@ -28,6 +30,7 @@
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.metrics import Metrics
 from bergamotwood_daemon.operations import Operations
+from bergamotwood_daemon.ordering import Ordering
 from bergamotwood_daemon.peer import (
     GroupTransport,
     PeerChannel,
@@ -42,6 +45,7 @@
 from bergamotwood_daemon.services import Services
 from bergamotwood_daemon.settings import Settings
 from bergamotwood_daemon.ticker import Ticker
+from bergamotwood_daemon.tracing import make_tracer
 from bergamotwood_daemon.watch import Watch
 from bergamotwood_daemon.web import Response, WebRequest, answer_json
 
@@ -65,15 +69,22 @@
         self.rng = Random(SystemRandom().getrandbits(64))
         self.incarnation = time_ns() // NANOSECONDS_PER_MICROSECOND
         self._stopping = Event()
+        self._peer_tls = (
+            PeerEncryption(settings.peer_tls) if settings.peer_tls else None
+        )
+        self._tls = ServerEncryption(settings.tls) if settings.tls else None
+        self._tracing = make_tracer(settings.instance, settings.trace_file)
         self.replicas = self._make_replicas() if settings.is_control else None
         self.entry = self._make_entry()
         self.metrics = Metrics(self.entry, self.replicas)
         self.admittance = Admittance(self.entry.admission, read_clock)
         self._peer_server = PeerServer(
-            self.replicas or _NoReplicas(), settings.instance_key
+            self.replicas or _NoReplicas(), settings.instance_key, self._peer_tls
         )
         self._server = self._make_server()
-        self._ticker = Ticker(self.entry, self.admittance, self.replicas)
+        self._ticker = Ticker(
+            self.entry, self.admittance, self.replicas, self._make_ordering(), self._tls
+        )
 
     def start(self) -> None:
         """Listen and begin to follow the control log."""
@@ -108,7 +119,7 @@
         """Leave the addresses, serve on, then finish what is in flight."""
         self.entry.watch.report_now()
         sleep(self.settings.timeouts.drain)
-        while self.entry.tables.in_flight or self.entry.claims.settling:
+        while self._has_work():
             sleep(STOP_POLL_SECONDS)
         self._server.stop(timeout=self.settings.timeouts.drain)
         self._ticker.stop()
@@ -116,9 +127,15 @@
         if self.replicas is not None:
             self.replicas.stop()
             self._peer_server.stop(PEER_GRACE_SECONDS)
+        self._tracing.shutdown()
         log_event("daemon", "Stopped.")
         self._stopping.set()
 
+    def _has_work(self) -> bool:
+        """Whether a request runs, or its end is not committed yet."""
+        claims = self.entry.claims
+        return bool(self.entry.tables.in_flight or claims.running or claims.settling)
+
     def _make_channels(self) -> dict[InstanceId, PeerChannel]:
         """Make channels of their own for one purpose, this instance's first."""
         addresses = sorted(
@@ -126,7 +143,9 @@
         )
         return {
             InstanceId(replica.id): PeerChannel(
-                Address(replica.host, replica.port), self.settings.instance_key
+                Address(replica.host, replica.port),
+                self.settings.instance_key,
+                self._peer_tls,
             )
             for replica in addresses
         }
@@ -177,6 +196,19 @@
             Random(self.rng.getrandbits(64)),
         )
 
+    def _make_ordering(self) -> Ordering | None:
+        if self.replicas is None:
+            return None
+        store = self.settings.weight_store
+        return Ordering(
+            self.replicas.control,
+            self.replicas.control_machine,
+            self.replicas.directory.tables,
+            LoadPace(store.loads_per_second, store.burst),
+            self.settings.order_key,
+            read_clock,
+        )
+
     def _make_entry(self) -> Entry:
         settings = self.settings
         source = f"{settings.instance}-{self.incarnation}"
@@ -208,6 +240,7 @@
             policy=policy,
             admission=Admission(AdmissionSettings()),
             outcomes=outcomes,
+            tracer=self._tracing.get_tracer("bergamotwood"),
             incarnation=self.incarnation,
         )
         self.presence = Presence(entry)
@@ -221,8 +254,9 @@
         application = Application(
             self._make_routes(), self.settings.limits, self.presence.list_others
         )
+        tls = {"ssl_context": self._tls.context} if self._tls else {}
         return WSGIServer(
-            (listen.host, listen.port), application, log=None, error_log=None
+            (listen.host, listen.port), application, log=None, error_log=None, **tls
         )
 
     def _make_routes(self) -> tuple[Route, ...]:
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/encryption.py
@@ -0,0 +1,106 @@
+"""TLS: certificates from files, taken up again when the files change."""
+
+from pathlib import Path
+from ssl import CERT_REQUIRED, PROTOCOL_TLS_SERVER, SSLContext, SSLError
+
+import grpc
+
+from bergamotwood_core.errors import SettingsError
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.settings import Tls
+
+
+def _read_stamp(tls: Tls) -> tuple[int, ...]:
+    paths = (tls.certificate, tls.key, tls.authority)
+    return tuple(path.stat().st_mtime_ns for path in paths if path is not None)
+
+
+class ServerEncryption:
+    """TLS of the HTTP server; new connections use the newest files.
+
+    Parameters
+    ----------
+    tls : Tls
+        The files.
+
+    Raises
+    ------
+    SettingsError
+        The files cannot be used.
+    """
+
+    def __init__(self, tls: Tls) -> None:
+        self.context = SSLContext(PROTOCOL_TLS_SERVER)
+        self._tls = tls
+        try:
+            self._stamp = _read_stamp(tls)
+            self._load()
+        except (OSError, SSLError) as error:
+            raise SettingsError(f"tls: {error}") from error
+
+    def reload(self) -> bool:
+        """Take up changed files; a broken pair leaves the old one in use."""
+        try:
+            stamp = _read_stamp(self._tls)
+            if stamp == self._stamp:
+                return False
+            self._stamp = stamp
+            self._load()
+        except (OSError, SSLError) as error:
+            log_event("tls", "Changed files not usable.", detail=str(error))
+            return False
+        log_event("tls", "Files reloaded.")
+        return True
+
+    def _load(self) -> None:
+        self.context.load_cert_chain(self._tls.certificate, self._tls.key)
+        if self._tls.authority is not None:
+            self.context.load_verify_locations(self._tls.authority)
+            self.context.verify_mode = CERT_REQUIRED
+
+
+class PeerEncryption:
+    """Mutual TLS between instances, from files that may change.
+
+    Parameters
+    ----------
+    tls : Tls
+        The files; both ends must be signed by the authority.
+    """
+
+    def __init__(self, tls: Tls) -> None:
+        self._tls = tls
+        self._stamp = _read_stamp(tls)
+
+    def make_channel_credentials(self) -> grpc.ChannelCredentials:
+        """Read the files for one new channel."""
+        return grpc.ssl_channel_credentials(
+            _read(self._tls.authority),
+            _read(self._tls.key),
+            _read(self._tls.certificate),
+        )
+
+    def make_server_credentials(self) -> grpc.ServerCredentials:
+        """Make credentials that look for changed files at each handshake."""
+        return grpc.dynamic_ssl_server_credentials(
+            self._make_configuration(),
+            self._fetch_configuration,
+            require_client_authentication=True,
+        )
+
+    def _fetch_configuration(self) -> grpc.ServerCertificateConfiguration | None:
+        stamp = _read_stamp(self._tls)
+        if stamp == self._stamp:
+            return None
+        self._stamp = stamp
+        return self._make_configuration()
+
+    def _make_configuration(self) -> grpc.ServerCertificateConfiguration:
+        pair = (_read(self._tls.key), _read(self._tls.certificate))
+        return grpc.ssl_server_certificate_configuration(
+            [pair], _read(self._tls.authority)
+        )
+
+
+def _read(path: Path | None) -> bytes | None:
+    return path.read_bytes() if path is not None else None
--- a/packages/daemon/src/bergamotwood_daemon/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/entry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from opentelemetry.trace import Tracer
+
 from bergamotwood_core.admission import Admission
 from bergamotwood_core.cascade import CascadePolicy
 from bergamotwood_core.clock import Seconds
@@ -23,6 +25,7 @@
 from bergamotwood_daemon.claims import Claims
 from bergamotwood_daemon.proposer import Proposer
 from bergamotwood_daemon.settings import Settings
+from bergamotwood_daemon.tracing import Trace
 from bergamotwood_daemon.watch import Watch
 
 
@@ -52,6 +55,8 @@
         Fair shares and shedding.
     outcomes : OutcomeCounter
         Evidence on roll-outs.
+    tracer : Tracer
+        Source of spans.
     incarnation : int
         Tells the starts of this daemon apart.
     """
@@ -67,6 +72,7 @@
     policy: CascadePolicy
     admission: Admission
     outcomes: OutcomeCounter
+    tracer: Tracer
     incarnation: int
     retries: RetryBudget = field(default_factory=RetryBudget)
     isolation: Isolation = field(default_factory=Isolation)
@@ -114,12 +120,14 @@
         Hash of the start of the prompt.
     session : SessionId or None
         Session that the caller named.
-    trace_parent : str
-        W3C trace context of the hop.
+    trace : Trace
+        Spans of the request.
     attempts : list of Attempt
         What was dispatched, for the bill.
     excluded : set of EndpointId
         Endpoints that failed it.
+    running : set of EndpointId
+        Endpoints that run it now, which a hedge avoids.
     suspect : bool
         Whether an endpoint crashed under it at this entry.
     """
@@ -128,11 +136,12 @@
     workspace: Workspace
     fingerprint: Fingerprint
     deadline: Seconds
+    trace: Trace
     idempotent: bool = True
     priority: Priority = Priority.NORMAL
     prefix_hash: int | None = None
     session: SessionId | None = None
-    trace_parent: str = ""
     attempts: list[Attempt] = field(default_factory=list)
     excluded: set[EndpointId] = field(default_factory=set)
+    running: set[EndpointId] = field(default_factory=set)
     suspect: bool = False
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/ordering.py
@@ -0,0 +1,112 @@
+"""Orders to endpoints, sent only under the leader's lease."""
+
+from collections.abc import Callable
+
+from gevent import spawn
+from msgspec import Struct, json
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.control import ControlMachine
+from bergamotwood_core.errors import EndpointError
+from bergamotwood_core.orders import LoadOrder, LoadPace, OrderTables, order_loads
+from bergamotwood_core.tables import DirectoryTables
+from bergamotwood_daemon.endpointcall import EndpointCall, Header
+from bergamotwood_daemon.group import LogGroup
+from bergamotwood_daemon.log import log_event
+
+ORDER_PATH = "/v1/orders"
+CONNECT_SECONDS = 1.0
+ORDER_SECONDS = 10.0
+MAX_REPLY_BYTES = 65_536
+
+
+class OrderBody(Struct, frozen=True):
+    """An order as endpoints take it."""
+
+    order: str
+    version: str
+    term: int
+    index: int
+
+
+class Ordering:
+    """Decides and sends the orders of one control replica.
+
+    Parameters
+    ----------
+    group : LogGroup
+        The control group, for lease and token.
+    machine : ControlMachine
+        What should be loaded.
+    directory : DirectoryTables
+        What is loaded.
+    pace : LoadPace
+        The weight store's limit.
+    key : str
+        Shown to endpoints.
+    clock : callable
+        Gives the time.
+    """
+
+    def __init__(
+        self,
+        group: LogGroup,
+        machine: ControlMachine,
+        directory: DirectoryTables,
+        pace: LoadPace,
+        key: str,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._group = group
+        self._machine = machine
+        self._directory = directory
+        self._pace = pace
+        self._key = key
+        self._clock = clock
+        self._tables = OrderTables()
+
+    def tick(self, now: Seconds) -> None:
+        """Send the loads that are due."""
+        holds_lease = self._group.holds_lease(now)
+        token = self._group.fencing_token() if holds_lease else None
+        orders = order_loads(
+            self._machine.tables, self._directory, self._tables, token, self._pace, now
+        )
+        for order in orders:
+            spawn(self._send, order)
+
+    def _send(self, order: LoadOrder) -> None:
+        body = OrderBody("load", order.version, order.token.term, order.token.index)
+        headers = (
+            Header("Content-Type", "application/json"),
+            Header("Authorization", f"Bearer {self._key}"),
+        )
+        call = EndpointCall(
+            order.address, "POST", ORDER_PATH, headers, json.encode(body)
+        )
+        try:
+            call.dial(CONNECT_SECONDS)
+            # The lease may have ended while the connection was dialled.
+            if not self._holds_token(order):
+                return
+            call.send(ORDER_SECONDS)
+            call.read_all(ORDER_SECONDS, MAX_REPLY_BYTES)
+            self._log(order, f"Endpoint answered {call.status}.")
+        except EndpointError as error:
+            self._log(order, f"Order failed: {error.detail}.")
+        finally:
+            call.close()
+
+    def _holds_token(self, order: LoadOrder) -> bool:
+        same_term = self._group.term == order.token.term
+        return same_term and self._group.holds_lease(self._clock())
+
+    def _log(self, order: LoadOrder, sentence: str) -> None:
+        log_event(
+            "orders",
+            sentence,
+            endpoint=order.endpoint,
+            version=order.version,
+            term=order.token.term,
+            index=order.token.index,
+        )
--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -12,6 +12,7 @@
 from bergamotwood_core.errors import BergamotwoodError, Code, ReplicationError
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.messages import Address
+from bergamotwood_daemon.encryption import PeerEncryption
 from bergamotwood_daemon.peer_pb2 import Frame
 from bergamotwood_daemon.peer_pb2_grpc import (
     PeerServicer,
@@ -79,11 +80,16 @@
         Where calls go.
     key : str
         Instance key that every caller must show.
+    encryption : PeerEncryption or None
+        TLS, where the settings have it.
     """
 
-    def __init__(self, handler: PeerHandler, key: str) -> None:
+    def __init__(
+        self, handler: PeerHandler, key: str, encryption: PeerEncryption | None = None
+    ) -> None:
         self._handler = handler
         self._key = key
+        self._encryption = encryption
         self._server = grpc.server(
             ThreadPoolExecutor(max_workers=MAX_WORKERS), options=SERVER_OPTIONS
         )
@@ -91,7 +97,7 @@
 
     def start(self, address: Address) -> None:
         """Listen on `address`."""
-        if self._server.add_insecure_port(str(address)) == 0:
+        if self._bind(str(address)) == 0:
             raise OSError(f"peer_listen: cannot listen on {address}")
         self._server.start()
 
@@ -115,6 +121,12 @@
         """Answer a query."""
         return self._answer(self._handler.handle_query, request, context)
 
+    def _bind(self, address: str) -> int:
+        if self._encryption is None:
+            return self._server.add_insecure_port(address)
+        credentials = self._encryption.make_server_credentials()
+        return self._server.add_secure_port(address, credentials)
+
     def _answer(
         self,
         handle: Callable[[bytes], bytes],
@@ -135,8 +147,11 @@
 class PeerChannel:
     """Calls to one peer; a call that times out makes the next one dial anew."""
 
-    def __init__(self, address: Address, key: str) -> None:
+    def __init__(
+        self, address: Address, key: str, encryption: PeerEncryption | None = None
+    ) -> None:
         self._address = address
+        self._encryption = encryption
         self._metadata = ((KEY_HEADER, key),)
         self._channel: grpc.Channel | None = None
 
@@ -168,11 +183,16 @@
 
     def _open(self) -> grpc.Channel:
         if self._channel is None:
-            self._channel = grpc.insecure_channel(
-                str(self._address), options=CHANNEL_OPTIONS
-            )
+            self._channel = self._dial()
         return self._channel
 
+    def _dial(self) -> grpc.Channel:
+        target = str(self._address)
+        if self._encryption is None:
+            return grpc.insecure_channel(target, options=CHANNEL_OPTIONS)
+        credentials = self._encryption.make_channel_credentials()
+        return grpc.secure_channel(target, credentials, options=CHANNEL_OPTIONS)
+
     def _drop(self, channel: grpc.Channel) -> None:
         if self._channel is channel:
             self._channel = None
--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -1,6 +1,9 @@
 """`ANY /v1/services/{service}/{path}`: plain services behind the router."""
 
 from dataclasses import dataclass
+from urllib.parse import quote
+
+from gevent import GreenletExit
 
 from bergamotwood_core.configuration import Service
 from bergamotwood_core.errors import (
@@ -29,10 +32,13 @@
 from bergamotwood_daemon.claims import KeyedRequest, Ran
 from bergamotwood_daemon.endpointcall import Header
 from bergamotwood_daemon.entry import Entry, Work
+from bergamotwood_daemon.hedging import run_hedged
 from bergamotwood_daemon.web import Response, WebRequest
 
 # Methods that RFC 9110 defines as safe.
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+# Characters that RFC 3986 allows in a path as they are.
+PATH_CHARACTERS = "/:@!$&'()*+,;=-._~"
 PASSED_HEADERS = ("content-type", "accept", "accept-language")
 
 
@@ -124,12 +130,13 @@
             if (value := _read_passed(request, name))
         ]
         headers.append(Header("X-Request-Id", work.id))
-        headers.append(Header("Traceparent", work.trace_parent))
         key = read_key(request)
         if key is not None:
             headers.append(Header("Idempotency-Key", key))
         query = request.environ.get("QUERY_STRING", "")
-        target = f"/{path}?{query}" if query else f"/{path}"
+        # The server has decoded the path, so that it may hold any character.
+        quoted = "/" + quote(path.encode("latin-1"), safe=PATH_CHARACTERS)
+        target = f"{quoted}?{query}" if query else quoted
         timeouts = self._entry.settings.timeouts
         wait = timeouts.call if work.idempotent else timeouts.late
         return Outgoing(
@@ -141,14 +148,17 @@
         while True:
             attempts += 1
             try:
-                answer = self._attempt(call)
+                answer = run_hedged(
+                    lambda: self._attempt(call), self._entry.hedges, self._entry.clock
+                )
                 break
             except EndpointError as error:
                 if error.run is Run.RAN:
                     raise
                 if not allow_retry(self._entry, call.work, attempts):
                     raise
-        commit_bill(self._entry, make_bill(call.work, call.key, call.digest))
+        bill = make_bill(call.work, call.key, call.digest)
+        commit_bill(self._entry, bill, call.work.trace)
         return answer
 
     def _answer_once(self, call: ServiceCall) -> StoredAnswer:
@@ -187,6 +197,9 @@
             reset = error.code is Code.STREAM_BROKEN
             settle_failure(self._entry, call.work, attempt, reset)
             raise
+        except GreenletExit:
+            attempt.cancel()
+            raise
         return self._close(call, attempt, body)
 
     def _close(
@@ -209,6 +222,7 @@
 
     def _enter(self, call: ServiceCall) -> None:
         work = call.work
+        work.trace.annotate(request=work.id, workspace=work.workspace.name)
         self._entry.claims.check_room()
         self._entry.retries.record_offered()
         self._admittance.enter(work, call.service.name)
@@ -219,6 +233,7 @@
     def _leave(self, work: Work) -> None:
         self._entry.tables.in_flight.pop(work.id, None)
         self._admittance.leave(work.id)
+        work.trace.end()
 
 
 def _read_passed(request: WebRequest, name: str) -> str | None:
--- a/packages/daemon/src/bergamotwood_daemon/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -101,6 +101,37 @@
     drain: PositiveSeconds = 6.0
 
 
+class Tls(_Part):
+    """Files of a certificate, its key, and the authority that peers must show.
+
+    Parameters
+    ----------
+    certificate, key : Path
+        PEM files of this instance.
+    authority : Path or None
+        PEM file; callers must then show a certificate signed by it.
+    """
+
+    certificate: Path
+    key: Path
+    authority: Path | None = None
+
+
+class WeightStore(_Part):
+    """The weight store's limit, to which orders are paced.
+
+    Parameters
+    ----------
+    loads_per_second : float
+        Loads that it serves in the long run.
+    burst : int
+        Loads that may start at once.
+    """
+
+    loads_per_second: float = Field(gt=0.0, le=1_000.0, default=1.0)
+    burst: int = Field(ge=1, le=1_000, default=2)
+
+
 class Settings(_Part):
     """Everything a daemon is told at its start.
 
@@ -134,6 +165,12 @@
         Shown to endpoints with orders.
     trace_file : Path or None
         Where spans are written as OTLP JSON lines.
+    tls : Tls or None
+        Encrypts what callers, endpoints and operators send.
+    peer_tls : Tls or None
+        Encrypts what instances send each other; needs `authority`.
+    weight_store : WeightStore
+        Limit of the loads that are ordered.
     allow_plain : bool
         Whether it may listen beyond loopback without encryption.
     """
@@ -156,6 +193,9 @@
     rating_address: Listen | None = None
     trace_file: Path | None = None
     allow_plain: bool = False
+    tls: Tls | None = None
+    peer_tls: Tls | None = None
+    weight_store: WeightStore = WeightStore()
     limits: Limits = Limits()
     timeouts: Timeouts = Timeouts()
 
--- a/packages/daemon/src/bergamotwood_daemon/settingscheck.py
+++ b/packages/daemon/src/bergamotwood_daemon/settingscheck.py
@@ -30,6 +30,7 @@
     yield from _check_control(document)
     yield from _check_replicas(document)
     yield from _check_plain(document)
+    yield from _check_peer_tls(document)
     yield from _check_secrets(document)
     yield from _check_drain(document)
 
@@ -64,15 +65,21 @@
 def _check_plain(document: Mapping[str, Any]) -> Iterator[str]:
     if document.get("allow_plain") is True:
         return
-    for name in ("listen", "peer_listen"):
+    for name, tls in (("listen", "tls"), ("peer_listen", "peer_tls")):
         host = _find(document.get(name), "host")
-        if _is_beyond_loopback(host):
+        if _is_beyond_loopback(host) and not document.get(tls):
             yield (
                 f"{name}.host: {host!r} without encryption; must be a loopback "
-                "address, or set allow_plain: true"
+                f"address, or set {tls}, or allow_plain: true"
             )
 
 
+def _check_peer_tls(document: Mapping[str, Any]) -> Iterator[str]:
+    tls = document.get("peer_tls")
+    if tls and not _find(tls, "authority"):
+        yield "peer_tls.authority: is required, since instances check each other"
+
+
 def _check_secrets(document: Mapping[str, Any]) -> Iterator[str]:
     seen: dict[str, str] = {}
     for name in SECRETS:
--- a/packages/daemon/src/bergamotwood_daemon/ticker.py
+++ b/packages/daemon/src/bergamotwood_daemon/ticker.py
@@ -12,14 +12,17 @@
 from bergamotwood_core.states import RolloutState
 from bergamotwood_core.tables import ConfigurationTables
 from bergamotwood_daemon.admittance import Admittance
+from bergamotwood_daemon.encryption import ServerEncryption
 from bergamotwood_daemon.entry import Entry
 from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.log import log_event, log_failure
+from bergamotwood_daemon.ordering import Ordering
 from bergamotwood_daemon.replicas import Replicas
 
 TICK_SECONDS = 0.05
 COMMIT_SECONDS = 2.0
 LEDGER_TICK_SECONDS = 10.0
+SLOW_TICK_SECONDS = 0.5
 ACTIVE_STATES = (RolloutState.RUNNING, RolloutState.PAUSED)
 
 
@@ -34,16 +37,28 @@
         Requests that wait.
     replicas : Replicas or None
         The control role, where the instance has it.
+    ordering : Ordering or None
+        Orders to endpoints, with the control role.
+    tls : ServerEncryption or None
+        Files to look at for changes.
     """
 
     def __init__(
-        self, entry: Entry, admittance: Admittance, replicas: Replicas | None
+        self,
+        entry: Entry,
+        admittance: Admittance,
+        replicas: Replicas | None,
+        ordering: Ordering | None,
+        tls: ServerEncryption | None,
     ) -> None:
+        self._ordering = ordering
+        self._tls = tls
         self._entry = entry
         self._admittance = admittance
         self._replicas = replicas
         self._greenlet = None
         self._ledger_time = entry.clock()
+        self._slow_at = entry.clock()
 
     def start(self) -> None:
         """Begin to tick."""
@@ -68,6 +83,7 @@
         self._admittance.expire(now)
         self._admittance.set_limits(self._entry.tables.directory, now)
         self._watch_rollouts(self._entry.tables.configuration)
+        self._run_slow_systems(now)
         if self._replicas is None:
             return
         self._replicas.expire(now)
@@ -75,6 +91,16 @@
             self._advance_rollouts(now)
         self._pass_ledger_time(now)
 
+    def _run_slow_systems(self, now: Seconds) -> None:
+        """Run what a tick in ten is enough for."""
+        if now - self._slow_at < SLOW_TICK_SECONDS:
+            return
+        self._slow_at = now
+        if self._tls is not None:
+            self._tls.reload()
+        if self._ordering is not None:
+            self._ordering.tick(now)
+
     def _watch_rollouts(self, tables: ConfigurationTables) -> None:
         """Count outcomes under each roll-out that is under way."""
         outcomes = self._entry.outcomes
--- /dev/null
+++ b/tests/daemon/test_hedging.py
@@ -0,0 +1,81 @@
+import pytest
+from gevent import sleep
+from gevent.event import Event
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import EndpointError
+from bergamotwood_core.retry import HEDGE_MIN_SAMPLES, HedgeBudget, RetryBudget
+from bergamotwood_daemon.hedging import run_hedged
+
+
+class Attempts:
+    """Attempts that end as the test says: an answer, an error, or never."""
+
+    def __init__(self, *ends):
+        self.ends = list(ends)
+        self.started = 0
+        self.cancelled = 0
+
+    def __call__(self):
+        end = self.ends[self.started]
+        self.started += 1
+        try:
+            if isinstance(end, Exception):
+                raise end
+            if end is None:
+                Event().wait()
+            return end
+        except BaseException as error:
+            self.cancelled += not isinstance(error, EndpointError)
+            raise
+
+
+@pytest.fixture
+def budget():
+    retries = RetryBudget()
+    retries.tokens = retries.max_tokens
+    budget = HedgeBudget(retries)
+    for _ in range(HEDGE_MIN_SAMPLES):
+        budget.record_latency(0.01)
+    return budget
+
+
+def run(attempts, budget):
+    return run_hedged(attempts, budget, lambda: Seconds(0.0))
+
+
+def test_late_call_is_answered_by_the_second_and_the_loser_is_cancelled(budget):
+    attempts = Attempts(None, "second")
+    assert run(attempts, budget) == "second"
+    sleep(0)
+    assert (attempts.started, attempts.cancelled) == (2, 1)
+
+
+def test_call_in_time_runs_once(budget):
+    attempts = Attempts("first")
+    assert run(attempts, budget) == "first"
+    assert attempts.started == 1
+
+
+def test_empty_budget_allows_no_second_attempt(budget):
+    budget.retries.tokens = 0.0
+    attempts = Attempts(EndpointError("broken"))
+    with pytest.raises(EndpointError):
+        run(attempts, budget)
+    assert attempts.started == 1
+
+
+def test_first_error_is_told_when_both_fail(budget):
+    class Late(Attempts):
+        def __call__(self):
+            number = self.started
+            if number == 0:
+                self.started += 1
+                sleep(0.05)
+                raise EndpointError("first")
+            return super().__call__()
+
+    attempts = Late(None, EndpointError("second"))
+    with pytest.raises(EndpointError, match="first"):
+        run(attempts, budget)
+    assert attempts.started == 2
