--- a/packages/daemon/src/bergamotwood_daemon/encryption.py
+++ b/packages/daemon/src/bergamotwood_daemon/encryption.py
@@ -1,9 +1,9 @@
 """TLS: certificates from files, taken up again when the files change."""
 
 from pathlib import Path
-from ssl import CERT_REQUIRED, PROTOCOL_TLS_SERVER, SSLContext, SSLError
 
 import grpc
+from gevent.ssl import CERT_REQUIRED, PROTOCOL_TLS_SERVER, SSLContext, SSLError
 
 from bergamotwood_core.errors import SettingsError
 from bergamotwood_daemon.log import log_event
--- a/tests/daemon/test_encryption.py
+++ b/tests/daemon/test_encryption.py
@@ -1,7 +1,6 @@
 from datetime import UTC, datetime, timedelta
 from ipaddress import ip_address
 from os import utime
-from ssl import PROTOCOL_TLS_CLIENT, SSLContext, SSLError
 
 import pytest
 from cryptography import x509
@@ -15,6 +14,7 @@
 from cryptography.x509.oid import NameOID
 from gevent.pywsgi import WSGIServer
 from gevent.socket import create_connection
+from gevent.ssl import PROTOCOL_TLS_CLIENT, SSLContext, SSLError
 
 from bergamotwood_core.errors import SettingsError
 from bergamotwood_daemon.encryption import ServerEncryption
