--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -1,7 +1,7 @@
 from functools import partial
 
 import pytest
-from daemon.loggroups import NAMES, Fleet, read_clock, wait_until
+from daemon.loggroups import NAMES, Fleet, ListMachine, read_clock, wait_until
 from gevent import joinall, spawn
 
 from bergamotwood_core.errors import NotLeaderError, ReplicationError
@@ -120,7 +120,8 @@
             file.unlink()
     for name in NAMES:
         fleet.start(name)
-    wait_until(lambda: fleet.groups["a"]._replica.state.genesis is not None)
+    for name in NAMES[:2]:
+        wait_until(partial(lambda n: fleet.groups[n].membership.members != (), name))
     assert all(not group.is_leader for group in fleet.groups.values())
     voters = fleet.groups["c"].membership.voters
     assert fleet.groups["a"].membership.voters == voters
@@ -138,6 +139,34 @@
     fleet.stop_all()
 
 
+def test_a_group_grows_when_its_settings_name_more_instances(tmp_path):
+    fleet = Fleet(tmp_path, names=NAMES[:1])
+    leader = fleet.start_all()
+    propose_many(leader, 20)
+    fleet.stop_all()
+    fleet.names = NAMES
+    fleet.start_all()
+    wait_until(lambda: len(fleet.wait_for_leader().membership.voters) == 3)
+    for name in NAMES:
+        wait_until(partial(lambda n: len(fleet.machines[n].commands) == 20, name))
+    fleet.stop_all()
+
+
+def test_a_replica_that_fails_answers_all_that_waits(fleet, monkeypatch):
+    leader = fleet.start_all()
+
+    def fail(commands, now):
+        raise OSError("broken")
+
+    monkeypatch.setattr(leader._replica, "propose", fail)
+    waiting = spawn(leader.propose, b"one", 10.0)
+    reading = spawn(leader.read_barrier, 10.0)
+    joinall([waiting, reading], timeout=10.0)
+    assert isinstance(waiting.exception, ReplicationError)
+    assert waiting.exception.run is Run.NOT_RUN
+    assert reading.ready()
+
+
 def test_many_proposals_share_a_write(fleet, monkeypatch):
     leader = fleet.start_all()
     writes = []
@@ -149,6 +178,27 @@
     assert len(writes) < 50
 
 
+def test_a_large_state_is_not_written_for_each_few_changes(tmp_path):
+    class LargeMachine(ListMachine):
+        def snapshot(self):
+            return super().snapshot() + bytes(100_000)
+
+        def restore(self, snapshot):
+            super().restore(snapshot[:-100_000])
+
+    fleet = Fleet(tmp_path, names=NAMES[:1], snapshot_entries=50)
+    fleet.start(NAMES[0], LargeMachine())
+    leader = fleet.wait_for_leader()
+    propose_many(leader, 60)
+    wait_until(lambda: leader.snapshot_index >= 50)
+    first = leader.snapshot_index
+    propose_many(leader, 200)
+    assert leader.snapshot_index == first
+    propose_many(leader, 60, b"x" * 2000)
+    wait_until(lambda: leader.snapshot_index > first)
+    fleet.stop_all()
+
+
 def test_a_disk_that_fails_stops_the_replica(fleet, monkeypatch):
     leader = fleet.start_all()
 
