--- a/benchmarks/cascade.py
+++ b/benchmarks/cascade.py
@@ -274,7 +274,7 @@
             if accepted is None:
                 policy.record_rating(key, score, Seconds(now))
             else:
-                policy.record_repeat(key, accepted, score)
+                policy.record_repeat(accepted, score)
         if len(self.policies) < 2 or now - self.exchanged_at < EXCHANGE_SECONDS:
             return
         self.exchanged_at = now
--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -10,7 +10,7 @@
 from bergamotwood_core.budget import RatingBudget
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import NAME_PATTERN, Workspace
-from bergamotwood_core.estimate import Estimate, Reliability, find_bin, is_score
+from bergamotwood_core.estimate import Estimate, SelectionBias, find_bin, is_score
 from bergamotwood_core.evidence import (
     MAX_MESSAGE_CELLS,
     CellKey,
@@ -139,7 +139,7 @@
         self._workspaces: OrderedDict[WorkspaceId, WorkspaceState] = OrderedDict()
         self._collector = EvidenceCollector(settings.source)
         self._filter = SequenceFilter()
-        self._reliability = Reliability()
+        self._selection_bias = SelectionBias()
 
     def plan(
         self,
@@ -209,10 +209,10 @@
         self.budget.refuse(now)
         self.samples.refuse(now)
 
-    def record_repeat(self, key: CellKey, first: float, second: float) -> None:
+    def record_repeat(self, first: float, second: float) -> None:
         """Learn from the second rating of an answer that was rated before."""
         if is_score(first) and is_score(second):
-            self._reliability.add(self.find_estimate(key).mean, first, second)
+            self._selection_bias.add(first, second)
 
     def record_return(
         self, workspace: Workspace, key: CellKey, score: float | None
@@ -228,12 +228,11 @@
         score : float or None
             Rating with which it was accepted, if it was rated.
         """
-        estimate = self.find_estimate(key)
         if score is None:
+            estimate = self.find_estimate(key)
             quality = weigh_quality(estimate, self.settings.caution)
         else:
-            mean = estimate.mean
-            quality = mean + self._reliability.value * (score - mean)
+            quality = score - self._selection_bias.value
         state = self._find_state(workspace.key)
         state.count_quality(quality, workspace.quality_target + self.settings.margin)
 
@@ -336,7 +335,7 @@
         terms = Terms(
             latency_weight=workspace.latency_weight,
             rating_seconds=self.settings.rating_seconds,
-            reliability=self._reliability.value,
+            selection_bias=self._selection_bias.value,
             caution=self.settings.caution,
         )
         return list_options(prospects, terms)
--- a/packages/core/src/bergamotwood_core/estimate.py
+++ b/packages/core/src/bergamotwood_core/estimate.py
@@ -19,10 +19,10 @@
 # Scores of a good and of a poor answer, as a prior has them.
 GOOD_SCORE = 0.92
 POOR_SCORE = 0.35
-# Share of an accepted score's excess that is true quality, before it is measured.
-PRIOR_RELIABILITY = 0.9
-# Weight of that prior, as a sum of excesses.
-PRIOR_EXCESS = 3.0
+# Selection bias believed before any answer was rated twice.
+PRIOR_BIAS = 0.03
+# Pairs of ratings that this belief counts as.
+PRIOR_BIAS_RATINGS = 20.0
 
 
 def find_bin(score: float) -> int:
@@ -128,7 +128,7 @@
         return sqrt(histogram.variance / histogram.weight)
 
     def list_acceptance(
-        self, thresholds: Sequence[float], reliability: float
+        self, thresholds: Sequence[float], selection_bias: float
     ) -> list[tuple[float, float]]:
         """Chance that a score reaches each threshold, and true quality given that.
 
@@ -136,8 +136,8 @@
         ----------
         thresholds : sequence of float
             Least accepted scores.
-        reliability : float
-            Share of the scores' variance that is true quality, 0 to 1.
+        selection_bias : float
+            How far accepted scores lie above true quality.
 
         Returns
         -------
@@ -145,7 +145,6 @@
             Chance of acceptance and mean quality of what is accepted.
         """
         histogram = self._add_prior()
-        mean = histogram.mean
         weight = histogram.weight
         found: list[tuple[float, float]] = []
         for threshold in thresholds:
@@ -153,7 +152,7 @@
             accepted = sum(histogram.weights[first:])
             above = sum(histogram.totals[first:])
             score = above / accepted if accepted > 0.0 else threshold
-            found.append((accepted / weight, mean + reliability * (score - mean)))
+            found.append((accepted / weight, score - selection_bias))
         return found
 
     def _add_prior(self) -> ScoreHistogram:
@@ -195,25 +194,28 @@
 
 
 @dataclass(slots=True)
-class Reliability:
-    """Share of an accepted score's excess over the mean that is true quality.
+class SelectionBias:
+    """How far accepted scores lie above true quality, as they were selected.
 
-    Learned from accepted answers that were rated twice: the mean excess of the
-    second score, which was not selected, over that of the first.
+    Learned from accepted answers that were rated twice: the second score was not
+    selected, so that it is lower on average.
+
+    Parameters
+    ----------
+    total, weight : float
+        Discounted sum of the differences and their number.
     """
 
-    second_excess: float = PRIOR_RELIABILITY * PRIOR_EXCESS
-    first_excess: float = PRIOR_EXCESS
+    total: float = PRIOR_BIAS * PRIOR_BIAS_RATINGS
+    weight: float = PRIOR_BIAS_RATINGS
 
-    def add(self, mean: float, first: float, second: float) -> None:
-        """Take in two scores of one answer of a kind with a mean quality."""
-        if first <= mean:
-            return
+    def add(self, first: float, second: float) -> None:
+        """Take in two scores of one accepted answer."""
         factor = 1.0 - 1.0 / MEMORY_RATINGS
-        self.second_excess = self.second_excess * factor + second - mean
-        self.first_excess = self.first_excess * factor + first - mean
+        self.total = self.total * factor + first - second
+        self.weight = self.weight * factor + 1.0
 
     @property
     def value(self) -> float:
-        """The share, 0 to 1."""
-        return min(max(self.second_excess / self.first_excess, 0.0), 1.0)
+        """Mean difference."""
+        return self.total / self.weight
--- a/packages/core/src/bergamotwood_core/frontier.py
+++ b/packages/core/src/bergamotwood_core/frontier.py
@@ -67,15 +67,15 @@
         Cost units that one second to the first token is worth.
     rating_seconds : float
         Time that one rating takes.
-    reliability : float
-        Share of the variance of scores that is true quality.
+    selection_bias : float
+        How far accepted scores lie above true quality.
     caution : float
         Standard errors that quality is lowered by; negative to be hopeful.
     """
 
     latency_weight: float
     rating_seconds: float
-    reliability: float
+    selection_bias: float
     caution: float
 
 
@@ -136,7 +136,7 @@
 
 
 def _list_acceptance(estimate: Estimate, terms: Terms) -> list[tuple[float, float]]:
-    found = estimate.list_acceptance(THRESHOLDS, terms.reliability)
+    found = estimate.list_acceptance(THRESHOLDS, terms.selection_bias)
     if terms.caution >= 0.0:
         loss = terms.caution * estimate.standard_error
         return [(chance, quality - loss) for chance, quality in found]
--- a/tests/core/test_estimate.py
+++ b/tests/core/test_estimate.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bergamotwood_core.estimate import MEMORY_RATINGS, Estimate, Reliability
+from bergamotwood_core.estimate import MEMORY_RATINGS, Estimate, SelectionBias
 
 
 def draw(rng, good):
@@ -56,21 +56,19 @@
     scores = [draw(rng, 0.7) for _ in range(250)]
     for score in scores:
         estimate.add(score)
-    chance, quality = estimate.list_acceptance((0.6,), 1.0)[0]
+    chance, quality = estimate.list_acceptance((0.6,), 0.0)[0]
     accepted = [score for score in scores if score >= 0.6]
     assert chance == pytest.approx(len(accepted) / len(scores), abs=0.08)
     assert quality == pytest.approx(sum(accepted) / len(accepted), abs=0.05)
 
 
-@pytest.mark.parametrize(
-    ("noise", "least", "most"), [(0.0, 0.97, 1.0), (1.0, 0.0, 0.4)]
-)
-def test_reliability_falls_with_noise(noise, least, most):
+def test_selection_bias_is_what_accepted_scores_lose_when_rated_again():
     rng = Random(5)
-    reliability = Reliability()
+    exact, noisy = SelectionBias(), SelectionBias()
     for _ in range(400):
-        true, other = draw(rng, 0.7), draw(rng, 0.7)
-        first = draw(rng, 0.7) if noise else true
-        if first >= 0.6:
-            reliability.add(0.75, first, true if not noise else other)
-    assert least <= reliability.value <= most
+        score = draw(rng, 0.7)
+        if score >= 0.6:
+            exact.add(score, score)
+            noisy.add(score, max(score - rng.uniform(0.0, 0.4), 0.0))
+    assert exact.value == pytest.approx(0.0, abs=0.005)
+    assert noisy.value == pytest.approx(0.2, abs=0.04)
