--- a/tests/core/logcheck.py
+++ b/tests/core/logcheck.py
@@ -1,6 +1,7 @@
 """The long form of the step check: many seeds, three and five replicas."""
 
 import click
+from core.ledgercluster import LedgerCluster
 from core.logcluster import Cluster, InvariantError
 
 
@@ -21,6 +22,7 @@
             raise click.ClickException(f"seed {seed}: {error}")
         if len(cluster.committed) == reached:
             raise click.ClickException(f"seed {seed}: no progress after healing")
+        check_ledger(seed, steps)
         committed += len(cluster.committed)
         elections += len(cluster.leaders)
         lost_disks += cluster.counts["loses"]
@@ -30,5 +32,16 @@
     )
 
 
+def check_ledger(seed, steps):
+    """Run the ledger over the same faults."""
+    cluster = LedgerCluster(seed, size=5 if seed % 3 == 0 else 3)
+    try:
+        cluster.run(steps)
+        cluster.settle(15.0)
+        cluster.check_bills()
+    except InvariantError as error:
+        raise click.ClickException(f"ledger, seed {seed}: {error}")
+
+
 if __name__ == "__main__":
     check()
--- a/tests/core/logcluster.py
+++ b/tests/core/logcluster.py
@@ -85,6 +85,9 @@
 class Cluster:
     """A group of instances with a faulty network, faulty disks and clocks."""
 
+    append_bytes = 60
+    part_bytes = 40
+
     def __init__(self, seed, size=3, keep_identity=False, faults=True):
         self.rng = Random(seed)
         self.now = 100.0
@@ -127,11 +130,11 @@
         settings = ReplicaSettings(
             node.instance,
             self.names,
-            append_bytes=60,
+            append_bytes=self.append_bytes,
             append_entries_ahead=20,
-            snapshot_part_bytes=40,
+            snapshot_part_bytes=self.part_bytes,
         )
-        node.applied = []
+        self.reset(node)
         node.applied_index = 0
         if saved.snapshot is not None:
             self._restore(node, saved.snapshot)
@@ -169,11 +172,36 @@
 
     def propose(self, node):
         self.proposed += 1
-        command = f"c{self.proposed}".encode()
+        self.submit(node, f"c{self.proposed}".encode())
+
+    def submit(self, node, command):
+        """Append a command, if the node leads; return its index and term."""
         try:
-            node.replica.propose([command], self.clock(node))
+            index = node.replica.propose([command], self.clock(node))
         except NotLeaderError:
-            return
+            return None
+        return index, node.replica.term
+
+    # -- the state machine ---------------------------------------------------
+
+    def apply(self, node, entry):
+        node.applied.append((entry.index, entry.command))
+
+    def snapshot(self, node):
+        return encode(node.applied)
+
+    def restore(self, node, snapshot):
+        node.applied = [tuple(item) for item in decode(snapshot.data)]
+        wanted = [
+            (entry.index, entry.command)
+            for entry in self.committed[: snapshot.index]
+            if entry.kind is EntryKind.COMMAND
+        ]
+        if node.applied != wanted:
+            raise InvariantError(f"snapshot {snapshot.index} is not what was committed")
+
+    def reset(self, node):
+        node.applied = []
 
     def carry_out(self, node):
         """Take the effects: early messages go, the rest waits for the disk."""
@@ -395,23 +423,16 @@
             self.committed_at.append(self.now)
         node.applied_index = output.index
         if output.kind is EntryKind.COMMAND:
-            node.applied.append((output.index, output.command))
+            self.apply(node, output)
 
     def _restore(self, node, snapshot):
-        node.applied = [tuple(item) for item in decode(snapshot.data)]
+        self.restore(node, snapshot)
         node.applied_index = snapshot.index
-        wanted = [
-            (entry.index, entry.command)
-            for entry in self.committed[: snapshot.index]
-            if entry.kind is EntryKind.COMMAND
-        ]
-        if node.applied != wanted:
-            raise InvariantError(f"snapshot {snapshot.index} is not what was committed")
 
     def _compact(self, node):
         index = node.disk.snapshot.index if node.disk.snapshot else 0
         if node.applied_index - index < SNAPSHOT_ENTRIES:
             return
-        data = encode(node.applied)
+        data = self.snapshot(node)
         snapshot = node.replica.compact(node.applied_index, data, kept=5)
         node.disk.compact(snapshot)
