--- /dev/null
+++ b/benchmarks/ledger.py
@@ -0,0 +1,162 @@
+"""Ledger state machine: time and bytes of a command, memory of keys kept."""
+
+from collections.abc import Iterable
+from gc import collect
+from random import Random
+from time import perf_counter
+from tracemalloc import get_traced_memory
+from tracemalloc import start as start_tracing
+from tracemalloc import stop as stop_tracing
+
+from click import command, option
+
+from benchmarks.figures import Row, write_figures
+from bergamotwood_core.key_table import MAX_EXPIRED, MAX_KEYS, hash_scope
+from bergamotwood_core.ledger import (
+    Attempt,
+    Bill,
+    Claim,
+    Finish,
+    LedgerCommand,
+    LedgerMachine,
+    RecordBill,
+    StoredAnswer,
+    encode_command,
+)
+
+SIZES = (1_000, 5_000, 20_000)
+SHORT_SIZES = (500, 1_000, 2_000)
+MEASURED = 2_000
+ANSWER_BYTES = 512
+WORKSPACES = 10
+MICROSECONDS = 1e6
+
+
+class Feeder:
+    """Feeds a machine with commands made from a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.machine = LedgerMachine()
+        self.index = 0
+        self._rng = Random(seed)
+        self._sequence = 0
+
+    def make_payment(self) -> tuple[Claim, Finish]:
+        """Make the claim and the end of one non-idempotent request."""
+        bill = self.make_bill(keyed=True)
+        token = f"{self._rng.getrandbits(128):032x}"
+        body = self._rng.randbytes(ANSWER_BYTES)
+        answer = StoredAnswer(200, "application/json", body)
+        claim = Claim(bill.workspace, bill.key, bill.digest, token, bill.request)
+        return claim, Finish(bill.workspace, bill.key, token, answer, bill)
+
+    def make_bill(self, keyed: bool = False) -> Bill:
+        """Make the bill of a request that ran on two versions."""
+        self._sequence += 1
+        tokens = self._rng.randrange(100, 4_000)
+        attempts = (
+            Attempt("reader-small:1", "karen-engine-1", tokens, 200, 0.3, "escalated"),
+            Attempt("reader-large:1", "karen-engine-7", tokens, 250, 2.5, "accepted"),
+        )
+        return Bill(
+            f"karen-1-1764750000000000-{self._sequence}",
+            f"workspace-{self._sequence % WORKSPACES}",
+            f"{self._rng.getrandbits(128):032x}" if keyed else None,
+            f"{self._rng.getrandbits(256):064x}",
+            attempts,
+            2.8,
+        )
+
+    def feed(self, contents: Iterable[bytes]) -> int:
+        """Apply encoded commands; return the bytes of the answers."""
+        size = 0
+        for content in contents:
+            self.index += 1
+            size += len(self.machine.apply(self.index, content))
+        return size
+
+    def fill(self, keys: int) -> None:
+        """Make payments until this many keys are kept."""
+        for _ in range(keys):
+            self.feed(map(encode_command, self.make_payment()))
+
+
+def measure_commands(feeder: Feeder, kind: str, commands: list[LedgerCommand]) -> Row:
+    """Measure applying one kind of command."""
+    contents = [encode_command(item) for item in commands]
+    keys = len(feeder.machine.keys.records)
+    began = perf_counter()
+    answered = feeder.feed(contents)
+    taken = perf_counter() - began
+    return {
+        "command": kind,
+        "keys": keys,
+        "us_each": taken / len(contents) * MICROSECONDS,
+        "command_bytes": sum(map(len, contents)) / len(contents),
+        "answer_bytes": answered / len(contents),
+    }
+
+
+def measure_kinds(seed: int, keys: int) -> list[Row]:
+    """Measure each kind of command with this many keys kept."""
+    feeder = Feeder(seed)
+    feeder.fill(keys)
+    payments = [feeder.make_payment() for _ in range(MEASURED)]
+    claims = [claim for claim, _ in payments]
+    ends = [finish for _, finish in payments]
+    bills = [RecordBill(feeder.make_bill()) for _ in range(MEASURED)]
+    keyed = [RecordBill(feeder.make_bill(keyed=True)) for _ in range(MEASURED)]
+    return [
+        measure_commands(feeder, "claim", claims),
+        measure_commands(feeder, "claim again", claims),
+        measure_commands(feeder, "finish", ends),
+        measure_commands(feeder, "bill", bills),
+        measure_commands(feeder, "bill again", bills),
+        measure_commands(feeder, "bill with key", keyed),
+    ]
+
+
+def measure_memory(seed: int, keys: int, hashes: int) -> Row:
+    """Measure memory and snapshot with this many keys, and hashes of expired ones."""
+    collect()
+    start_tracing()
+    feeder = Feeder(seed)
+    feeder.fill(keys)
+    for number in range(hashes):
+        feeder.machine.keys.expired[hash_scope(("workspace", str(number)))] = 1.0
+    collect()
+    size, _ = get_traced_memory()
+    stop_tracing()
+    began = perf_counter()
+    snapshot = feeder.machine.snapshot()
+    dumped = perf_counter()
+    LedgerMachine().restore(snapshot)
+    restored = perf_counter()
+    counts = feeder.machine.count_entities()
+    return {
+        "keys_kept": counts["keys"],
+        "hashes_kept": counts["expired_keys"],
+        "bills_kept": counts["bills"],
+        "memory_mb": size / 1e6,
+        "snapshot_mb": len(snapshot) / 1e6,
+        "snapshot_s": dumped - began,
+        "restore_s": restored - dumped,
+    }
+
+
+@command()
+@option("--seed", default=1, show_default=True)
+@option("--short", is_flag=True, help="Small sizes.")
+def main(seed: int, short: bool) -> None:
+    """Measure the ledger's state machine on one core."""
+    sizes = SHORT_SIZES if short else SIZES
+    rows = [row for size in sizes for row in measure_kinds(seed, size)]
+    write_figures("ledger-commands", seed, rows)
+    memory = [measure_memory(seed, size, 0) for size in sizes]
+    if not short:
+        memory.append(measure_memory(seed, MAX_KEYS, MAX_EXPIRED))
+    write_figures("ledger-memory", seed, memory)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bergamotwood_core/bill_table.py
+++ b/packages/core/src/bergamotwood_core/bill_table.py
@@ -1,5 +1,6 @@
 """Bills and their exact totals."""
 
+from collections import OrderedDict
 from math import isfinite
 
 from msgspec import Struct
@@ -9,7 +10,7 @@
 from bergamotwood_core.watermark import parse_request_id
 
 # Newest bills that are kept whole; the totals count every bill.
-MAX_BILLS = 20_000
+MAX_BILLS = 10_000
 MAX_ATTEMPTS = 64
 # Cost is summed in whole billionths of a unit, so that no sum is rounded.
 BILLIONTHS = 1_000_000_000
@@ -44,14 +45,14 @@
     """The newest bills, and a total for each workspace."""
 
     def __init__(self) -> None:
-        self.bills: dict[RequestId, Bill] = {}
+        self.bills: OrderedDict[RequestId, Bill] = OrderedDict()
         self.totals: dict[WorkspaceId, Total] = {}
 
     def add(self, bill: Bill) -> None:
         """Add a checked bill that is known to be new."""
         self.bills[bill.request] = bill
         if len(self.bills) > MAX_BILLS:
-            del self.bills[next(iter(self.bills))]
+            self.bills.popitem(last=False)
         total = self.totals.get(bill.workspace, Total())
         self.totals[bill.workspace] = _add_bill(total, bill)
 
--- a/packages/core/src/bergamotwood_core/key_table.py
+++ b/packages/core/src/bergamotwood_core/key_table.py
@@ -1,5 +1,6 @@
 """Idempotency keys: claims, answers and the marks of expired keys."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from hashlib import blake2b
 
@@ -32,7 +33,7 @@
 from bergamotwood_core.watermark import parse_request_id
 
 # Keys with their whole record, and expired keys of which a hash is kept.
-MAX_KEYS = 50_000
+MAX_KEYS = 20_000
 MAX_EXPIRED = 200_000
 # Seconds of log time after which the hash of an expired key may be dropped.
 KEY_RETENTION = 7 * 86_400.0
@@ -40,7 +41,7 @@
 CLAIM_EXPIRY = 3_600.0
 # Bytes of one stored answer, and of all of them.
 MAX_ANSWER_BYTES = 1_048_576
-MAX_ANSWERS_BYTES = 33_554_432
+MAX_ANSWERS_BYTES = 16_777_216
 # Tokens given up that are remembered.
 MAX_RELEASED = 4_096
 HASH_BYTES = 8
@@ -88,10 +89,11 @@
     """
 
     def __init__(self) -> None:
-        self.records: dict[Scope, KeyRecord] = {}
-        self.expired: dict[bytes, float] = {}
-        self.released: dict[str, None] = {}
-        self.answers: dict[Scope, int] = {}
+        # Ordered dictionaries, since the oldest item is taken out again and again.
+        self.records: OrderedDict[Scope, KeyRecord] = OrderedDict()
+        self.expired: OrderedDict[bytes, float] = OrderedDict()
+        self.released: OrderedDict[str, None] = OrderedDict()
+        self.answers: OrderedDict[Scope, int] = OrderedDict()
         self.answer_bytes = 0
         self._held: dict[Scope, None] = {}
 
@@ -131,7 +133,8 @@
         if is_holder and record.state is ClaimState.DONE:
             return False
         self.released[command.token] = None
-        _drop_oldest(self.released, MAX_RELEASED)
+        if len(self.released) > MAX_RELEASED:
+            self.released.popitem(last=False)
         if not is_holder:
             return False
         del self.records[scope]
@@ -245,8 +248,3 @@
 
 def _is_too_long(*fields: str) -> bool:
     return any(len(field) > MAX_FIELD for field in fields)
-
-
-def _drop_oldest(table: dict, limit: int) -> None:
-    while len(table) > limit:
-        del table[next(iter(table))]
--- a/packages/core/src/bergamotwood_core/ledger.py
+++ b/packages/core/src/bergamotwood_core/ledger.py
@@ -1,5 +1,6 @@
 """State machine of the ledger: claims, answers and bills."""
 
+from collections import OrderedDict
 from math import isfinite
 
 from msgspec import Struct
@@ -208,13 +209,13 @@
         self.index = state.index
         self.now = state.now
         self.keys = KeyTable()
-        self.keys.records = dict(state.keys)
-        self.keys.expired = dict(state.expired)
-        self.keys.released = dict.fromkeys(state.released)
-        self.keys.answers = dict(state.answers)
+        self.keys.records = OrderedDict(state.keys)
+        self.keys.expired = OrderedDict(state.expired)
+        self.keys.released = OrderedDict.fromkeys(state.released)
+        self.keys.answers = OrderedDict(state.answers)
         self.keys.rebuild()
         self.bills = BillTable()
-        self.bills.bills = {bill.request: bill for bill in state.bills}
+        self.bills.bills = OrderedDict((bill.request, bill) for bill in state.bills)
         self.bills.totals = state.totals
         self.windows = WindowTable()
         self.windows.load(state.windows)
--- a/packages/core/src/bergamotwood_core/reference.py
+++ b/packages/core/src/bergamotwood_core/reference.py
@@ -13,13 +13,17 @@
 ACTIVE_STATES = (RolloutState.RUNNING, RolloutState.PAUSED)
 
 
-def find_reference_faults(tables: ConfigurationTables) -> Iterator[str]:
+def find_reference_faults(
+    tables: ConfigurationTables, workspaces: Iterable[Workspace]
+) -> Iterator[str]:
     """Find every reference of the configuration that does not hold.
 
     Parameters
     ----------
     tables : ConfigurationTables
         The whole configuration.
+    workspaces : iterable of Workspace
+        Those whose references are looked at.
 
     Yields
     ------
@@ -31,7 +35,7 @@
         yield from _find_model_faults(model)
     for cascade in tables.cascades.values():
         yield from _find_cascade_faults(tables, cascade)
-    for workspace in tables.workspaces.values():
+    for workspace in workspaces:
         yield from _find_workspace_faults(tables, workspace)
     yield from _find_key_faults(tables)
     for rollout in tables.rollouts.values():
--- a/packages/core/src/bergamotwood_core/ticket.py
+++ b/packages/core/src/bergamotwood_core/ticket.py
@@ -7,7 +7,7 @@
 from pydantic import ValidationError
 
 from bergamotwood_core.change import merge_ticket
-from bergamotwood_core.configuration import Model, Rollout, Ticket
+from bergamotwood_core.configuration import Model, Rollout, Ticket, Version
 from bergamotwood_core.difference import Change, diff_tables
 from bergamotwood_core.document import (
     MAX_FAULTS,
@@ -110,12 +110,39 @@
     """
     faults = [*_find_own_faults(ticket), *_find_removal_faults(tables, ticket)]
     faults.extend(_find_rollout_faults(tables, ticket))
-    before = set(find_reference_faults(tables))
-    after = find_reference_faults(merge_ticket(tables, ticket))
-    faults.extend(fault for fault in after if fault not in before)
+    faults.extend(_find_new_faults(tables, ticket))
     return tuple(faults[:MAX_FAULTS])
 
 
+def _find_new_faults(tables: ConfigurationTables, ticket: Ticket) -> list[str]:
+    after = merge_ticket(tables, ticket)
+    workspaces = list(after.workspaces.values())
+    if not _may_break_workspaces(tables, after, ticket):
+        workspaces = list(ticket.workspaces)
+    faults = list(find_reference_faults(after, workspaces))
+    if not faults:
+        return faults
+    before = set(find_reference_faults(tables, tables.workspaces.values()))
+    return [fault for fault in faults if fault not in before]
+
+
+def _may_break_workspaces(
+    before: ConfigurationTables, after: ConfigurationTables, ticket: Ticket
+) -> bool:
+    """Tell whether workspaces that a ticket does not name may get faults."""
+    if ticket.cascades or ticket.remove.cascades or ticket.remove.services:
+        return True
+    return any(
+        version.state is VersionState.SERVING and not _is_serving(after, version)
+        for version in before.versions.values()
+    ) or any(name not in after.versions for name in before.versions)
+
+
+def _is_serving(tables: ConfigurationTables, version: Version) -> bool:
+    kept = tables.versions.get(version.version_id)
+    return kept is not None and kept.state is VersionState.SERVING
+
+
 def _find_own_faults(ticket: Ticket) -> Iterator[str]:
     for kind in KINDS:
         names = [item.name for item in getattr(ticket, kind)]
--- a/packages/core/src/bergamotwood_core/watermark.py
+++ b/packages/core/src/bergamotwood_core/watermark.py
@@ -1,5 +1,6 @@
 """Request ids made by entries, and windows that find repeated ones."""
 
+from collections import OrderedDict
 from enum import Enum
 
 from msgspec import Struct
@@ -87,18 +88,21 @@
     seen: bytes
 
 
+Starts = dict[Incarnation, SequenceWindow]
+
+
 class WindowTable:
     """Windows of the newest starts of each instance."""
 
     def __init__(self) -> None:
-        self.windows: dict[InstanceId, dict[Incarnation, SequenceWindow]] = {}
+        self.windows: OrderedDict[InstanceId, Starts] = OrderedDict()
 
     def mark(self, origin: RequestOrigin) -> Mark:
         """Mark a request as seen, and tell whether it was."""
-        starts = self.windows.pop(origin.instance, {})
-        self.windows[origin.instance] = starts
+        starts = self.windows.setdefault(origin.instance, {})
+        self.windows.move_to_end(origin.instance)
         if len(self.windows) > MAX_INSTANCES:
-            del self.windows[next(iter(self.windows))]
+            self.windows.popitem(last=False)
         window = starts.get(origin.incarnation)
         if window is not None:
             return window.mark(origin.sequence)
--- a/tests/core/test_ticket.py
+++ b/tests/core/test_ticket.py
@@ -4,6 +4,7 @@
 
 from bergamotwood_core.change import merge_ticket
 from bergamotwood_core.errors import Code, TicketError
+from bergamotwood_core.reference import find_reference_faults
 from bergamotwood_core.states import RolloutState, VersionState
 from bergamotwood_core.tables import ConfigurationTables
 from bergamotwood_core.ticket import (
@@ -223,3 +224,27 @@
     assert "share: 1.0 -> 2.0" in workspace.details
     assert changes["service", "members"].action == "added"
     assert changes["cascade", "guide"].action == "removed"
+
+
+LOSSES = (
+    {"models": [build_model(v1="withdrawn", v2="withdrawn")]},
+    {"models": [build_model(v1="serving")]},
+    {"models": [build_model("small:2", v1="withdrawn", v2="serving")]},
+    {"cascades": [{"name": "guide", "models": ["small", "other"]}]},
+    {"remove": {"models": ["large"]}},
+    {"remove": {"cascades": ["guide"]}},
+    {"remove": {"services": ["parcels"]}},
+    {"rollouts": [build_rollout(candidate="small:2", state="stopped")]},
+    {"services": [{"name": "other"}]},
+    {"models": [build_model(v1="serving", v2="serving", v3="serving")]},
+    {"workspaces": [{"name": "other", "versions": ["small:7"]}]},
+)
+
+
+@pytest.mark.parametrize("sections", LOSSES)
+def test_narrowed_check_finds_what_a_whole_one_finds(sections):
+    tables = build_tables()
+    ticket = build_ticket(2, **sections)
+    after = merge_ticket(tables, ticket)
+    whole = set(find_reference_faults(after, after.workspaces.values()))
+    assert whole <= set(check_ticket(tables, ticket))
