--- a/packages/core/src/bergamotwood_core/segment.py
+++ b/packages/core/src/bergamotwood_core/segment.py
@@ -4,8 +4,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bergamotwood_core.allocation import Mix
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.frontier import Mix, Option
+from bergamotwood_core.frontier import Option
 from bergamotwood_core.ids import RequestClass, VersionId
 from bergamotwood_core.usage import Candidate
 
@@ -28,6 +29,15 @@
     versions: tuple[VersionId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Hope:
+    """Cost of a version and the quality that it may have at best."""
+
+    version: VersionId
+    cost: float
+    quality: float
+
+
 @dataclass(slots=True)
 class Segment:
     """State of the requests that are planned alike."""
@@ -38,11 +48,30 @@
     prompt_tokens: float = 0.0
     mix: Mix | None = None
     unrated: Mix | None = None
-    hopes: tuple[VersionId, ...] = ()
-    hoped_cost: float = 0.0
+    hopes: Sequence[Hope] = ()
     credit: float = 0.0
     unrated_credit: float = 0.0
 
+    def find_hope(self) -> tuple[Hope | None, float]:
+        """Find the version that may save the most, and the share of cost it saves."""
+        best, most = None, 0.0
+        for hope in self.hopes:
+            saving = self._find_saving(hope)
+            if saving > most:
+                best, most = hope, saving
+        return best, most
+
+    def _find_saving(self, hope: Hope) -> float:
+        mix = self.mix
+        if mix is None or hope.quality < mix.low.quality:
+            return 0.0
+        if hope.version in (mix.low.steps[0].version, mix.high.steps[0].version):
+            return 0.0
+        gain = mix.high.quality - mix.low.quality
+        place = min((hope.quality - mix.low.quality) / gain, 1.0) if gain else 0.0
+        replaced = mix.low.cost + place * (mix.high.cost - mix.low.cost)
+        return 1.0 - hope.cost / replaced if replaced else 0.0
+
     def draw_rated(self) -> Option:
         """Choose an option of the mix, each as often as its share says."""
         mix = self.mix
