Try bergamotctl against a running daemon, and say who took a number

A conflict names the operator whose ticket was accepted, long lists of objects are cut, and after a lost answer the command says that sending again is harmless.

--- a/packages/ctl/src/bergamotctl/context.py
+++ b/packages/ctl/src/bergamotctl/context.py
@@ -49,6 +49,9 @@
     Code.BODY_TOO_LARGE: Exit.INVALID,
 }
 
+# After these it is not known whether a ticket was accepted.
+REPEATABLE = (Exit.UNREACHABLE, Exit.UNAVAILABLE)
+
 json_option = option("--json", "as_json", is_flag=True, help="Print JSON.")
 
 
@@ -78,6 +81,9 @@
             echo(f"bergamotctl: {error.detail}", err=True)
             for fault in getattr(error, "faults", ()):
                 echo(f"  {fault}", err=True)
-            leave(choose_exit(error))
+            code = choose_exit(error)
+            if code in REPEATABLE:
+                echo("  To send the same again is harmless.", err=True)
+            leave(code)
 
     return run
--- a/packages/ctl/src/bergamotctl/tickets.py
+++ b/packages/ctl/src/bergamotctl/tickets.py
@@ -12,6 +12,7 @@
 from bergamotwood_core.errors import AnswerError, Code, WaitError
 
 POLL_SECONDS = 0.2
+SHOWN_NAMES = 3
 DEFAULT_WAIT_SECONDS = 30.0
 
 file_argument = argument("file", type=File("rb"))
@@ -105,7 +106,13 @@
         print_json(records)
         return
     rows = (
-        (item["number"], item["index"], item["operator"], item["names"], item["note"])
+        (
+            item["number"],
+            item["index"],
+            item["operator"],
+            _shorten_names(item["names"]),
+            item["note"],
+        )
         for item in records
     )
     print_table(("number", "index", "operator", "objects", "note"), rows)
@@ -170,6 +177,12 @@
         sleep(POLL_SECONDS)
 
 
+def _shorten_names(names: list[str]) -> list[str]:
+    if len(names) <= SHOWN_NAMES:
+        return names
+    return [*names[:SHOWN_NAMES], f"{len(names) - SHOWN_NAMES} more"]
+
+
 def _is_late(item: dict[str, Any], index: int) -> bool:
     return item["report"]["applied"] < index
 
--- a/packages/daemon/src/bergamotwood_daemon/operations.py
+++ b/packages/daemon/src/bergamotwood_daemon/operations.py
@@ -226,14 +226,11 @@
     detail = f"ticket {answer.number}"
     match answer.outcome:
         case TicketOutcome.CONFLICT:
-            raise TicketError(
-                f"{detail}: the number was accepted with other content",
-                Code.TICKET_CONFLICT,
-            )
+            reason = "; ".join(answer.faults)
+            raise TicketError(f"{detail}: {reason}", Code.TICKET_CONFLICT)
         case TicketOutcome.STALE:
-            raise TicketError(
-                f"{detail}: a higher number was accepted before", Code.TICKET_STALE
-            )
+            reason = "; ".join(answer.faults)
+            raise TicketError(f"{detail}: {reason}", Code.TICKET_STALE)
         case TicketOutcome.INVALID:
             raise TicketError(f"{detail}: invalid", faults=answer.faults)
 
