Poll less, and send loads instead of whole announcements

Cause: an entry polled twice and reported four times a second, and every reply carried the whole word of every endpoint that had spoken. The report now rides on the poll, only membership changes go out at once, an endpoint whose load alone changed comes as four fields, and limits are fitted twice a second instead of at each tick. Reading an endpoint's stream waits before it reads.

--- a/packages/core/src/bergamotwood_core/directory.py
+++ b/packages/core/src/bergamotwood_core/directory.py
@@ -3,11 +3,13 @@
 from collections.abc import Hashable
 from typing import TypeVar
 
+from msgspec.structs import replace
+
 from bergamotwood_core.address import ENTRY_EXPIRY, choose_addresses
 from bergamotwood_core.announcement import decode_announcement
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.ids import EndpointId, InstanceId
-from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.messages import Announcement, EntryReport, LoadReport
 from bergamotwood_core.states import EndpointState, EntryState
 from bergamotwood_core.tables import Departure, DirectoryTables, Endpoint, Entry
 
@@ -17,6 +19,7 @@
     "expire_endpoints",
     "expire_entries",
     "merge_announcement",
+    "merge_load",
     "merge_report",
 ]
 
@@ -77,6 +80,31 @@
     return True
 
 
+def merge_load(tables: DirectoryTables, load: LoadReport, now: Seconds) -> bool:
+    """Take in an endpoint's newest load, where the rest of its word is known.
+
+    Parameters
+    ----------
+    tables : DirectoryTables
+        Changed in place.
+    load : LoadReport
+        The load.
+    now : Seconds
+        When it came.
+
+    Returns
+    -------
+    bool
+        Whether it was news.
+    """
+    endpoint = tables.endpoints.get(load.id)
+    if endpoint is None or endpoint.announcement.incarnation != load.incarnation:
+        return False
+    known = endpoint.announcement
+    announcement = replace(known, sequence=load.sequence, load=load.load)
+    return merge_announcement(tables, announcement, now)
+
+
 def merge_report(tables: DirectoryTables, report: EntryReport, now: Seconds) -> bool:
     """Take in what an entry says of itself, by the rules of announcements.
 
--- a/packages/core/src/bergamotwood_core/messages.py
+++ b/packages/core/src/bergamotwood_core/messages.py
@@ -70,6 +70,15 @@
     crash_suspects: tuple[str, ...] = ()
 
 
+class LoadReport(Struct, frozen=True, array_like=True):
+    """What changes in an endpoint's word from one announcement to the next."""
+
+    id: EndpointId
+    incarnation: Incarnation
+    sequence: Sequence
+    load: float
+
+
 class EntryReport(Struct, frozen=True):
     """What an entry says of itself to the control replicas.
 
--- a/packages/daemon/src/bergamotwood_daemon/directoryfeed.py
+++ b/packages/daemon/src/bergamotwood_daemon/directoryfeed.py
@@ -12,7 +12,7 @@
 )
 from bergamotwood_core.evidence import Evidence, SequenceFilter
 from bergamotwood_core.ids import EndpointId, InstanceId
-from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.messages import Announcement, EntryReport, LoadReport
 from bergamotwood_core.tables import DirectoryTables
 
 MAX_KEPT_EVIDENCE = 256
@@ -24,6 +24,7 @@
 
     cursor: int
     announcements: tuple[Announcement, ...]
+    loads: tuple[LoadReport, ...]
     reports: tuple[EntryReport, ...]
     ratings: tuple[Evidence, ...]
 
@@ -49,6 +50,7 @@
         self.cursor = 0
         self.membership_cursor = 0
         self._endpoints: dict[EndpointId, int] = {}
+        self._memberships: dict[EndpointId, int] = {}
         self._entries: dict[InstanceId, int] = {}
         self._filter = SequenceFilter()
         self._ratings: deque[_NumberedEvidence] = deque(maxlen=MAX_KEPT_EVIDENCE)
@@ -63,6 +65,7 @@
         self._endpoints[announcement.id] = self.cursor
         if before is None or _differs_in_membership(before, announcement):
             self.membership_cursor = self.cursor
+            self._memberships[announcement.id] = self.cursor
         return True
 
     def take_report(self, report: EntryReport, now: Seconds) -> bool:
@@ -96,7 +99,12 @@
             tuple(
                 endpoint.announcement
                 for id, endpoint in endpoints.items()
-                if self._endpoints.get(id, 0) > cursor
+                if self._memberships.get(id, 0) > cursor
+            ),
+            tuple(
+                _make_load_report(endpoint.announcement)
+                for id, endpoint in endpoints.items()
+                if self._endpoints.get(id, 0) > cursor >= self._memberships.get(id, 0)
             ),
             tuple(
                 entry.report
@@ -112,10 +120,20 @@
         expire_entries(self.tables, now)
         for id in self._endpoints.keys() - self.tables.endpoints.keys():
             del self._endpoints[id]
+            del self._memberships[id]
         for id in self._entries.keys() - self.tables.entries.keys():
             del self._entries[id]
 
 
+def _make_load_report(announcement: Announcement) -> LoadReport:
+    return LoadReport(
+        announcement.id,
+        announcement.incarnation,
+        announcement.sequence,
+        announcement.load,
+    )
+
+
 def _differs_in_membership(before: Announcement, after: Announcement) -> bool:
     return (
         before.state is not after.state
--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from socket import IPPROTO_TCP, TCP_NODELAY
 
-from gevent.socket import create_connection, timeout
+from gevent.socket import create_connection, timeout, wait_read
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from bergamotwood_core.errors import Code, EndpointError
@@ -170,6 +170,8 @@
 
     def _receive(self) -> None:
         try:
+            # Waiting first spares the call that would find nothing to read.
+            wait_read(self._socket.fileno(), self._socket.gettimeout())
             data = self._socket.recv(BLOCK_BYTES)
         except timeout as error:
             raise EndpointError(
--- a/packages/daemon/src/bergamotwood_daemon/metrics.py
+++ b/packages/daemon/src/bergamotwood_daemon/metrics.py
@@ -56,6 +56,12 @@
             lambda: min(entry.measure_age(), UNKNOWN_AGE_SECONDS),
         )
         self._add("config_index", "Log index in force", lambda: entry.watch.applied)
+        self._add("poll_sent", "Bytes sent by polls", lambda: entry.watch.sent_bytes)
+        self._add(
+            "poll_received",
+            "Bytes received by polls",
+            lambda: entry.watch.received_bytes,
+        )
         self._add("in_flight", "Requests in flight", lambda: len(tables.in_flight))
         self._add("queued", "Requests waiting", lambda: entry.admission.queued)
         self._add("settling", "Claims settling", lambda: entry.claims.settling)
--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -154,6 +154,8 @@
         self._encryption = encryption
         self._metadata = ((KEY_HEADER, key),)
         self._channel: grpc.Channel | None = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     def call(self, method: Method, body: bytes, timeout_seconds: float) -> bytes:
         """Call the peer and return its answer.
@@ -167,6 +169,7 @@
         try:
             rpc = getattr(PeerStub(channel), method)
             frame = Frame(body=body)
+            self.sent_bytes += len(body)
             reply = rpc(frame, timeout=timeout_seconds, metadata=self._metadata)
         except grpc.RpcError as error:
             if error.code() is not grpc.StatusCode.FAILED_PRECONDITION:
@@ -174,6 +177,7 @@
             raise ReplicationError(
                 f"{method} at {self._address}: {error.details()}", Code.NO_QUORUM
             ) from error
+        self.received_bytes += len(reply.body)
         return reply.body
 
     def close(self) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/presence.py
+++ b/packages/daemon/src/bergamotwood_daemon/presence.py
@@ -56,9 +56,11 @@
         """Take an endpoint's word on itself."""
         announcement = decode_announcement(request.read_body())
         directory = self._entry.tables.directory
+        membership = directory.membership
         news = merge_announcement(directory, announcement, self._entry.clock())
         if news:
-            self._entry.watch.offer(announcement)
+            urgent = directory.membership != membership
+            self._entry.watch.offer(announcement, urgent)
         return answer_json(AnnouncementReply(news))
 
     def list_addresses(self, request: WebRequest) -> Response:
--- a/packages/daemon/src/bergamotwood_daemon/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/relay.py
@@ -13,7 +13,7 @@
 from bergamotwood_daemon.peer import POLL, PeerChannel
 from bergamotwood_daemon.wire import ENCODER, PollRequest
 
-RELAY_SECONDS = 0.25
+RELAY_SECONDS = 0.5
 RELAY_TIMEOUT_SECONDS = 1.0
 MAX_PENDING = 16_384
 
--- a/packages/daemon/src/bergamotwood_daemon/replicas.py
+++ b/packages/daemon/src/bergamotwood_daemon/replicas.py
@@ -213,6 +213,7 @@
             boot=self.directory.boot,
             cursor=news.cursor,
             announcements=news.announcements,
+            loads=news.loads,
             reports=news.reports,
             ratings=news.ratings,
             leader=self.control.leader,
--- a/packages/daemon/src/bergamotwood_daemon/ticker.py
+++ b/packages/daemon/src/bergamotwood_daemon/ticker.py
@@ -19,7 +19,7 @@
 from bergamotwood_daemon.ordering import Ordering
 from bergamotwood_daemon.replicas import Replicas
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 COMMIT_SECONDS = 2.0
 LEDGER_TICK_SECONDS = 10.0
 SLOW_TICK_SECONDS = 0.5
@@ -81,7 +81,6 @@
         expire_endpoints(directory, now)
         expire_entries(directory, now)
         self._admittance.expire(now)
-        self._admittance.set_limits(self._entry.tables.directory, now)
         self._watch_rollouts(self._entry.tables.configuration)
         self._run_slow_systems(now)
         if self._replicas is None:
@@ -96,6 +95,7 @@
         if now - self._slow_at < SLOW_TICK_SECONDS:
             return
         self._slow_at = now
+        self._admittance.set_limits(self._entry.tables.directory, now)
         if self._tls is not None:
             self._tls.reload()
         if self._ordering is not None:
--- a/packages/daemon/src/bergamotwood_daemon/watch.py
+++ b/packages/daemon/src/bergamotwood_daemon/watch.py
@@ -9,7 +9,7 @@
 from bergamotwood_core.cascade import CascadePolicy
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.control import ControlMachine
-from bergamotwood_core.directory import merge_announcement, merge_report
+from bergamotwood_core.directory import merge_announcement, merge_load, merge_report
 from bergamotwood_core.errors import ReplicationError
 from bergamotwood_core.evidence import Evidence
 from bergamotwood_core.ids import InstanceId, LogIndex
@@ -21,7 +21,8 @@
 
 HOLD_SECONDS = 0.5
 POLL_TIMEOUT_SECONDS = 1.5
-REPORT_SECONDS = 0.25
+# Least time between two urgent reports.
+REPORT_SECONDS = 0.1
 REPORT_TIMEOUT_SECONDS = 1.0
 MAX_USEFUL_AGE_SECONDS = 2.0
 MIN_BACKOFF_SECONDS = 0.05
@@ -79,6 +80,7 @@
         self._cursor = 0
         self._confirmed_at: Seconds | None = None
         self._pending: dict[str, Announcement] = {}
+        self._urgent = Event()
         self._greenlets = []
 
     def start(self) -> None:
@@ -90,24 +92,69 @@
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent to the control replicas."""
+        return sum(channel.sent_bytes for channel in self._channels.values())
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received from the control replicas."""
+        return sum(channel.received_bytes for channel in self._channels.values())
+
     def measure_age(self, now: Seconds) -> float:
         """Return seconds since the configuration was surely the newest."""
         if self._confirmed_at is None:
             return float("inf")
         return now - self._confirmed_at
 
-    def offer(self, announcement: Announcement) -> None:
-        """Queue an endpoint's announcement for the control replicas."""
+    def offer(self, announcement: Announcement, urgent: bool) -> None:
+        """Queue an endpoint's announcement for the control replicas.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            The endpoint's newest word.
+        urgent : bool
+            Whether it changes the membership, so that it goes out at once.
+        """
         if len(self._pending) >= MAX_PENDING_ANNOUNCEMENTS:
             return
         self._pending[announcement.id] = announcement
+        if urgent:
+            self._urgent.set()
 
     def report_now(self) -> bool:
         """Send reports at once; return whether a replica took them."""
+        return any(
+            self._send_report(name, 0.0, REPORT_TIMEOUT_SECONDS)
+            for name in list(self._order)
+        )
+
+    def _report_forever(self) -> None:
+        while True:
+            self._urgent.wait()
+            self._urgent.clear()
+            self.report_now()
+            sleep(REPORT_SECONDS)
+
+    def _poll_forever(self) -> None:
+        backoff = MIN_BACKOFF_SECONDS
+        while True:
+            if self._send_report(self._order[0], HOLD_SECONDS, POLL_TIMEOUT_SECONDS):
+                backoff = MIN_BACKOFF_SECONDS
+                continue
+            self._order.append(self._order.pop(0))
+            sleep(backoff * self._rng.uniform(0.5, 1.0))
+            backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
+
+    def _send_report(self, name: InstanceId, hold: float, limit: float) -> bool:
+        """Report to one replica and take its news; it may wait for some."""
         announcements = tuple(self._pending.values())
         self._pending.clear()
         request = PollRequest(
             applied=self.applied,
+            hold_seconds=hold,
             boot=self._boot,
             cursor=self._cursor,
             report=self._describe(),
@@ -115,9 +162,8 @@
             ratings=self._take_ratings(),
             outcomes=tuple(self._outcomes.list_reports()),
         )
-        for name in list(self._order):
-            if self._exchange(name, request, REPORT_TIMEOUT_SECONDS):
-                return True
+        if self._exchange(name, request, limit):
+            return True
         for announcement in announcements:
             self._pending.setdefault(announcement.id, announcement)
         return False
@@ -126,27 +172,6 @@
         evidence = self._policy.take_evidence()
         return (evidence,) if evidence.cells else ()
 
-    def _report_forever(self) -> None:
-        while True:
-            sleep(REPORT_SECONDS * self._rng.uniform(0.8, 1.2))
-            self.report_now()
-
-    def _poll_forever(self) -> None:
-        backoff = MIN_BACKOFF_SECONDS
-        while True:
-            request = PollRequest(
-                applied=self.applied,
-                hold_seconds=HOLD_SECONDS,
-                boot=self._boot,
-                cursor=self._cursor,
-            )
-            if self._exchange(self._order[0], request, POLL_TIMEOUT_SECONDS):
-                backoff = MIN_BACKOFF_SECONDS
-                continue
-            self._order.append(self._order.pop(0))
-            sleep(backoff * self._rng.uniform(0.5, 1.0))
-            backoff = min(2.0 * backoff, MAX_BACKOFF_SECONDS)
-
     def _exchange(self, name: InstanceId, request: PollRequest, limit: float) -> bool:
         sent_at = self._clock()
         try:
@@ -184,6 +209,8 @@
         now = self._clock()
         for announcement in reply.announcements:
             merge_announcement(self._tables.directory, announcement, now)
+        for load in reply.loads:
+            merge_load(self._tables.directory, load, now)
         for report in reply.reports:
             merge_report(self._tables.directory, report, now)
         for evidence in reply.ratings:
--- a/packages/daemon/src/bergamotwood_daemon/wire.py
+++ b/packages/daemon/src/bergamotwood_daemon/wire.py
@@ -5,7 +5,7 @@
 
 from bergamotwood_core.evidence import Evidence
 from bergamotwood_core.ids import InstanceId, LogIndex, WorkspaceId
-from bergamotwood_core.messages import Announcement, EntryReport
+from bergamotwood_core.messages import Announcement, EntryReport, LoadReport
 from bergamotwood_core.outcome import RolloutReport
 
 
@@ -110,6 +110,16 @@
         Whole control state, when the entry is too far behind for changes.
     changes : tuple of LogChange
         Commands after the entry's index.
+    boot, cursor : str, int
+        What the entry has of the directory after this reply.
+    announcements : tuple of Announcement
+        Endpoints that are new to the entry, or whose membership changed.
+    loads : tuple of LoadReport
+        Endpoints of which only the load is news.
+    reports : tuple of EntryReport
+        Entries of which there is news.
+    ratings : tuple of Evidence
+        Ratings that other entries saw.
     leader : InstanceId or None
         Believed leader of the control group.
     """
@@ -121,6 +131,7 @@
     boot: str
     cursor: int
     announcements: tuple[Announcement, ...]
+    loads: tuple[LoadReport, ...]
     reports: tuple[EntryReport, ...]
     ratings: tuple[Evidence, ...] = ()
     leader: InstanceId | None = None
