Wait in gevent for encrypted entries, and measure withdrawals

The client's default context is the standard library's and stops the whole process while it waits; a context of gevent's own is given. A test asks an entry by https, with its authority and without.

--- a/benchmarks/ticket.py
+++ b/benchmarks/ticket.py
@@ -62,6 +62,9 @@
     for price in range(TICKETS):
         model = {**_make_model("model-0"), "versions": _list_versions(price)}
         taken.append(apply_ticket(machine, {"models": [model]}))
+    withdrawn = {"id": "model-0:2", "state": "withdrawn"}
+    model = {**_make_model("model-0"), "versions": [_list_versions(1)[0], withdrawn]}
+    withdrawal = apply_ticket(machine, {"models": [model]})
     p50, p95, _ = find_quantiles(taken)
     began = perf_counter()
     snapshot = machine.snapshot()
@@ -70,6 +73,7 @@
         "models": models,
         "apply_p50_ms": p50,
         "apply_p95_ms": p95,
+        "withdraw_ms": withdrawal,
         "snapshot_ms": (perf_counter() - began) * MILLISECONDS,
         "snapshot_kb": len(snapshot) / 1e3,
     }
--- a/packages/ctl/src/bergamotctl/client.py
+++ b/packages/ctl/src/bergamotctl/client.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode, urlsplit
 
 from click import UsageError
+from gevent.ssl import PROTOCOL_TLS_CLIENT, SSLContext
 from geventhttpclient import HTTPClient
 from msgspec import DecodeError
 from msgspec.json import decode
@@ -93,6 +94,7 @@
             network_timeout=ANSWER_SECONDS,
             ssl=url.scheme == "https",
             ssl_options={"ca_certs": self.ca_file} if self.ca_file else None,
+            ssl_context_factory=_make_context,
         )
         try:
             answer = client.request(method, path, body, self._make_headers())
@@ -111,6 +113,13 @@
         return headers
 
 
+def _make_context(cafile: str) -> SSLContext:
+    """Make a context whose sockets wait in gevent, as the plain ones do."""
+    context = SSLContext(PROTOCOL_TLS_CLIENT)
+    context.load_verify_locations(cafile)
+    return context
+
+
 def _read_answer(entry: str, status: int, content: bytes) -> Any:
     try:
         document = decode(content)
--- a/tests/ctl/fakeentry.py
+++ b/tests/ctl/fakeentry.py
@@ -33,12 +33,14 @@
 
 
 class FakeEntry:
-    def __init__(self):
+    def __init__(self, **encryption):
         self.control = ControlMachine()
         self.ledger = LedgerMachine()
         self.lag = 0
         self.draining = False
-        self.server = WSGIServer(("127.0.0.1", 0), self.answer, log=None)
+        self.server = WSGIServer(
+            ("127.0.0.1", 0), self.answer, log=None, error_log=None, **encryption
+        )
         self.server.start()
 
     @property
--- a/tests/ctl/test_command.py
+++ b/tests/ctl/test_command.py
@@ -3,6 +3,7 @@
 import pytest
 from click.testing import CliRunner
 from ctl.fakeentry import KEY, FakeEntry, write_ticket
+from daemon.test_encryption import Authority
 
 from bergamotctl.command import main
 from bergamotctl.context import Exit
@@ -14,6 +15,7 @@
     StoredAnswer,
     encode_command,
 )
+from bergamotwood_daemon.encryption import ServerEncryption
 
 MODEL = {
     "name": "small",
@@ -164,3 +166,20 @@
     options = ["--entry", entry.address, "--key-file", str(file), "status"]
     result = CliRunner().invoke(main, options, env={"BERGAMOTWOOD_OPERATOR_KEY": ""})
     assert result.exit_code == 0
+
+
+def test_encrypted_entry_is_trusted_by_its_authority_only(tmp_path):
+    authority = Authority(tmp_path)
+    tls = authority.issue(1)
+    fake = FakeEntry(ssl_context=ServerEncryption(tls).context)
+    options = ["--entry", f"https://{fake.address}"]
+    environ = {"BERGAMOTWOOD_OPERATOR_KEY": KEY}
+    trusted = ["--ca-file", str(authority.file)]
+    try:
+        accepted = CliRunner().invoke(main, [*options, *trusted, "status"], env=environ)
+        refused = CliRunner().invoke(main, [*options, "status"], env=environ)
+    finally:
+        fake.server.stop()
+    assert accepted.exit_code == Exit.DONE, accepted.output
+    assert refused.exit_code == Exit.UNREACHABLE
+    assert "certificate" in refused.output.lower()
