Measure decisions and a token's way; cut the cost of placement

Pool keys were frozen data classes hashed in Python, every need too, the ranking sorted whole pools and mixed twice, and fitness went through properties.

--- /dev/null
+++ b/benchmarks/decision.py
@@ -0,0 +1,245 @@
+"""Processor time of one request's decisions and of one token's way."""
+
+from collections.abc import Callable
+from gc import collect
+from random import Random
+from time import perf_counter_ns
+
+from click import command, option
+
+from benchmarks.figures import Row, find_quantiles, print_table, write_json
+from bergamotwood_core.admission import Admission, AdmissionSettings
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.configuration import Version, Workspace
+from bergamotwood_core.dispatch import check_dispatch
+from bergamotwood_core.ids import (
+    DataCentre,
+    EndpointId,
+    Incarnation,
+    RequestId,
+    Sequence,
+    SessionId,
+    VersionId,
+)
+from bergamotwood_core.messages import Address, Announcement
+from bergamotwood_core.outlier import record_first_token, record_start, record_success
+from bergamotwood_core.placement import Need, choose_endpoint
+from bergamotwood_core.quarantine import fingerprint_request
+from bergamotwood_core.session import make_session, read_session
+from bergamotwood_core.states import EndpointKind, Priority
+from bergamotwood_core.stream import StreamAssembler
+from bergamotwood_core.tables import Endpoint, Tables
+from bergamotwood_core.target import VersionTarget
+from bergamotwood_daemon.answer import _decode_chunk
+from bergamotwood_daemon.completion import EventEncoder
+
+SIZES = (15, 200, 1_600)
+VERSIONS = 11
+DATA_CENTRES = 9
+CALLS = 5_000
+TOKENS = 20_000
+NOW = Seconds(100.0)
+LATER = Seconds(1_000.0)
+SECRET = b"0123456789abcdef"
+WORKSPACE = Workspace(
+    name="kubwa",
+    versions=tuple(f"m{number}:1" for number in range(VERSIONS)),
+    max_in_flight=10_000,
+)
+
+
+def make_tables(size: int, spread: bool, rng: Random) -> Tables:
+    """Make a fleet of endpoints, spread over versions and places or all alike."""
+    tables = Tables()
+    configuration = tables.configuration
+    configuration.workspaces[WORKSPACE.key] = WORKSPACE
+    for name in WORKSPACE.versions:
+        configuration.versions[VersionId(name)] = Version(id=name)
+    for number in range(size):
+        announcement = Announcement(
+            id=EndpointId(f"endpoint-{number:05d}"),
+            incarnation=Incarnation(1),
+            sequence=Sequence(1),
+            address=Address("127.0.0.1", 1),
+            data_centre=DataCentre(f"dc{number % DATA_CENTRES if spread else 0}"),
+            kind=EndpointKind.MODEL,
+            versions=(VersionId(f"m{number % VERSIONS if spread else 0}:1"),),
+            capacity=16,
+            load=rng.uniform(0, 20),
+        )
+        tables.directory.endpoints[announcement.id] = Endpoint(announcement, NOW)
+    return tables
+
+
+class Decisions:
+    """All decisions of one request, over the same tables."""
+
+    def __init__(self, size: int, spread: bool, seed: int) -> None:
+        self.rng = Random(seed)
+        self.tables = make_tables(size, spread, self.rng)
+        self.version = VersionId("m0:1")
+        self.target = VersionTarget(self.version)
+        self.admission = Admission(AdmissionSettings(limit=1_000))
+        self.session = make_session(self.version, SECRET, self.rng)
+        self.body = bytes(self.rng.randbytes(24_000))
+        self.number = 0
+
+    def place(self, **fields: int | SessionId) -> EndpointId:
+        """Choose an endpoint."""
+        need = Need(self.target, DataCentre("dc0"), **fields)
+        chosen = choose_endpoint(self.tables.directory, need, NOW, self.rng)
+        if chosen is None:
+            raise LookupError("no endpoint runs the version")
+        return chosen
+
+    def place_prefix(self) -> EndpointId:
+        """Choose an endpoint by the prompt's prefix."""
+        return self.place(prefix_hash=self.rng.getrandbits(64))
+
+    def place_after_change(self) -> EndpointId:
+        """Choose an endpoint after a change of membership."""
+        self.tables.directory.membership += 1
+        return self.place_prefix()
+
+    def check(self) -> None:
+        """Check a dispatch."""
+        self.check_endpoint(EndpointId("endpoint-00000"))
+
+    def check_endpoint(self, endpoint: EndpointId) -> None:
+        """Check a dispatch to one endpoint."""
+        check_dispatch(
+            self.tables,
+            WORKSPACE.key,
+            self.target,
+            endpoint,
+            Seconds(1.0),
+            Seconds(5.0),
+            fingerprint_request(WORKSPACE.key, "/v1/chat/completions", b""),
+        )
+
+    def fingerprint(self) -> None:
+        """Fingerprint a body of 24 kB."""
+        fingerprint_request(WORKSPACE.key, "/v1/chat/completions", self.body)
+
+    def admit(self) -> None:
+        """Admit and release a request."""
+        self.number += 1
+        request = RequestId(str(self.number))
+        self.admission.offer(request, WORKSPACE, Priority.NORMAL, LATER, NOW)
+        self.admission.release(request, NOW)
+
+    def honour_session(self) -> None:
+        """Read a session id."""
+        read_session(self.session, SECRET)
+
+    def decide(self) -> None:
+        """Make every decision of one request, from session to end."""
+        self.honour_session()
+        self.fingerprint()
+        self.number += 1
+        request = RequestId(str(self.number))
+        self.admission.offer(request, WORKSPACE, Priority.NORMAL, LATER, NOW)
+        endpoint = self.place_prefix()
+        self.check_endpoint(endpoint)
+        row = self.tables.directory.endpoints[endpoint]
+        record_start(row, NOW)
+        record_first_token(row, 0.1, NOW)
+        record_success(row, NOW)
+        self.admission.release(request, NOW)
+
+
+def measure(call: Callable[[], object], calls: int) -> tuple[float, float, float]:
+    """Measure calls: mean, median and 99th percentile in microseconds."""
+    for _ in range(20):
+        call()
+    collect()
+    taken = []
+    for _ in range(calls):
+        start = perf_counter_ns()
+        call()
+        taken.append((perf_counter_ns() - start) / 1_000)
+    p50, _, p99 = find_quantiles(taken)
+    return sum(taken) / len(taken), p50, p99
+
+
+def measure_decisions(size: int, spread: bool, seed: int) -> list[Row]:
+    """Measure each decision at one size of the fleet."""
+    decisions = Decisions(size, spread, seed)
+    parts: dict[str, Callable[[], object]] = {
+        "place by load": decisions.place,
+        "place by prefix": decisions.place_prefix,
+        "place after a change": decisions.place_after_change,
+        "check at dispatch": decisions.check,
+        "fingerprint of 24 kB": decisions.fingerprint,
+        "admit and release": decisions.admit,
+        "read session": decisions.honour_session,
+        "whole decision": decisions.decide,
+    }
+    rows = []
+    for name, call in parts.items():
+        calls = CALLS // 10 if "change" in name else CALLS
+        mean, p50, p99 = measure(call, calls)
+        pools = "spread" if spread else "one pool"
+        head: Row = {"endpoints": size, "fleet": pools, "part": name}
+        rows.append(head | {"mean_us": mean, "p50_us": p50, "p99_us": p99})
+    return rows
+
+
+class TokenWay:
+    """One token's way: parse the endpoint's event, assemble, encode again."""
+
+    def __init__(self) -> None:
+        self.request = RequestId("i1-42")
+        self.assembler = StreamAssembler(self.request)
+        self.encoder = EventEncoder(self.request, "m0:1")
+        self.index = 0
+
+    def pass_token(self) -> None:
+        """Pass one token on."""
+        for chunk in self.assembler.accept(_decode_chunk(self.make_event())):
+            self.encoder.encode(chunk)
+
+    def make_event(self) -> bytes:
+        """Make an endpoint's event; its cost is measured apart."""
+        event = (
+            b'{"id":"i1-42","object":"chat.completion.chunk","created":1,"index":%d,'
+            b'"model":"m0:1","choices":[{"index":0,"delta":{"content":" word"},'
+            b'"finish_reason":null}]}' % self.index
+        )
+        self.index += 1
+        return event
+
+
+def measure_token() -> Row:
+    """Measure the way of a token in microseconds."""
+    way = TokenWay()
+    mean, p50, p99 = measure(way.pass_token, TOKENS)
+    make_mean, make_p50, _ = measure(TokenWay().make_event, TOKENS)
+    return {
+        "endpoints": 0,
+        "fleet": "any",
+        "part": "token's way",
+        "mean_us": mean - make_mean,
+        "p50_us": p50 - make_p50,
+        "p99_us": p99,
+    }
+
+
+@command()
+@option("--seed", default=11, show_default=True)
+def main(seed: int) -> None:
+    """Measure decisions at all sizes, and a token's way."""
+    rows = [
+        row
+        for spread in (True, False)
+        for size in SIZES
+        for row in measure_decisions(size, spread, seed)
+    ]
+    rows.append(measure_token())
+    print(f"seed {seed}")
+    print_table(rows)
+    write_json("decision", seed, rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bergamotwood_core/placement.py
+++ b/packages/core/src/bergamotwood_core/placement.py
@@ -1,16 +1,17 @@
 """Choice of the endpoint that runs an attempt."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from random import Random
 
-from numpy import argsort, uint64
+from msgspec import Struct
+from numpy import uint64
 from xxhash import xxh3_64_intdigest
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.ids import DataCentre, EndpointId, SessionId
 from bergamotwood_core.outlier import is_silent
 from bergamotwood_core.pool import find_pool
+from bergamotwood_core.states import EndpointState
 from bergamotwood_core.tables import DirectoryTables, Endpoint, Pool, PoolKey
 from bergamotwood_core.target import Target
 
@@ -18,6 +19,8 @@
 MAX_DRAWS = 8
 # Endpoints in rendezvous order that are tried for a prefix or session.
 AFFINITY_CHOICES = 3
+# Pools up to this size are sorted whole.
+SMALL_POOL = 32
 # How much busier than the better of two the preferred endpoint may be, in shares
 # of its capacity.
 AFFINITY_SLACK = 0.4
@@ -31,12 +34,10 @@
 SPILL_MARGIN = 0.15
 
 _MIX = uint64(0x9E3779B97F4A7C15)
-_FOLD = uint64(32)
 _MASK = 0xFFFFFFFFFFFFFFFF
 
 
-@dataclass(frozen=True, slots=True)
-class Need:
+class Need(Struct, frozen=True):
     """What an attempt needs of an endpoint.
 
     Parameters
@@ -160,6 +161,8 @@
     """
     near = (need.data_centre, *need.nearby)
     pool = find_pool(tables, PoolKey(need.target.name, near))
+    if not pool.endpoints:
+        return None
     bound = estimate_load(best) + _allow_slack(need)
     for position in rank_endpoints(pool, key):
         endpoint = tables.endpoints[pool.endpoints[position]]
@@ -207,9 +210,14 @@
 
 def _is_fit(endpoint: Endpoint, need: Need, now: Seconds) -> bool:
     """Whether an endpoint may get the attempt."""
-    if endpoint.id in need.excluded or not endpoint.serving:
+    announcement = endpoint.announcement
+    if need.excluded and announcement.id in need.excluded:
+        return False
+    if announcement.state is not EndpointState.SERVING:
+        return False
+    if endpoint.waiting and is_silent(endpoint, now):
         return False
-    return endpoint.ejected_until <= now and not is_silent(endpoint, now)
+    return endpoint.ejected_until <= now
 
 
 def _score(endpoint: Endpoint) -> float:
@@ -242,7 +250,7 @@
         Positions in the pool, the preferred first.
     """
     mixed = (pool.hashes ^ uint64(key)) * _MIX
-    mixed ^= mixed >> _FOLD
-    mixed *= _MIX
-    mixed ^= mixed >> _FOLD
-    return argsort(mixed)[:AFFINITY_CHOICES].tolist()
+    if len(mixed) <= SMALL_POOL:
+        return mixed.argsort()[:AFFINITY_CHOICES].tolist()
+    lowest = mixed.argpartition(AFFINITY_CHOICES)[:AFFINITY_CHOICES]
+    return lowest[mixed[lowest].argsort()].tolist()
--- a/packages/core/src/bergamotwood_core/pool.py
+++ b/packages/core/src/bergamotwood_core/pool.py
@@ -3,7 +3,8 @@
 from numpy import array, uint64
 from xxhash import xxh3_64_intdigest
 
-from bergamotwood_core.tables import DirectoryTables, Endpoint, Pool, PoolKey
+from bergamotwood_core.states import EndpointState
+from bergamotwood_core.tables import DirectoryTables, Pool, PoolKey
 
 
 def find_pool(tables: DirectoryTables, key: PoolKey) -> Pool:
@@ -30,17 +31,12 @@
 
 def _make_pool(tables: DirectoryTables, key: PoolKey) -> Pool:
     """Collect the endpoints of a pool."""
-    members = [
-        endpoint.id for endpoint in tables.endpoints.values() if _belongs(endpoint, key)
-    ]
-    members.sort()
+    members = sorted(
+        announcement.id
+        for announcement in (row.announcement for row in tables.endpoints.values())
+        if key.name in announcement.versions
+        and announcement.state is EndpointState.SERVING
+        and (announcement.data_centre in key.data_centres) is not key.elsewhere
+    )
     hashes = [xxh3_64_intdigest(member.encode()) for member in members]
     return Pool(tuple(members), array(hashes, dtype=uint64))
-
-
-def _belongs(endpoint: Endpoint, key: PoolKey) -> bool:
-    """Whether an endpoint is in a pool."""
-    announcement = endpoint.announcement
-    if not endpoint.serving or key.name not in announcement.versions:
-        return False
-    return (announcement.data_centre in key.data_centres) is not key.elsewhere
--- a/packages/core/src/bergamotwood_core/tables.py
+++ b/packages/core/src/bergamotwood_core/tables.py
@@ -1,6 +1,7 @@
 """Tables of entities, over which the systems run."""
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from numpy import uint64
 from numpy.typing import NDArray
@@ -159,8 +160,7 @@
     at: Seconds
 
 
-@dataclass(frozen=True, slots=True)
-class PoolKey:
+class PoolKey(NamedTuple):
     """Which endpoints a pool holds.
 
     Parameters
