--- /dev/null
+++ b/benchmarks/streams.py
@@ -0,0 +1,201 @@
+"""Streams under silence, breaks, disorder, repeats and late chunks."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from random import Random
+
+from click import command, option
+
+from benchmarks.figures import Row, write_figures
+from bergamotwood_core.errors import EndpointError
+from bergamotwood_core.ids import RequestId
+from bergamotwood_core.stream import Chunk, StreamAssembler, Usage
+
+STREAMS = 2_000
+ATTEMPTS = 3
+SHORTEST, LONGEST = 1, 200
+FAULT_CHANCE = 0.7
+DONE = None
+
+Event = Chunk | None
+Fault = Callable[[list[Event], Random], list[Event]]
+
+
+def make_events(request: RequestId, count: int, start: int) -> list[Event]:
+    """Make the events of an answer from one index on, with the end marker."""
+    events: list[Event] = [
+        Chunk(request, index, f"{request}/{index} ") for index in range(start, count)
+    ]
+    if start <= count:
+        events.append(Chunk(request, count, finish_reason="stop"))
+    if start <= count + 1:
+        events.append(Chunk(request, count + 1, usage=Usage(7, count)))
+    return [*events, DONE]
+
+
+def pass_all(events: list[Event], rng: Random) -> list[Event]:
+    """Change nothing."""
+    return events
+
+
+def cut(events: list[Event], rng: Random) -> list[Event]:
+    """Break off, or fall silent, anywhere."""
+    return events[: rng.randrange(len(events))]
+
+
+def cut_marker(events: list[Event], rng: Random) -> list[Event]:
+    """Cut exactly at the end marker."""
+    return events[:-1]
+
+
+def shuffle(events: list[Event], rng: Random) -> list[Event]:
+    """Bring chunks out of order, each by up to 20 places."""
+    chunks = [event for event in events if event is not DONE]
+    chunks.sort(key=lambda chunk: chunk.index + rng.uniform(0, 20))
+    return [*chunks, DONE]
+
+
+def repeat(events: list[Event], rng: Random) -> list[Event]:
+    """Send some chunks again, later."""
+    chunks = list(events[:-1])
+    for chunk in rng.sample(events[:-1], len(events) // 3):
+        chunks.insert(rng.randrange(len(chunks) + 1), chunk)
+    chunks.sort(key=lambda chunk: chunk.index + rng.uniform(0, 5))
+    return [*chunks, DONE]
+
+
+def lose(events: list[Event], rng: Random) -> list[Event]:
+    """Lose one chunk on the way."""
+    if len(events) < 2:
+        return events
+    lost = rng.randrange(len(events) - 1)
+    return events[:lost] + events[lost + 1 :]
+
+
+def mix(events: list[Event], rng: Random) -> list[Event]:
+    """Slip in a chunk of another request."""
+    place = rng.randrange(len(events))
+    other = Chunk(RequestId("other"), place, "theirs ")
+    return [*events[:place], other, *events[place:]]
+
+
+def overrun(events: list[Event], rng: Random) -> list[Event]:
+    """Go on after the end marker."""
+    first = next(event for event in events if event is not DONE)
+    return [*events, Chunk(first.request, first.index + 500, "more ")]
+
+
+def early_marker(events: list[Event], rng: Random) -> list[Event]:
+    """Send the end marker before the end."""
+    place = rng.randrange(len(events))
+    return [*events[:place], DONE]
+
+
+FAULTS: dict[str, Fault] = {
+    "none": pass_all,
+    "silent or broken": cut,
+    "cut at marker": cut_marker,
+    "out of order": shuffle,
+    "repeated": repeat,
+    "lost chunk": lose,
+    "foreign chunk": mix,
+    "early marker": early_marker,
+    "after marker": overrun,
+}
+
+
+class Caller:
+    """Reads one answer through the assembler, over several attempts."""
+
+    def __init__(self, request: RequestId, count: int, rng: Random) -> None:
+        self.request = request
+        self.count = count
+        self.rng = rng
+        self.text = ""
+        self.attempts = 0
+        self.late: list[Event] = []
+        self.assembler = StreamAssembler(request)
+
+    def read(self, fault: Fault) -> str:
+        """Read the answer; whole, error or wrong."""
+        expected = "".join(f"{self.request}/{index} " for index in range(self.count))
+        for _ in range(ATTEMPTS):
+            self.attempts += 1
+            try:
+                self._read_attempt(fault)
+            except EndpointError:
+                self._resume()
+                continue
+            return "whole" if self.text == expected else "wrong"
+        return "error" if expected.startswith(self.text) else "wrong"
+
+    def _read_attempt(self, fault: Fault) -> None:
+        """Read one attempt, with late chunks of the one before among its own."""
+        done = False
+        for attempt, event in self._list_events(fault):
+            if event is DONE:
+                done = True
+                break
+            for chunk in self.assembler.accept(event, attempt):
+                self.text += chunk.content
+        self.assembler.finish(done)
+
+    def _list_events(self, fault: Fault) -> Iterator[tuple[int, Event]]:
+        """List the events of the attempt and the late ones of the last."""
+        current = self.assembler.attempt
+        events = make_events(self.request, self.count, self.assembler.next_index)
+        faulty = self.rng.random() < FAULT_CHANCE
+        sent = fault(events, self.rng) if faulty else events
+        late, self.late = self.late, [e for e in events[-8:] if e is not DONE]
+        for event in sent:
+            if late and self.rng.random() < 0.3:
+                yield current - 1, spoil(late.pop())
+            yield current, event
+
+    def _resume(self) -> None:
+        """Go on at the next index on another endpoint."""
+        if self.assembler.complete:
+            return
+        try:
+            self.assembler.resume()
+        except EndpointError:
+            self.attempts = ATTEMPTS
+
+
+def spoil(event: Event) -> Event:
+    """Give a late chunk the words of an endpoint that answered otherwise."""
+    if event is DONE:
+        return event
+    return Chunk(event.request, event.index, "late ")
+
+
+def run_fault(name: str, fault: Fault, seed: int) -> Row:
+    """Read many answers under one fault."""
+    rng = Random(f"{seed}/{name}")
+    outcomes: Counter[str] = Counter()
+    attempts = 0
+    for number in range(STREAMS):
+        count = rng.randint(SHORTEST, LONGEST)
+        caller = Caller(RequestId(f"r{number}"), count, rng)
+        outcomes[caller.read(fault)] += 1
+        attempts += caller.attempts
+    return {
+        "fault": name,
+        "streams": STREAMS,
+        "whole": outcomes["whole"],
+        "error": outcomes["error"],
+        "wrong": outcomes["wrong"],
+        "attempts": attempts / STREAMS,
+    }
+
+
+@command()
+@option("--seed", default=11, show_default=True)
+def main(seed: int) -> None:
+    """Run every fault; seven attempts in ten are faulty."""
+    print(f"seed {seed}")
+    write_figures("streams", seed, [run_fault(n, f, seed) for n, f in FAULTS.items()])
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/src/bergamotwood_core/stream.py
+++ b/packages/core/src/bergamotwood_core/stream.py
@@ -170,12 +170,14 @@
         Raises
         ------
         EndpointError
-            When the answer is not whole.
+            When the answer is not whole; it may be resumed then.
         """
-        self._done_seen = self._done_seen or done_seen
+        self._done_seen = done_seen
         if self.complete and self.usage is not None:
             return self.usage
-        raise _break_stream(self._explain_end())
+        detail = self._explain_end()
+        self._done_seen = False
+        raise _break_stream(detail)
 
     def _advance(self, chunk: Chunk) -> None:
         """Count the chunk that has the next index."""
--- a/tests/core/test_stream.py
+++ b/tests/core/test_stream.py
@@ -125,3 +125,25 @@
     with pytest.raises(EndpointError) as caught:
         assembler.accept(Chunk(REQUEST, 3, "x"))
     assert caught.value.code is Code.ANSWER_TOO_LARGE
+
+
+def test_an_end_marker_that_came_too_early_leaves_the_answer_open_to_resume():
+    chunks = make_chunks(4)
+    assembler = StreamAssembler(REQUEST)
+    got = [*assembler.accept(chunks[0]), *assembler.accept(chunks[1])]
+    with pytest.raises(EndpointError):
+        assembler.finish(done_seen=True)
+    attempt = assembler.resume()
+    for chunk in chunks[2:]:
+        got.extend(assembler.accept(chunk, attempt))
+    assert assembler.finish(done_seen=True) == Usage(3, 4)
+    assert got == chunks
+
+
+def test_a_whole_answer_is_not_resumed():
+    assembler = StreamAssembler(REQUEST)
+    for chunk in make_chunks(2):
+        assembler.accept(chunk)
+    assembler.finish(done_seen=True)
+    with pytest.raises(EndpointError):
+        assembler.resume()
