Retry suspects one to an endpoint fleet-wide, after their records have settled

Tried and dropped: clearing a quarantined fingerprint whose crashes others explain; it cleared poison requests too.

--- a/packages/core/src/bergamotwood_core/quarantine.py
+++ b/packages/core/src/bergamotwood_core/quarantine.py
@@ -1,15 +1,24 @@
 """Fingerprints of requests that were running when endpoints crashed."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from xxhash import xxh3_128
+from xxhash import xxh3_64_intdigest, xxh3_128
 
 from bergamotwood_core.errors import Code, RefusedError
 from bergamotwood_core.ids import EndpointId, Fingerprint, WorkspaceId
 from bergamotwood_core.tables import Suspect
 
 QUARANTINE_CRASHES = 2
+# One in so many endpoints may be kept for the retry of suspects.
+RETRY_PART = 2
+# Finished fingerprints that an entry remembers.
+MAX_FINISHED = 10_000
+# How long a suspect waits before its retry: longer than a crash record takes to
+# every entry, so that duplicates that run elsewhere are known by then.
+SETTLE_SECONDS = 1.0
+# How long an entry waits for another's retry of a suspect before its own.
+VERDICT_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +113,122 @@
             return clearance
 
 
+@dataclass(frozen=True, slots=True)
+class RunNow:
+    """Dispatch the request, by the rules of its clearance."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitFor:
+    """Look again after some seconds; nothing runs meanwhile."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Refuse the request as quarantined."""
+
+
+Plan = RunNow | WaitFor | GiveUp
+
+
+def plan_dispatch(
+    clearance: Clearance, crashed: bool, granted: bool, waited: float
+) -> Plan:
+    """Plan what an entry does with a request that may be a suspect.
+
+    Parameters
+    ----------
+    clearance : Clearance
+        How the fingerprint may run, as the entry knows it now.
+    crashed : bool
+        Whether an endpoint crashed under the request at this entry, which the
+        entry's own tables may not show yet.
+    granted : bool
+        Whether this entry's record of the last crash was the first in the log: it
+        alone retries, all others wait for what comes of that.
+    waited : float
+        Seconds that the request has waited since it was first planned as a suspect.
+    """
+    match clearance:
+        case Ordinary() if not crashed or waited >= SETTLE_SECONDS:
+            return RunNow()
+        case Quarantined():
+            return GiveUp()
+    patience = SETTLE_SECONDS if granted else VERDICT_SECONDS
+    if waited >= patience:
+        return RunNow()
+    return WaitFor(min(SETTLE_SECONDS, patience - waited))
+
+
+def assign_endpoints(
+    suspects: Mapping[Fingerprint, Suspect], endpoints: Sequence[EndpointId]
+) -> dict[Fingerprint, EndpointId]:
+    """Give suspects that are to be retried an endpoint each.
+
+    Every entry computes the same from the replicated table, so that no two suspects
+    run beside each other, whichever entries retry them. An assigned endpoint gets no
+    other new work; a suspect without one waits.
+
+    Parameters
+    ----------
+    suspects : mapping
+        `ConfigurationTables.suspects`, in the order of the log.
+    endpoints : sequence of EndpointId
+        Endpoints that are fit for work.
+
+    Returns
+    -------
+    dict
+        Endpoint of each suspect; at most half of the endpoints.
+    """
+    free = list(endpoints)
+    most = max(1, len(free) // RETRY_PART)
+    assigned: dict[Fingerprint, EndpointId] = {}
+    for fingerprint, suspect in suspects.items():
+        if suspect.crashes != 1:
+            continue
+        if len(assigned) == most or not free:
+            break
+        chosen = max(free, key=lambda id_: _rank(id_, fingerprint))
+        free.remove(chosen)
+        assigned[fingerprint] = chosen
+    return assigned
+
+
+def _rank(endpoint: EndpointId, fingerprint: Fingerprint) -> int:
+    """Rank an endpoint for a fingerprint by rendezvous hash."""
+    return xxh3_64_intdigest(f"{endpoint}/{fingerprint}".encode())
+
+
+class FinishedRequests:
+    """Fingerprints that ran to their end here, the newest ones.
+
+    What has finished once does not crash each endpoint that runs it, so that a crash
+    of an endpoint under it is no evidence against it.
+
+    Parameters
+    ----------
+    limit : int
+        Fingerprints kept.
+    """
+
+    def __init__(self, limit: int = MAX_FINISHED) -> None:
+        self.limit = limit
+        self._newest: dict[Fingerprint, None] = {}
+
+    def add(self, fingerprint: Fingerprint) -> None:
+        """Remember a fingerprint, and forget the oldest beyond the limit."""
+        self._newest.pop(fingerprint, None)
+        self._newest[fingerprint] = None
+        if len(self._newest) > self.limit:
+            del self._newest[next(iter(self._newest))]
+
+    def __contains__(self, fingerprint: Fingerprint) -> bool:
+        return fingerprint in self._newest
+
+
 class Isolation:
     """Suspects that run now, at most one on an endpoint.
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -1,13 +1,19 @@
 from bergamotwood_core.ids import EndpointId, Fingerprint, WorkspaceId
 from bergamotwood_core.quarantine import (
     Failure,
+    FinishedRequests,
+    GiveUp,
     Isolated,
     Isolation,
     Ordinary,
     Quarantined,
+    RunNow,
+    WaitFor,
+    assign_endpoints,
     check_fingerprint,
     fingerprint_request,
     is_crash,
+    plan_dispatch,
 )
 from bergamotwood_core.tables import Suspect
 
@@ -62,3 +68,35 @@
     assert is_crash(reset, incarnation_changed=False, probe_failed=True)
     silent = Failure(running=True, pooled=False, answered=True, reset=False)
     assert not is_crash(silent, incarnation_changed=False, probe_failed=True)
+
+
+def test_a_suspect_waits_until_duplicates_elsewhere_are_known():
+    suspect = Isolated(EndpointId("a"))
+    assert plan_dispatch(Ordinary(), False, False, 0.0) == RunNow()
+    assert plan_dispatch(Ordinary(), True, True, 0.0) != RunNow()
+    assert plan_dispatch(suspect, True, True, 0.0) == WaitFor(1.0)
+    assert plan_dispatch(suspect, True, True, 1.0) == RunNow()
+    assert plan_dispatch(suspect, True, False, 1.5) == WaitFor(1.0)
+    assert plan_dispatch(suspect, True, False, 8.0) == RunNow()
+    assert plan_dispatch(Quarantined(2), True, True, 0.0) == GiveUp()
+
+
+def test_finished_fingerprints_are_remembered_within_a_bound():
+    finished = FinishedRequests(limit=2)
+    for name in ("a", "b", "a", "c"):
+        finished.add(Fingerprint(name))
+    assert Fingerprint("a") in finished
+    assert Fingerprint("b") not in finished
+    assert Fingerprint("c") in finished
+
+
+def test_every_entry_gives_suspects_the_same_endpoints_of_their_own():
+    suspects = {Fingerprint(f"s{n}"): Suspect(1, A) for n in range(5)}
+    suspects[Fingerprint("bad")] = Suspect(2, A)
+    endpoints = [EndpointId(f"e{n}") for n in range(9)]
+    assigned = assign_endpoints(suspects, endpoints)
+    assert list(assigned) == ["s0", "s1", "s2", "s3"]
+    assert len(set(assigned.values())) == 4
+    assert assigned == assign_endpoints(suspects, endpoints[::-1])
+    assert len(assign_endpoints(suspects, endpoints[:1])) == 1
+    assert assign_endpoints(suspects, []) == {}
