Stop only when every body is closed, and drop callers that stay silent

Cause: a planned stop waited for requests in the table, which a whole answer left before its bytes were written; a queued request was in no table; kept connections were cut after a fixed time; a caller that took nothing held its slot for good; a chat request under a claim left its slot while its run went on. The stop now closes the listener, answers with Connection: close and waits until every body is closed and every claim settled. Entry reports whose load alone changed go out every 1.5 s.

--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -81,10 +81,12 @@
         try:
             if self._entry.watch.applied != index:
                 plan = self._plan(call)
-            return self._answer_admitted(call, plan)
         except BaseException:
             self._leave(call)
             raise
+        if not call.work.idempotent:
+            return self._answer_once(call, plan)
+        return self._answer_idempotent(call, plan)
 
     def _plan(self, call: ChatCall) -> Plan:
         """Choose the steps by the configuration in force now."""
@@ -97,19 +99,21 @@
             call.work.deadline,
         )
 
-    def _answer_admitted(self, call: ChatCall, plan: Plan) -> Response:
-        if not call.work.idempotent:
-            return self._answer_once(call, plan)
-        answer, chunks = self._run_steps(call, plan.steps)
-        headers = self._make_headers(call, answer)
-        if call.stream:
-            body = ClosingBody(
-                self._stream(call, answer, chunks), lambda: self._leave(call)
-            )
+    def _answer_idempotent(self, call: ChatCall, plan: Plan) -> Response:
+        streaming = False
+        try:
+            answer, chunks = self._run_steps(call, plan.steps)
+            headers = self._make_headers(call, answer)
+            if not call.stream:
+                body = self._collect(call, answer, chunks)
+                return Response(200, JSON, [body], headers)
+            events = self._stream(call, answer, chunks)
+            body = ClosingBody(events, lambda: self._leave(call))
+            streaming = True
             return Response(200, EVENT_STREAM, body, headers)
-        body = self._collect(call, answer, chunks)
-        self._leave(call)
-        return Response(200, JSON, [body], headers)
+        finally:
+            if not streaming:
+                self._leave(call)
 
     def _run_steps(
         self, call: ChatCall, steps: tuple[Step, ...]
@@ -244,7 +248,11 @@
             call.work.workspace.key, call.key, call.digest, call.work.id
         )
 
+        acting = False
+
         def act() -> Ran:
+            nonlocal acting
+            acting = True
             try:
                 chunks = list(answer.stream())
             finally:
@@ -254,10 +262,14 @@
             bill = make_bill(call.work, call.key, call.digest)
             return Ran(StoredAnswer(200, JSON, body), bill)
 
-        stored = self._entry.claims.run_once(
-            keyed, act, self._entry.settings.timeouts.request
-        )
-        self._leave(call)
+        try:
+            stored = self._entry.claims.run_once(
+                keyed, act, self._entry.settings.timeouts.request
+            )
+        finally:
+            # A run may go on after its caller was answered; it leaves by itself.
+            if not acting:
+                self._leave(call)
         return Response(stored.status, stored.content_type, [stored.body])
 
     def _bill(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/connection.py
@@ -0,0 +1,18 @@
+"""Connections of callers: how long a silent one is kept."""
+
+from gevent.pywsgi import WSGIHandler
+
+CONNECTION_SECONDS = 30.0
+
+
+class CallerHandler(WSGIHandler):
+    """Serves one connection, and drops it when the caller stays silent.
+
+    The bound holds for the wait for a request and for a caller that takes
+    nothing of an answer, so that a connection lost on the way holds no slot.
+    """
+
+    def handle(self) -> None:
+        """Serve requests until the connection ends."""
+        self.socket.settimeout(CONNECTION_SECONDS)
+        super().handle()
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -21,6 +21,7 @@
 from bergamotwood_daemon.chat import Chat
 from bergamotwood_daemon.claims import Claims
 from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.connection import CallerHandler
 from bergamotwood_daemon.directoryfeed import DirectoryFeed
 from bergamotwood_daemon.encryption import PeerEncryption, ServerEncryption
 from bergamotwood_daemon.entry import Entry
@@ -52,7 +53,7 @@
 NANOSECONDS_PER_MICROSECOND = 1_000
 STOP_POLL_SECONDS = 0.1
 PEER_GRACE_SECONDS = 1.0
-IDLE_CONNECTION_SECONDS = 75.0
+STOP_SECONDS = 1.0
 
 
 class Daemon:
@@ -81,6 +82,9 @@
         self._peer_server = PeerServer(
             self.replicas or _NoReplicas(), settings.instance_key, self._peer_tls
         )
+        self._application = Application(
+            self._make_routes(), settings.limits, self.presence.list_others
+        )
         self._server = self._make_server()
         self._ticker = Ticker(
             self.entry, self.admittance, self.replicas, self._make_ordering(), self._tls
@@ -119,9 +123,11 @@
         """Leave the addresses, serve on, then finish what is in flight."""
         self.entry.watch.report_now()
         sleep(self.settings.timeouts.drain)
+        self._application.draining = True
+        self._server.close()
         while self._has_work():
             sleep(STOP_POLL_SECONDS)
-        self._server.stop(timeout=self.settings.timeouts.drain)
+        self._server.stop(timeout=STOP_SECONDS)
         self._ticker.stop()
         self.entry.watch.stop()
         if self.replicas is not None:
@@ -134,7 +140,7 @@
     def _has_work(self) -> bool:
         """Whether a request runs, or its end is not committed yet."""
         claims = self.entry.claims
-        return bool(self.entry.tables.in_flight or claims.running or claims.settling)
+        return bool(self._application.active or claims.running or claims.settling)
 
     def _make_channels(self) -> dict[InstanceId, PeerChannel]:
         """Make channels of their own for one purpose, this instance's first."""
@@ -251,12 +257,14 @@
 
     def _make_server(self) -> WSGIServer:
         listen = self.settings.listen
-        application = Application(
-            self._make_routes(), self.settings.limits, self.presence.list_others
-        )
         tls = {"ssl_context": self._tls.context} if self._tls else {}
         return WSGIServer(
-            (listen.host, listen.port), application, log=None, error_log=None, **tls
+            (listen.host, listen.port),
+            self._application,
+            log=None,
+            error_log=None,
+            handler_class=CallerHandler,
+            **tls,
         )
 
     def _make_routes(self) -> tuple[Route, ...]:
--- a/packages/daemon/src/bergamotwood_daemon/directoryfeed.py
+++ b/packages/daemon/src/bergamotwood_daemon/directoryfeed.py
@@ -16,6 +16,8 @@
 from bergamotwood_core.tables import DirectoryTables
 
 MAX_KEPT_EVIDENCE = 256
+# Time between two reports of one entry that watchers get, unless its state changed.
+ENTRY_NEWS_SECONDS = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
         self._endpoints: dict[EndpointId, int] = {}
         self._memberships: dict[EndpointId, int] = {}
         self._entries: dict[InstanceId, int] = {}
+        self._entries_shown_at: dict[InstanceId, Seconds] = {}
         self._filter = SequenceFilter()
         self._ratings: deque[_NumberedEvidence] = deque(maxlen=MAX_KEPT_EVIDENCE)
 
@@ -74,9 +77,14 @@
         before = known.report if known is not None else None
         if not merge_report(self.tables, report, now):
             return False
+        changed = before is None or before.state is not report.state
+        shown_at = self._entries_shown_at.get(report.id, Seconds(float("-inf")))
+        if not changed and now - shown_at < ENTRY_NEWS_SECONDS:
+            return True
+        self._entries_shown_at[report.id] = now
         self.cursor += 1
         self._entries[report.id] = self.cursor
-        if before is None or before.state is not report.state:
+        if changed:
             self.membership_cursor = self.cursor
         return True
 
@@ -123,6 +131,7 @@
             del self._memberships[id]
         for id in self._entries.keys() - self.tables.entries.keys():
             del self._entries[id]
+            del self._entries_shown_at[id]
 
 
 def _make_load_report(announcement: Announcement) -> LoadReport:
--- a/packages/daemon/src/bergamotwood_daemon/routes.py
+++ b/packages/daemon/src/bergamotwood_daemon/routes.py
@@ -9,6 +9,7 @@
 from bergamotwood_daemon.log import log_failure
 from bergamotwood_daemon.settings import Limits
 from bergamotwood_daemon.web import (
+    ClosingBody,
     Environ,
     Response,
     StartResponse,
@@ -77,12 +78,20 @@
         self._routes = routes
         self._limits = limits
         self._list_others = list_others
+        self.active = 0
+        self.draining = False
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one request."""
-        return send_response(self._answer(environ), start_response)
+        """Answer one request; it is active until its body is closed."""
+        self.active += 1
+        response = self._answer(environ)
+        pieces = send_response(response, start_response, self.draining)
+        return ClosingBody(pieces, self._end)
+
+    def _end(self) -> None:
+        self.active -= 1
 
     def _answer(self, environ: Environ) -> Response:
         request = WebRequest(environ, self._limits)
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -139,25 +139,28 @@
 
     Parameters
     ----------
-    pieces : generator of bytes
+    pieces : iterable of bytes
         The body.
     on_close : callable
         Called once, also when no piece was ever taken.
     """
 
-    def __init__(
-        self, pieces: Generator[bytes, None, None], on_close: Callable[[], None]
-    ) -> None:
+    def __init__(self, pieces: Iterable[bytes], on_close: Callable[[], None]) -> None:
         self._pieces = pieces
         self._on_close = on_close
+        self._is_open = True
 
     def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
+        return iter(self._pieces)
 
     def close(self) -> None:
-        """End the body."""
+        """End the body; a second call changes nothing."""
+        if not self._is_open:
+            return
+        self._is_open = False
         try:
-            self._pieces.close()
+            if isinstance(self._pieces, ClosingBody | Generator):
+                self._pieces.close()
         finally:
             self._on_close()
 
@@ -201,12 +204,16 @@
     return json.encode(document)
 
 
-def send_response(response: Response, start_response: StartResponse) -> Iterable[bytes]:
-    """Give a response to the WSGI server."""
+def send_response(
+    response: Response, start_response: StartResponse, last: bool
+) -> Iterable[bytes]:
+    """Give a response to the WSGI server; the last one closes its connection."""
     phrase = HTTPStatus(response.status).phrase
     headers = [("Content-Type", response.content_type), *response.headers]
     if isinstance(response.body, list):
         length = sum(len(piece) for piece in response.body)
         headers.append(("Content-Length", str(length)))
+    if last:
+        headers.append(("Connection", "close"))
     start_response(f"{response.status} {phrase}", headers)
     return response.body
