Send nothing in a term that is not on disk, and promote under load

Cause: a lone voter with learners led in the same batch in which it set its term, so its first entries could go out before the term was synced; after a crash the same term could have had two entries at one index. They wait for the disk now. A learner of a busy lone voter was never as new as its commit, so it was not promoted; it may lack up to 200 entries now.

--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -25,6 +25,8 @@
 )
 
 HELLO_HEARTBEATS = 5
+# Entries that a learner may lack when it becomes a voter.
+PROMOTION_LAG_ENTRIES = 200
 
 
 def is_member(state: ReplicaState) -> bool:
@@ -137,7 +139,8 @@
         progress = state.leadership.progress.get(member.replica)
         if progress is None or _is_silent(state, member, now):
             continue
-        if not progress.probing and progress.match >= state.commit:
+        near = progress.match + PROMOTION_LAG_ENTRIES >= state.commit
+        if near and not progress.probing and progress.snapshot is None:
             return Promote(member.replica)
     return None
 
--- a/packages/core/src/bergamotwood_core/replicastate.py
+++ b/packages/core/src/bergamotwood_core/replicastate.py
@@ -214,7 +214,10 @@
         self.effects.messages.append(Outgoing(instance, message))
 
     def send_eagerly(self, member: Member, body: Body) -> None:
-        """Send without waiting for the disk."""
+        """Send without waiting for the disk, if the term is there already."""
+        if any(isinstance(record, HardState) for record in self.effects.records):
+            self.send(member.instance, member.replica, body)
+            return
         message = self.build_message(member.replica, body)
         self.effects.eager.append(Outgoing(member.instance, message))
 
--- a/tests/core/test_replica.py
+++ b/tests/core/test_replica.py
@@ -1,8 +1,15 @@
+from random import Random
+
 import pytest
 from core.logcluster import Cluster, InvariantError
 
 from bergamotwood_core import follower, replica, replication
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import InstanceId, ReplicaId, Term
+from bergamotwood_core.logentries import HardState, SavedState
+from bergamotwood_core.logmessages import Append
+from bergamotwood_core.membership import Genesis, Member, Membership
+from bergamotwood_core.replicastate import ReplicaSettings
 
 STEPS = 3000
 
@@ -22,6 +29,32 @@
     assert len(cluster.committed) > reached > 0
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_a_group_grows_through_faults(seed):
+    cluster = Cluster(seed, size=5 if seed % 3 == 0 else 3, first=1)
+    cluster.part_bytes = 2000
+    cluster.run(500)
+    cluster.grow()
+    cluster.run(STEPS)
+    cluster.settle(30.0)
+    leader = cluster.find_leader()
+    assert len(leader.replica.membership.voters) == len(cluster.names)
+
+
+def test_a_leader_sends_nothing_in_a_term_that_is_not_on_disk():
+    voter = Member(InstanceId("a"), ReplicaId("ra"), voting=True)
+    learner = Member(InstanceId("b"), ReplicaId("rb"), voting=False)
+    genesis = Genesis("ra", Membership((voter, learner)))
+    saved = SavedState(voter.replica, genesis)
+    settings = ReplicaSettings(voter.instance, (voter.instance,))
+    alone = replica.Replica(settings, saved, 1, Random(1), Seconds(0.0))
+    alone.tick(Seconds(0.1))
+    effects = alone.take_effects()
+    assert HardState(Term(1), voter.replica) in effects.records
+    assert effects.eager == []
+    assert [type(sent.message.body) for sent in effects.messages] == [Append]
+
+
 def test_an_amnesiac_voter_that_votes_is_caught():
     with pytest.raises(InvariantError, match="lacks committed entry"):
         run_seeds((0, 4, 8), keep_identity=True)
