--- a/packages/core/src/bergamotwood_core/bill_table.py
+++ b/packages/core/src/bergamotwood_core/bill_table.py
@@ -1,5 +1,6 @@
 """Bills and their exact totals."""
 
+from collections import OrderedDict
 from math import isfinite
 
 from msgspec import Struct
@@ -9,7 +10,7 @@
 from bergamotwood_core.watermark import parse_request_id
 
 # Newest bills that are kept whole; the totals count every bill.
-MAX_BILLS = 20_000
+MAX_BILLS = 10_000
 MAX_ATTEMPTS = 64
 # Cost is summed in whole billionths of a unit, so that no sum is rounded.
 BILLIONTHS = 1_000_000_000
@@ -44,17 +45,23 @@
     """The newest bills, and a total for each workspace."""
 
     def __init__(self) -> None:
-        self.bills: dict[RequestId, Bill] = {}
+        self.bills: OrderedDict[RequestId, Bill] = OrderedDict()
         self.totals: dict[WorkspaceId, Total] = {}
 
     def add(self, bill: Bill) -> None:
         """Add a checked bill that is known to be new."""
         self.bills[bill.request] = bill
         if len(self.bills) > MAX_BILLS:
-            del self.bills[next(iter(self.bills))]
+            self.bills.popitem(last=False)
         total = self.totals.get(bill.workspace, Total())
         self.totals[bill.workspace] = _add_bill(total, bill)
 
+    def remove(self, bill: Bill) -> None:
+        """Take a bill that was added out of the table and the total."""
+        self.bills.pop(bill.request, None)
+        total = self.totals.get(bill.workspace, Total())
+        self.totals[bill.workspace] = _add_bill(total, bill, sign=-1)
+
     def list(self, workspace: WorkspaceId | None, limit: int) -> list[Bill]:
         """List the newest bills, the newest first."""
         chosen: list[Bill] = []
@@ -86,12 +93,15 @@
     return isfinite(cost) and 0.0 <= cost <= MAX_COST
 
 
-def _add_bill(total: Total, bill: Bill) -> Total:
+def _add_bill(total: Total, bill: Bill, sign: int = 1) -> Total:
     attempts = bill.attempts
+    prompt_tokens = sum(attempt.prompt_tokens for attempt in attempts)
+    output_tokens = sum(attempt.output_tokens for attempt in attempts)
+    cost = round(bill.cost * BILLIONTHS)
     return Total(
-        bills=total.bills + 1,
-        attempts=total.attempts + len(attempts),
-        prompt_tokens=total.prompt_tokens + sum(a.prompt_tokens for a in attempts),
-        output_tokens=total.output_tokens + sum(a.output_tokens for a in attempts),
-        cost_billionths=total.cost_billionths + round(bill.cost * BILLIONTHS),
+        bills=total.bills + sign,
+        attempts=total.attempts + sign * len(attempts),
+        prompt_tokens=total.prompt_tokens + sign * prompt_tokens,
+        output_tokens=total.output_tokens + sign * output_tokens,
+        cost_billionths=total.cost_billionths + sign * cost,
     )
--- a/packages/daemon/src/bergamotwood_daemon/routes.py
+++ b/packages/daemon/src/bergamotwood_daemon/routes.py
@@ -9,6 +9,7 @@
 from bergamotwood_daemon.log import log_failure
 from bergamotwood_daemon.settings import Limits
 from bergamotwood_daemon.web import (
+    ClosingBody,
     Environ,
     Response,
     StartResponse,
@@ -19,6 +20,8 @@
 
 Handler = Callable[..., Response]
 ANY_METHOD = "*"
+# Codes of refusals that another entry may not give.
+SERVED_ELSEWHERE = (Code.CONFIG_STALE, Code.LEDGER_UNAVAILABLE, Code.OVERLOADED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,24 +65,41 @@
         Tried in order.
     limits : Limits
         Bounds on requests.
+    list_others : callable
+        Addresses of other entries, told to callers that this one cannot serve.
     """
 
-    def __init__(self, routes: tuple[Route, ...], limits: Limits) -> None:
+    def __init__(
+        self,
+        routes: tuple[Route, ...],
+        limits: Limits,
+        list_others: Callable[[], tuple[str, ...]],
+    ) -> None:
         self._routes = routes
         self._limits = limits
+        self._list_others = list_others
+        self.active = 0
+        self.draining = False
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one request."""
-        return send_response(self._answer(environ), start_response)
+        """Answer one request; it is active until its body is closed."""
+        self.active += 1
+        response = self._answer(environ)
+        pieces = send_response(response, start_response, self.draining)
+        return ClosingBody(pieces, self._end)
+
+    def _end(self) -> None:
+        self.active -= 1
 
     def _answer(self, environ: Environ) -> Response:
         request = WebRequest(environ, self._limits)
         try:
             return self._dispatch(request)
         except BergamotwoodError as error:
-            return answer_problem(error)
+            others = self._list_others() if error.code in SERVED_ELSEWHERE else ()
+            return answer_problem(error, others)
         except Exception:
             log_failure("http", "Request failed.", path=request.path)
             return answer_problem(BergamotwoodError("internal error"))
--- a/tests/core/logcluster.py
+++ b/tests/core/logcluster.py
@@ -85,12 +85,16 @@
 class Cluster:
     """A group of instances with a faulty network, faulty disks and clocks."""
 
-    def __init__(self, seed, size=3, keep_identity=False, faults=True):
+    append_bytes = 60
+    part_bytes = 40
+
+    def __init__(self, seed, size=3, keep_identity=False, faults=True, first=None):
         self.rng = Random(seed)
         self.now = 100.0
         self.keep_identity = keep_identity
         self.faults = faults
         self.names = tuple(InstanceId(f"i{at}") for at in range(size))
+        self.listed = self.names[:first]
         self.network: list[tuple[InstanceId, InstanceId, bytes]] = []
         self.blocked: set[tuple[InstanceId, InstanceId]] = set()
         self.committed: list[Entry] = []
@@ -116,6 +120,8 @@
             if self.network:
                 self._deliver()
         node = self.nodes[self.rng.choice(self.names)]
+        if node.instance not in self.listed:
+            return
         if node.replica is None:
             if self.rng.random() < 0.03 or not self.faults:
                 self.start(node)
@@ -126,12 +132,12 @@
         saved = node.disk.load()
         settings = ReplicaSettings(
             node.instance,
-            self.names,
-            append_bytes=60,
+            self.listed,
+            append_bytes=self.append_bytes,
             append_entries_ahead=20,
-            snapshot_part_bytes=40,
+            snapshot_part_bytes=self.part_bytes,
         )
-        node.applied = []
+        self.reset(node)
         node.applied_index = 0
         if saved.snapshot is not None:
             self._restore(node, saved.snapshot)
@@ -169,11 +175,36 @@
 
     def propose(self, node):
         self.proposed += 1
-        command = f"c{self.proposed}".encode()
+        self.submit(node, f"c{self.proposed}".encode())
+
+    def submit(self, node, command):
+        """Append a command, if the node leads; return its index and term."""
         try:
-            node.replica.propose([command], self.clock(node))
+            index = node.replica.propose([command], self.clock(node))
         except NotLeaderError:
-            return
+            return None
+        return index, node.replica.term
+
+    # -- the state machine ---------------------------------------------------
+
+    def apply(self, node, entry):
+        node.applied.append((entry.index, entry.command))
+
+    def snapshot(self, node):
+        return encode(node.applied)
+
+    def restore(self, node, snapshot):
+        node.applied = [tuple(item) for item in decode(snapshot.data)]
+        wanted = [
+            (entry.index, entry.command)
+            for entry in self.committed[: snapshot.index]
+            if entry.kind is EntryKind.COMMAND
+        ]
+        if node.applied != wanted:
+            raise InvariantError(f"snapshot {snapshot.index} is not what was committed")
+
+    def reset(self, node):
+        node.applied = []
 
     def carry_out(self, node):
         """Take the effects: early messages go, the rest waits for the disk."""
@@ -226,6 +257,11 @@
         self.now += 1.0
         self.work(node, lambda n: n.replica.start_round(self.clock(n)))
 
+    def grow(self):
+        """Name all instances in the settings, and start them anew."""
+        self.listed = self.names
+        self.restart_all()
+
     def restart_all(self):
         """Start every process anew, with nothing in the network."""
         for node in self.nodes.values():
@@ -307,7 +343,8 @@
     def _make_node(self, name):
         offset = self.rng.random() * 1000.0
         node = Node(name, Disk(ReplicaId(f"{name}-0")), offset)
-        self.start(node)
+        if name in self.listed:
+            self.start(node)
         return node
 
     def _act(self, node):
@@ -372,8 +409,8 @@
         if newest is None:
             return False
         voters = set(newest.replica.membership.voters)
-        alive = {other.disk.replica for other in self.nodes.values()}
-        return len(voters) == len(self.names) and voters <= alive
+        kept = {o.disk.replica for o in self.nodes.values() if o is not node}
+        return len(voters - kept) <= (len(voters) - 1) // 2
 
     def _send(self, node, messages: list[Outgoing]):
         for outgoing in messages:
@@ -395,23 +432,16 @@
             self.committed_at.append(self.now)
         node.applied_index = output.index
         if output.kind is EntryKind.COMMAND:
-            node.applied.append((output.index, output.command))
+            self.apply(node, output)
 
     def _restore(self, node, snapshot):
-        node.applied = [tuple(item) for item in decode(snapshot.data)]
+        self.restore(node, snapshot)
         node.applied_index = snapshot.index
-        wanted = [
-            (entry.index, entry.command)
-            for entry in self.committed[: snapshot.index]
-            if entry.kind is EntryKind.COMMAND
-        ]
-        if node.applied != wanted:
-            raise InvariantError(f"snapshot {snapshot.index} is not what was committed")
 
     def _compact(self, node):
         index = node.disk.snapshot.index if node.disk.snapshot else 0
         if node.applied_index - index < SNAPSHOT_ENTRIES:
             return
-        data = encode(node.applied)
+        data = self.snapshot(node)
         snapshot = node.replica.compact(node.applied_index, data, kept=5)
         node.disk.compact(snapshot)
