Never repeat a request whose crash is not recorded, and place suspects apart

Cause: a crash that could not be committed raised an error that the retry loop took for an ordinary failure; and a suspect was placed before its clearance was known, so that it was refused instead of sent to another endpoint.

--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -22,7 +22,12 @@
     record_success,
 )
 from bergamotwood_core.placement import Need, choose_endpoint
-from bergamotwood_core.quarantine import Failure, Isolated, is_crash
+from bergamotwood_core.quarantine import (
+    Failure,
+    Isolated,
+    check_fingerprint,
+    is_crash,
+)
 from bergamotwood_core.states import Run
 from bergamotwood_core.tables import Endpoint
 from bergamotwood_core.target import Target
@@ -209,7 +214,7 @@
 
 def allow_retry(entry: Entry, work: Work, attempts: int) -> bool:
     """Whether a failed request may be sent once more."""
-    if not work.idempotent or attempts >= MAX_ATTEMPTS:
+    if not (work.idempotent and work.repeatable) or attempts >= MAX_ATTEMPTS:
         return False
     if entry.clock() >= work.deadline:
         return False
@@ -223,6 +228,10 @@
     refused: EndpointError | RefusedError | None,
 ) -> Endpoint:
     excluded = frozenset(work.excluded | work.running)
+    clearance = check_fingerprint(entry.tables.configuration.suspects, work.fingerprint)
+    if isinstance(clearance, Isolated):
+        work.suspect = True
+        excluded |= {clearance.avoid}
     if work.suspect:
         excluded |= entry.isolation.endpoints
     need = Need(
@@ -338,6 +347,7 @@
     try:
         entry.control.propose(encode_command(command), RECORD_CRASH_SECONDS)
     except ReplicationError as error:
+        work.repeatable = False
         raise EndpointError(
             f"endpoint {attempt.endpoint} crashed", run=Run.MAY_HAVE_RUN
         ) from error
--- a/packages/daemon/src/bergamotwood_daemon/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/entry.py
@@ -128,6 +128,8 @@
         Endpoints that failed it.
     running : set of EndpointId
         Endpoints that run it now, which a hedge avoids.
+    repeatable : bool
+        False once a crash under it could not be recorded.
     suspect : bool
         Whether an endpoint crashed under it at this entry.
     """
@@ -144,4 +146,5 @@
     attempts: list[Attempt] = field(default_factory=list)
     excluded: set[EndpointId] = field(default_factory=set)
     running: set[EndpointId] = field(default_factory=set)
+    repeatable: bool = True
     suspect: bool = False
--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -95,11 +95,13 @@
         )
         add_PeerServicer_to_server(self, self._server)
 
-    def start(self, address: Address) -> None:
-        """Listen on `address`."""
-        if self._bind(str(address)) == 0:
+    def start(self, address: Address) -> int:
+        """Listen on `address` and return the port, which 0 leaves open."""
+        port = self._bind(str(address))
+        if port == 0:
             raise OSError(f"peer_listen: cannot listen on {address}")
         self._server.start()
+        return port
 
     def stop(self, grace_seconds: float) -> None:
         """Take no new calls and wait for running ones."""
