--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -166,9 +166,7 @@
     watchers = size.entries / REPLICAS
     return [
         _make_row(f"{name}: bytes received by an entry", received, "B/s"),
-        _make_row(
-            f"{name}: bytes sent by an entry", replica.request_bytes / seconds, "B/s"
-        ),
+        _make_row(f"{name}: bytes sent by an entry", sent, "B/s"),
         _make_row(
             f"{name}: an entry's time for a poll",
             (spent - replica.seconds) / POLLS * MICROSECONDS,
