--- a/packages/fakes/src/bergamotwood_fakes/launch.py
+++ b/packages/fakes/src/bergamotwood_fakes/launch.py
@@ -17,7 +17,7 @@
 
 
 def launch_module(module: str, options: list[str], log: Path | None = None) -> Popen:
-    """Start a Python module in a process of its own.
+    """Start a Python module in a process of its own, its output in a pipe.
 
     Parameters
     ----------
@@ -26,12 +26,28 @@
     options : list of str
         Its command line.
     log : Path, optional
-        File that takes its errors and, for a daemon, its output.
+        File that takes its errors.
     """
-    errors = log.open("ab") if log else None
-    search = {**environ, "PYTHONPATH": ":".join(entry for entry in path if entry)}
-    command = [executable, "-m", module, *options]
-    return Popen(command, stdout=PIPE, stderr=errors, env=search)
+    if log is None:
+        return Popen(_make_command(module, options), stdout=PIPE, env=_make_environ())
+    with log.open("ab") as errors:
+        return Popen(
+            _make_command(module, options),
+            stdout=PIPE,
+            stderr=errors,
+            env=_make_environ(),
+        )
+
+
+def launch_logged(module: str, options: list[str], log: Path) -> Popen:
+    """Start a Python module whose output and errors go to a file."""
+    with log.open("ab") as output:
+        return Popen(
+            _make_command(module, options),
+            stdout=output,
+            stderr=output,
+            env=_make_environ(),
+        )
 
 
 def read_started(process: Popen) -> Started:
@@ -46,3 +62,13 @@
     if not line:
         raise RuntimeError(f"{process.args} ended with {process.wait()}")
     return json.decode(line, type=Started)
+
+
+def _make_command(module: str, options: list[str]) -> list[str]:
+    """Make the command line of a module."""
+    return [executable, "-m", module, *options]
+
+
+def _make_environ() -> dict[str, str]:
+    """Make an environment in which a child finds the same packages."""
+    return {**environ, "PYTHONPATH": ":".join(entry for entry in path if entry)}
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/operator.py
@@ -0,0 +1,104 @@
+"""An operator of a scenario: submits tickets and keeps what came of them."""
+
+from random import Random
+
+import gevent
+from msgspec import json
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.evidence import TicketTry
+from bergamotwood_fakes.fleet import OPERATOR_KEY, Fleet, FleetError, call
+from bergamotwood_fakes.record import read_clock
+
+ATTEMPTS = 60
+RETRY_SECONDS = 0.3
+CREATED = (200, 201)
+REFUSED = (409, 422)
+MOST_BILLS = 1_000
+
+
+class Operator:
+    """Submits tickets to a fleet, again when an answer is lost.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Where to submit.
+    random : Random
+        Of the choice among entries.
+    """
+
+    def __init__(self, fleet: Fleet, random: Random) -> None:
+        self._fleet = fleet
+        self._random = random
+        self._number = 0
+        self.tickets: list[TicketTry] = []
+
+    @property
+    def newest(self) -> int:
+        """Number of the newest accepted ticket."""
+        return max((one.number for one in self.tickets if one.accepted), default=0)
+
+    def take_number(self) -> int:
+        """Take the next number of a ticket."""
+        self._number += 1
+        return self._number
+
+    def submit(self, number: int, content: dict, entry: str = "") -> TicketTry:
+        """Submit a ticket until it is accepted or refused.
+
+        Raises
+        ------
+        FleetError
+            When no answer came of any attempt.
+        """
+        ticket = TicketTry(number, {"number": number, **content}, read_clock())
+        self.tickets.append(ticket)
+        body = json.encode(ticket.content)
+        for _ in range(ATTEMPTS):
+            status, answer = self._post(self._choose(entry), body)
+            if status in CREATED or status in REFUSED:
+                ticket.accepted = status in CREATED
+                ticket.answered = read_clock()
+                return ticket
+            if status == 400:
+                raise FleetError(f"ticket {number}: {answer.decode()[:400]}")
+            gevent.sleep(RETRY_SECONDS)
+        raise FleetError(f"ticket {number}: no answer, last status {status}")
+
+    def race(self, content: dict, rival: dict) -> list[TicketTry]:
+        """Submit two tickets with one number at once."""
+        number = self.take_number()
+        rivals = [gevent.spawn(self.submit, number, one) for one in (content, rival)]
+        gevent.joinall(rivals, raise_error=True)
+        return [greenlet.value for greenlet in rivals]
+
+    def is_kept(self, number: int) -> bool:
+        """Whether any entry still knows a ticket."""
+        return self._get(f"/v1/tickets/{number}") is not None
+
+    def read_bills(self) -> list[dict] | None:
+        """Read the ledger, None when no entry gives it."""
+        return self._get(f"/v1/bills?limit={MOST_BILLS}")
+
+    def _get(self, path: str) -> object | None:
+        """Read a path of any entry that gives it."""
+        for _ in range(ATTEMPTS):
+            status, body = call(self._choose(""), "GET", path, key=OPERATOR_KEY)
+            if status == 200:
+                return json.decode(body)
+            if status == 404:
+                return None
+            gevent.sleep(RETRY_SECONDS)
+        return None
+
+    def _post(self, address: Address, body: bytes) -> tuple[int, bytes]:
+        """Post a ticket once."""
+        return call(address, "POST", "/v1/tickets", body, OPERATOR_KEY)
+
+    def _choose(self, entry: str) -> Address:
+        """Choose where to submit."""
+        if entry:
+            return self._fleet.members[entry].public
+        running = [one for one in self._fleet.entries if one.running]
+        return self._random.choice(running or self._fleet.entries).public
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/port.py
@@ -0,0 +1,36 @@
+"""Choice of free loopback ports."""
+
+from os import getpid
+from random import Random
+from socket import AF_INET, SOCK_STREAM, socket
+
+HOST = "127.0.0.1"
+# Below the range from which the machine takes ports for outgoing connections.
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 31_000
+
+
+class PortChooser:
+    """Chooses ports that are free now and were not chosen before."""
+
+    def __init__(self) -> None:
+        self._random = Random(getpid())
+        self._taken: set[int] = set()
+
+    def choose(self) -> int:
+        """Choose a free port."""
+        while True:
+            port = self._random.randint(LOWEST_PORT, HIGHEST_PORT)
+            if port not in self._taken and _is_free(port):
+                self._taken.add(port)
+                return port
+
+
+def _is_free(port: int) -> bool:
+    """Whether a port can be listened on."""
+    with socket(AF_INET, SOCK_STREAM) as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/packages/fakes/src/bergamotwood_fakes/record.py
+++ b/packages/fakes/src/bergamotwood_fakes/record.py
@@ -37,6 +37,8 @@
         Of the HTTP request.
     fingerprint : str
         Digest of the body.
+    mark : str
+        The caller's mark in the body or path.
     tokens : int
         Tokens sent, at the end of a run.
     finished, cancelled : bool
@@ -56,6 +58,7 @@
     method: str = ""
     path: str = ""
     fingerprint: str = ""
+    mark: str = ""
     tokens: int = 0
     finished: bool = False
     cancelled: bool = False
--- a/packages/fakes/src/bergamotwood_fakes/recorder.py
+++ b/packages/fakes/src/bergamotwood_fakes/recorder.py
@@ -3,6 +3,7 @@
 from hashlib import sha256
 from itertools import count
 from pathlib import Path
+from re import compile as compile_pattern
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -11,6 +12,8 @@
 from bergamotwood_fakes.record import Event, Record, RecordFile, read_clock
 from bergamotwood_fakes.web import Environ, read_header
 
+MARK = compile_pattern(rb"mark-([A-Za-z0-9_.-]+)")
+
 
 class Identity(Struct, frozen=True):
     """Which endpoint, and which start of it."""
@@ -51,6 +54,7 @@
             method=environ["REQUEST_METHOD"],
             path=environ["PATH_INFO"],
             fingerprint=sha256(body).hexdigest(),
+            mark=find_mark(environ["PATH_INFO"].encode() + body),
             leaving=self.leaving,
         )
         self.running += 1
@@ -69,3 +73,9 @@
         )
         self.running -= 1
         self._file.write(record)
+
+
+def find_mark(text: bytes) -> str:
+    """Find the mark of the caller's request, empty when there is none."""
+    found = MARK.search(text)
+    return found.group(1).decode() if found else ""
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/report.py
@@ -0,0 +1,115 @@
+"""Report of scenarios: a table and JSON."""
+
+from pathlib import Path
+
+from msgspec import Struct, json
+
+from bergamotwood_fakes.checks import check_promises
+from bergamotwood_fakes.evidence import Evidence, Violation
+from bergamotwood_fakes.expectation import count_outcomes, measure_gap
+from bergamotwood_fakes.runner import Runner
+from bergamotwood_fakes.transcript import Outcome, Transcript
+
+HEAD = (
+    f"{'scenario':<40}{'sent':>6}{'answ':>6}{'refus':>6}{'unkn':>6}"
+    f"{'viol':>6}{'gap s':>7}{'back s':>8}"
+)
+
+
+class Result(Struct):
+    """What a scenario showed.
+
+    Parameters
+    ----------
+    name : str
+        The scenario.
+    sent, answered, refused, unknown : int
+        Requests, by their ends.
+    longest_gap : float
+        Seconds without an answer while requests waited.
+    back_to_normal : float
+        Seconds from the first fault to the last try that failed.
+    violations : list of Violation
+        Promises that did not hold.
+    unmet : list of str
+        Expectations that did not hold.
+    """
+
+    name: str
+    sent: int
+    answered: int
+    refused: int
+    unknown: int
+    longest_gap: float
+    back_to_normal: float
+    violations: list[Violation]
+    unmet: list[str]
+
+    @property
+    def passed(self) -> bool:
+        """Whether everything held."""
+        return not self.violations and not self.unmet
+
+
+def make_result(
+    name: str, evidence: Evidence, runners: list[Runner], judge_expectations: bool
+) -> Result:
+    """Judge the evidence of a scenario.
+
+    Parameters
+    ----------
+    name : str
+        For the report.
+    evidence : Evidence
+        What was left behind.
+    runners : list of Runner
+        Who ran it.
+    judge_expectations : bool
+        Whether expectations count; they need not hold of scenarios in pairs.
+    """
+    sent = evidence.transcripts
+    faults = [one.first_fault for one in runners if one.first_fault is not None]
+    return Result(
+        name=name,
+        sent=len(sent),
+        answered=count_outcomes(sent, Outcome.ANSWERED),
+        refused=count_outcomes(sent, Outcome.REFUSED),
+        unknown=count_outcomes(sent, Outcome.UNKNOWN),
+        longest_gap=measure_gap(sent),
+        back_to_normal=_measure_recovery(sent, min(faults)) if faults else 0.0,
+        violations=check_promises(evidence),
+        unmet=[fault for one in runners for fault in one.unmet]
+        if judge_expectations
+        else [],
+    )
+
+
+def _measure_recovery(transcripts: list[Transcript], fault: float) -> float:
+    """Measure the time from a fault to the last try that failed after it."""
+    ends = [
+        one.ended
+        for transcript in transcripts
+        for one in transcript.tries
+        if one.outcome is not Outcome.ANSWERED and one.ended > fault
+    ]
+    return max(ends, default=fault) - fault
+
+
+def format_result(result: Result) -> str:
+    """Format a result as a line of the table, with what went wrong below."""
+    line = (
+        f"{result.name[:39]:<40}{result.sent:>6}{result.answered:>6}"
+        f"{result.refused:>6}{result.unknown:>6}{len(result.violations):>6}"
+        f"{result.longest_gap:>7.1f}{result.back_to_normal:>8.1f}"
+    )
+    details = [
+        *(f"  VIOLATION {one.promise}: {one.detail}" for one in result.violations),
+        *(f"  UNMET {fault}" for fault in result.unmet),
+    ]
+    return "\n".join((line, *details))
+
+
+def write_results(results: list[Result], path: Path) -> None:
+    """Write results as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(json.format(json.encode(results)))
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/runner.py
@@ -0,0 +1,374 @@
+"""Runs a scenario on a fleet and gathers its evidence."""
+
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import gevent
+from msgspec import json
+
+from bergamotwood_core.messages import Address
+from bergamotwood_fakes.evidence import Departure, Evidence
+from bergamotwood_fakes.expectation import find_unmet
+from bergamotwood_fakes.fleet import (
+    ENDPOINT_KEY,
+    OPERATOR_KEY,
+    Fleet,
+    FleetError,
+    call,
+    wait_until,
+)
+from bergamotwood_fakes.language import (
+    AnnounceStep,
+    Condition,
+    ExpectStep,
+    FaultStep,
+    LinkStep,
+    Scenario,
+    SendStep,
+    Step,
+    TicketStep,
+    name_verb,
+)
+from bergamotwood_fakes.operator import Operator
+from bergamotwood_fakes.record import Event, read_clock
+from bergamotwood_fakes.rule import Action, Rule
+from bergamotwood_fakes.sampler import Sampler
+from bergamotwood_fakes.sender import Sender
+from bergamotwood_fakes.transcript import Transcript
+
+START_SECONDS = 30.0
+SEND_SECONDS = 120.0
+STOP_SECONDS = 60.0
+LINK_VERBS = tuple(str(action) for action in Action)
+HURTING_VERBS = (
+    *LINK_VERBS,
+    *("fault", "stop", "pause", "kill", "restart", "lose_disk"),
+)
+
+
+class Runner:
+    """Carries out the steps of a scenario.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What to do.
+    fleet : Fleet
+        On which, started.
+    operator : Operator
+        Submits its tickets.
+    sampler : Sampler
+        Knows what entries have in force.
+    """
+
+    def __init__(
+        self, scenario: Scenario, fleet: Fleet, operator: Operator, sampler: Sampler
+    ) -> None:
+        self._scenario = scenario
+        self._fleet = fleet
+        self._operator = operator
+        self._sampler = sampler
+        self._senders: dict[str, Sender] = {}
+        self._started_at = 0.0
+        self._stopping: list[gevent.Greenlet] = []
+        self.departures: list[Departure] = []
+        self.expected_ends: set[str] = set()
+        self.unmet: list[str] = []
+        self.first_fault: float | None = None
+
+    @property
+    def transcripts(self) -> list[Transcript]:
+        """Everything that was sent."""
+        return [
+            transcript
+            for sender in self._senders.values()
+            for transcript in sender.transcripts
+        ]
+
+    def run(self) -> None:
+        """Carry out all steps, then let everything come to its end."""
+        self._started_at = read_clock()
+        for number, step in enumerate(self._scenario.steps, 1):
+            try:
+                self._wait_for(step)
+                self._carry_out(name_verb(step), step)
+            except FleetError as error:
+                self.unmet.append(f"step {number}: {error}")
+        self._settle()
+
+    def _settle(self) -> None:
+        """Lift the faults of the network and wait for callers and stops."""
+        if self._fleet.plan.proxy:
+            self._fleet.clear_rules()
+        for name, sender in self._senders.items():
+            if not sender.wait(SEND_SECONDS):
+                self.unmet.append(f"requests of {name} have no end")
+        gevent.joinall(self._stopping, STOP_SECONDS)
+
+    def _wait_for(self, step: Step) -> None:
+        """Wait for the time and the condition of a step."""
+        if step.at is not None:
+            gevent.sleep(max(0.0, self._started_at + step.at - read_clock()))
+        if step.when is not None:
+            condition = step.when
+            wait_until(
+                lambda: self.holds(condition), condition.within, f"when {condition}"
+            )
+
+    def holds(self, condition: Condition) -> bool:
+        """Whether a condition holds now."""
+        return all(test(condition) for test in self._list_tests(condition))
+
+    def _list_tests(self, condition: Condition) -> list[Callable[[Condition], bool]]:
+        """List the tests that the given fields of a condition ask for."""
+        tests = []
+        if condition.answered is not None:
+            tests.append(lambda c: self._count_answered(c.of) >= c.answered)
+        if condition.tried is not None:
+            tests.append(lambda c: self._count_tried(c.of) >= c.tried)
+        if condition.running is not None:
+            tests.append(lambda c: self._count_runs(True) >= c.running)
+        if condition.ran is not None:
+            tests.append(lambda c: self._count_runs(False) >= c.ran)
+        if condition.finished is not None:
+            tests.append(lambda c: self._senders[c.finished].finished)
+        if condition.effective:
+            tests.append(lambda _: self._is_effective())
+        if condition.endpoints is not None:
+            tests.append(lambda c: self._knows_endpoints(c.endpoints))
+        if condition.ended is not None:
+            tests.append(lambda c: not self._fleet.members[c.ended].running)
+        return tests
+
+    def _find_transcripts(self, name: str) -> list[Transcript]:
+        """Find the transcripts of a stream, or of all."""
+        return self._senders[name].transcripts if name else self.transcripts
+
+    def _count_answered(self, name: str) -> int:
+        """Count answered requests."""
+        return sum(one.answer is not None for one in self._find_transcripts(name))
+
+    def _count_tried(self, name: str) -> int:
+        """Count requests that were begun."""
+        return len(self._find_transcripts(name))
+
+    def _count_runs(self, open_only: bool) -> int:
+        """Count runs that were begun, or of these the ones not ended."""
+        records = self._fleet.read_records()
+        starts = sum(record.event is Event.START for record in records)
+        ends = len(records) - starts
+        return starts - ends if open_only else starts
+
+    def _is_effective(self) -> bool:
+        """Whether all running entries have the newest ticket in force."""
+        for entry in self._fleet.entries:
+            if not entry.running:
+                continue
+            status = self._fleet.read_status(entry)
+            if status is None or status["ticket"] < self._operator.newest:
+                return False
+        return True
+
+    def _knows_endpoints(self, number: int) -> bool:
+        """Whether all running entries know as many endpoints."""
+        running = [entry for entry in self._fleet.entries if entry.running]
+        found = [self._fleet.read_status(entry) for entry in running]
+        return all(one is not None and one["endpoints"] >= number for one in found)
+
+    def _carry_out(self, verb: str, step: Step) -> None:
+        """Carry out the verb of a step."""
+        if verb in HURTING_VERBS and self.first_fault is None:
+            self.first_fault = read_clock()
+        match verb, getattr(step, verb, None):
+            case _, TicketStep() as ticket:
+                self._submit(ticket)
+            case _, SendStep() as send:
+                self._send(send)
+            case _, FaultStep() as fault:
+                for name in fault.of:
+                    self._fleet.set_faults(name, fault.faults)
+            case _, LinkStep() as link:
+                self._fleet.add_rule(_make_rule(verb, link))
+            case _, AnnounceStep() as announce:
+                self._announce(announce)
+            case _, ExpectStep() as expect:
+                self._expect(expect)
+            case "heal", _:
+                self._fleet.clear_rules()
+            case _, str() as name:
+                self._act_on_process(verb, name)
+
+    def _act_on_process(self, verb: str, name: str) -> None:
+        """Carry out a verb that concerns one process."""
+        member = self._fleet.members[self._resolve(name)]
+        match verb:
+            case "start":
+                self._fleet.launch(member.name)
+            case "stop":
+                self._stopping.append(gevent.spawn(self._stop, member.name))
+                gevent.sleep(0)
+            case "pause":
+                member.pause()
+            case "wake":
+                member.wake()
+            case "kill":
+                self.expected_ends.add(member.name)
+                member.kill()
+            case "restart":
+                self.expected_ends.add(member.name)
+                member.kill()
+                self._fleet.launch(member.name)
+            case "lose_disk":
+                self.expected_ends.add(member.name)
+                self._fleet.lose_disk(member.name)
+
+    def _resolve(self, name: str) -> str:
+        """Resolve `leader` and `follower` to the names of entries."""
+        if name not in ("leader", "follower"):
+            return name
+        for entry in self._fleet.entries:
+            status = self._fleet.read_status(entry) if entry.running else None
+            leader = status and status["leader"]
+            if not leader:
+                continue
+            if name == "leader":
+                return leader
+            controls = self._fleet.entries[: self._fleet.plan.controls]
+            return next(one.name for one in controls if one.name != leader)
+        raise FleetError("no entry knows the leader")
+
+    def _stop(self, name: str) -> None:
+        """Stop a process as planned and note how it went."""
+        member = self._fleet.members[name]
+        self.expected_ends.add(name)
+        member.ask_to_stop()
+        departure = Departure(name, member.left_at[-1], None, None)
+        self.departures.append(departure)
+        try:
+            departure.exit_code = member.wait(STOP_SECONDS)
+            departure.ended = read_clock()
+        except Exception:
+            self.unmet.append(f"{name} did not stop in {STOP_SECONDS} s")
+
+    def _submit(self, step: TicketStep) -> None:
+        """Submit a ticket as its step says."""
+        content = self._scenario.tickets[step.name]
+        if step.rival:
+            self._operator.race(content, self._scenario.tickets[step.rival])
+            return
+        for _ in range(step.copies):
+            number = self._operator.take_number()
+            for _ in range(1 + step.resends):
+                self._operator.submit(number, content, step.entry)
+
+    def _send(self, step: SendStep) -> None:
+        """Begin a stream of requests."""
+        sender = Sender(self._fleet, step, self._scenario.seed)
+        self._senders[step.id] = sender
+        sender.start()
+        if step.wait and not sender.wait(SEND_SECONDS):
+            raise FleetError(f"requests of {step.id} have no end")
+
+    def _announce(self, step: AnnounceStep) -> None:
+        """Announce an endpoint through an entry with some fields changed."""
+        entry = self._fleet.members[step.entry]
+        _, body = call(entry.address, "GET", "/v1/endpoints", key=OPERATOR_KEY)
+        views = {view["announcement"]["id"]: view for view in json.decode(body)}
+        if step.of not in views:
+            raise FleetError(f"{step.entry} does not know {step.of}")
+        word = {**views[step.of]["announcement"], **step.changes}
+        word["sequence"] += step.changes.get("sequence", 1_000_000)
+        self._post_announcement(entry.address, word)
+
+    def _post_announcement(self, address: Address, word: dict) -> None:
+        """Post an announcement once."""
+        body = json.encode(word)
+        status, _ = call(address, "POST", "/v1/endpoints", body, ENDPOINT_KEY)
+        if status != 200:
+            raise FleetError(f"announcement: status {status}")
+
+    def _expect(self, step: ExpectStep) -> None:
+        """Note what is expected and does not hold."""
+
+        def check() -> list[str]:
+            transcripts = self._find_transcripts(step.of)
+            return find_unmet(step, transcripts, self._fleet.read_records())
+
+        try:
+            wait_until(lambda: not check(), step.within)
+        except FleetError:
+            self.unmet.extend(check())
+
+
+def _make_rule(verb: str, link: LinkStep) -> Rule:
+    """Make the proxy's rule of a step."""
+    return Rule(
+        Action(verb), link.sources, link.targets, link.seconds, link.share, link.new_too
+    )
+
+
+def gather_evidence(
+    fleet: Fleet,
+    operator: Operator,
+    sampler: Sampler,
+    runners: list[Runner],
+    lag: float,
+) -> Evidence:
+    """Gather what the checks need, then stop the fleet."""
+    accepted = {one.number for one in operator.tickets if one.accepted}
+    kept = {number: operator.is_kept(number) for number in sorted(accepted)[-20:]}
+    bills = operator.read_bills()
+    expected = {name for runner in runners for name in runner.expected_ends}
+    surprises = [
+        f"{member.name} ended with {member.process.poll()}"
+        for member in fleet.members.values()
+        if not member.running and member.name not in expected
+    ]
+    return Evidence(
+        transcripts=[one for runner in runners for one in runner.transcripts],
+        records=fleet.read_records(),
+        tickets=operator.tickets,
+        bills=bills,
+        samples=list(sampler.samples),
+        departures=[one for runner in runners for one in runner.departures],
+        surprises=surprises,
+        kept_tickets=kept,
+        lag=lag,
+    )
+
+
+def run_scenarios(
+    scenarios: list[Scenario], folder: Path
+) -> tuple[Evidence, list[Runner]]:
+    """Run scenarios side by side on one fleet, that of the first.
+
+    Parameters
+    ----------
+    scenarios : list of Scenario
+        One, or several that share a fleet.
+    folder : Path
+        Takes all files.
+    """
+    first = scenarios[0]
+    with Fleet(first.fleet, folder) as fleet:
+        fleet.start()
+        operator = Operator(fleet, Random(first.seed))
+        sampler = Sampler(fleet)
+        runners = [Runner(one, fleet, operator, sampler) for one in scenarios]
+        _prepare(fleet, operator, first, runners[0])
+        sampler.start()
+        running = [gevent.spawn(runner.run) for runner in runners]
+        gevent.joinall(running, raise_error=True)
+        evidence = gather_evidence(fleet, operator, sampler, runners, first.lag)
+        return evidence, runners
+
+
+def _prepare(
+    fleet: Fleet, operator: Operator, scenario: Scenario, runner: Runner
+) -> None:
+    """Apply the base ticket and wait until all know all endpoints."""
+    operator.submit(operator.take_number(), scenario.tickets["base"])
+    plan = fleet.plan
+    ready = Condition(effective=True, endpoints=len(plan.engines) + len(plan.services))
+    wait_until(lambda: runner.holds(ready), START_SECONDS, "fleet is ready")
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/sampler.py
@@ -0,0 +1,57 @@
+"""Samples what entries say of their configuration, all through a scenario."""
+
+import gevent
+
+from bergamotwood_fakes.evidence import Sample
+from bergamotwood_fakes.fleet import Fleet
+from bergamotwood_fakes.member import Member
+from bergamotwood_fakes.record import read_clock
+
+INTERVAL_SECONDS = 0.4
+
+
+class Sampler:
+    """Asks each entry for its status in turn.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Whose entries.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.samples: list[Sample] = []
+        self.latest: dict[str, dict] = {}
+
+    def start(self) -> None:
+        """Begin to sample."""
+        for entry in self._fleet.entries:
+            gevent.spawn(self._run, entry)
+
+    def _run(self, entry: Member) -> None:
+        """Sample one entry for ever."""
+        while True:
+            if entry.running:
+                self._sample(entry)
+            gevent.sleep(INTERVAL_SECONDS)
+
+    def _sample(self, entry: Member) -> None:
+        """Take one sample; its time is when the question was sent."""
+        asked = read_clock()
+        process = entry.process.pid
+        status = self._fleet.read_status(entry)
+        if status is None:
+            self.latest.pop(entry.name, None)
+            return
+        self.latest[entry.name] = status
+        self.samples.append(
+            Sample(
+                asked,
+                entry.name,
+                process,
+                status["ticket"],
+                status["config_age_seconds"],
+                status["draining"],
+            )
+        )
--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/scenario.py
@@ -0,0 +1,71 @@
+"""Scenario runner: `python -m bergamotwood_fakes.scenario FILE...`."""
+
+from itertools import combinations
+from pathlib import Path
+from sys import exit as leave
+from tempfile import mkdtemp
+
+from click import Path as PathType
+from click import argument, command, echo, option
+from msgspec import json
+
+from bergamotwood_fakes.language import Scenario, load_scenario
+from bergamotwood_fakes.report import (
+    HEAD,
+    Result,
+    format_result,
+    make_result,
+    write_results,
+)
+from bergamotwood_fakes.runner import run_scenarios
+
+FILE = PathType(path_type=Path, exists=True)
+
+
+def judge_scenarios(scenarios: list[Scenario], folder: Path) -> Result:
+    """Run scenarios side by side on one fleet and judge them.
+
+    Parameters
+    ----------
+    scenarios : list of Scenario
+        One, whose expectations count, or a pair.
+    folder : Path
+        Takes all files, with the evidence.
+    """
+    evidence, runners = run_scenarios(scenarios, folder)
+    (folder / "evidence.json").write_bytes(json.encode(evidence))
+    name = " + ".join(scenario.name for scenario in scenarios)
+    return make_result(name, evidence, runners, len(scenarios) == 1)
+
+
+@command()
+@argument("files", type=FILE, nargs=-1, required=True)
+@option("--pairs", is_flag=True, help="Run each pair of the files side by side.")
+@option("--folder", type=PathType(path_type=Path), help="Keeps logs and evidence.")
+@option("--json", "report", type=PathType(path_type=Path), help="Writes results.")
+def main(
+    files: tuple[Path, ...], pairs: bool, folder: Path | None, report: Path | None
+) -> None:
+    """Run scenario files and judge the ten promises; exit 1 when one fails."""
+    scenarios = [load_scenario(file) for file in files]
+    groups = (
+        [list(pair) for pair in combinations(scenarios, 2)]
+        if pairs
+        else [[scenario] for scenario in scenarios]
+    )
+    place = folder or Path(mkdtemp(prefix="bergamotwood-"))
+    echo(f"files in {place}")
+    echo(HEAD)
+    results = []
+    for number, group in enumerate(groups, 1):
+        kept = place / f"{number:03}"
+        kept.mkdir(parents=True)
+        results.append(judge_scenarios(group, kept))
+        echo(format_result(results[-1]))
+    if report is not None:
+        write_results(results, report)
+    leave(0 if all(result.passed for result in results) else 1)
+
+
+if __name__ == "__main__":
+    main()
