--- a/packages/fakes/src/bergamotwood_fakes/expectation.py
+++ b/packages/fakes/src/bergamotwood_fakes/expectation.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from bergamotwood_fakes.language import ExpectStep
 from bergamotwood_fakes.record import Event, Record
+from bergamotwood_fakes.step import ExpectStep
 from bergamotwood_fakes.transcript import Outcome, Transcript, Try
 
 
--- a/packages/fakes/src/bergamotwood_fakes/runner.py
+++ b/packages/fakes/src/bergamotwood_fakes/runner.py
@@ -18,23 +18,22 @@
     call,
     wait_until,
 )
-from bergamotwood_fakes.language import (
+from bergamotwood_fakes.language import Scenario, name_verb
+from bergamotwood_fakes.operator import Operator
+from bergamotwood_fakes.record import Event, read_clock
+from bergamotwood_fakes.rule import Action, Rule
+from bergamotwood_fakes.sampler import Sampler
+from bergamotwood_fakes.sender import Sender
+from bergamotwood_fakes.step import (
     AnnounceStep,
     Condition,
     ExpectStep,
     FaultStep,
     LinkStep,
-    Scenario,
     SendStep,
     Step,
     TicketStep,
-    name_verb,
 )
-from bergamotwood_fakes.operator import Operator
-from bergamotwood_fakes.record import Event, read_clock
-from bergamotwood_fakes.rule import Action, Rule
-from bergamotwood_fakes.sampler import Sampler
-from bergamotwood_fakes.sender import Sender
 from bergamotwood_fakes.transcript import Transcript
 
 START_SECONDS = 30.0
--- a/packages/fakes/src/bergamotwood_fakes/sender.py
+++ b/packages/fakes/src/bergamotwood_fakes/sender.py
@@ -9,8 +9,9 @@
 from bergamotwood_fakes.answer import WORDS
 from bergamotwood_fakes.caller import Caller, Patience
 from bergamotwood_fakes.fleet import Fleet
-from bergamotwood_fakes.language import ScenarioError, SendStep
+from bergamotwood_fakes.language import ScenarioError
 from bergamotwood_fakes.request import make_chat, make_lookup, make_payment
+from bergamotwood_fakes.step import SendStep
 from bergamotwood_fakes.transcript import Request, Transcript
 
 
