Leave the slot of a resent payment, and document scenarios

The demo's planned stop hung: a resend that was answered from the ledger kept its row in flight and its slot (services.py, smallest change).

--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -7,7 +7,6 @@
     AuthorizationError,
     Code,
     EndpointError,
-    IdempotencyError,
     RequestError,
 )
 from bergamotwood_core.ids import IdempotencyKey, ServiceName
@@ -137,7 +136,11 @@
             call.work.workspace.key, call.key, call.digest, call.work.id
         )
 
+        acting = False
+
         def act() -> Ran:
+            nonlocal acting
+            acting = True
             try:
                 answer = self._attempt(call)
             finally:
@@ -147,13 +150,10 @@
         timeouts = self._entry.settings.timeouts
         try:
             return self._entry.claims.run_once(keyed, act, timeouts.call)
-        except IdempotencyError as error:
-            if error.code is not Code.OUTCOME_UNKNOWN:
+        finally:
+            # A run may go on after its caller was answered; it leaves by itself.
+            if not acting:
                 self._leave(call.work)
-            raise
-        except BaseException:
-            self._leave(call.work)
-            raise
 
     def _attempt(self, call: ServiceCall) -> StoredAnswer:
         """Run one attempt and read its whole answer."""
--- a/packages/fakes/src/bergamotwood_fakes/demo.py
+++ b/packages/fakes/src/bergamotwood_fakes/demo.py
@@ -21,6 +21,7 @@
 WORKSPACE = "circles"
 READY_SECONDS = 30.0
 CHAPTER_TOKENS = 300
+CHAPTER_WORDS = 3_000
 WIDTH = 78
 SEED = 1
 
@@ -30,10 +31,11 @@
 
 
 def read_chapter(path: Path | None) -> str:
-    """Read a text to be sent, the project's own pages by default."""
+    """Read a text to be sent, by default the project's pages, as often as needed."""
     if path is not None:
         return path.read_text()
-    return "\n\n".join(page.read_text() for page in sorted(DOCS.glob("*.md")))
+    pages = "\n\n".join(page.read_text() for page in sorted(DOCS.rglob("*.md")))
+    return pages * (1 + CHAPTER_WORDS // len(pages.split()))
 
 
 class Demo:
--- a/packages/fakes/src/bergamotwood_fakes/member.py
+++ b/packages/fakes/src/bergamotwood_fakes/member.py
@@ -4,13 +4,13 @@
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 
-from gevent.subprocess import Popen
+from gevent.subprocess import Popen, TimeoutExpired
 from msgspec import Struct, field
 
 from bergamotwood_core.messages import Address
 from bergamotwood_fakes.record import read_clock
 
-STOP_SECONDS = 60.0
+STOP_SECONDS = 40.0
 
 
 class Member(Struct):
@@ -67,8 +67,17 @@
         self.process.send_signal(SIGTERM)
 
     def wait(self, seconds: float = STOP_SECONDS) -> int | None:
-        """Wait for the end of the process and return its exit code."""
-        return self.process.wait(timeout=seconds)
+        """Wait for the end of the process.
+
+        Returns
+        -------
+        int or None
+            Its exit code, None when it has not ended in time.
+        """
+        try:
+            return self.process.wait(timeout=seconds)
+        except TimeoutExpired:
+            return None
 
     def pause(self) -> None:
         """Stop the process where it stands."""
--- a/packages/fakes/src/bergamotwood_fakes/operator.py
+++ b/packages/fakes/src/bergamotwood_fakes/operator.py
@@ -10,7 +10,7 @@
 from bergamotwood_fakes.fleet import OPERATOR_KEY, Fleet, FleetError, call
 from bergamotwood_fakes.record import read_clock
 
-ATTEMPTS = 60
+PATIENCE_SECONDS = 30.0
 RETRY_SECONDS = 0.3
 CREATED = (200, 201)
 REFUSED = (409, 422)
@@ -55,7 +55,8 @@
         ticket = TicketTry(number, {"number": number, **content}, read_clock())
         self.tickets.append(ticket)
         body = json.encode(ticket.content)
-        for _ in range(ATTEMPTS):
+        status = 0
+        while read_clock() < ticket.sent + PATIENCE_SECONDS:
             status, answer = self._post(self._choose(entry), body)
             if status in CREATED or status in REFUSED:
                 ticket.accepted = status in CREATED
@@ -83,7 +84,8 @@
 
     def _get(self, path: str) -> object | None:
         """Read a path of any entry that gives it."""
-        for _ in range(ATTEMPTS):
+        deadline = read_clock() + PATIENCE_SECONDS
+        while read_clock() < deadline:
             status, body = call(self._choose(""), "GET", path, key=OPERATOR_KEY)
             if status == 200:
                 return json.decode(body)
--- a/packages/fakes/src/bergamotwood_fakes/report.py
+++ b/packages/fakes/src/bergamotwood_fakes/report.py
@@ -1,5 +1,6 @@
 """Report of scenarios: a table and JSON."""
 
+from collections import Counter
 from pathlib import Path
 
 from msgspec import Struct, json
@@ -10,6 +11,7 @@
 from bergamotwood_fakes.runner import Runner
 from bergamotwood_fakes.transcript import Outcome, Transcript
 
+MOST_TROUBLES = 6
 HEAD = (
     f"{'scenario':<40}{'sent':>6}{'answ':>6}{'refus':>6}{'unkn':>6}"
     f"{'viol':>6}{'gap s':>7}{'back s':>8}"
@@ -33,6 +35,8 @@
         Promises that did not hold.
     unmet : list of str
         Expectations that did not hold.
+    troubles : list of str
+        Kinds of failed tries and their numbers.
     """
 
     name: str
@@ -44,6 +48,7 @@
     back_to_normal: float
     violations: list[Violation]
     unmet: list[str]
+    troubles: list[str]
 
     @property
     def passed(self) -> bool:
@@ -81,9 +86,21 @@
         unmet=[fault for one in runners for fault in one.unmet]
         if judge_expectations
         else [],
+        troubles=_count_troubles(sent),
     )
 
 
+def _count_troubles(transcripts: list[Transcript]) -> list[str]:
+    """Count the failed tries by outcome, code and run."""
+    kinds = Counter(
+        f"{one.outcome} {one.status} code {one.code} {one.run or ''} {one.detail[:60]}"
+        for transcript in transcripts
+        for one in transcript.tries
+        if one.outcome is not Outcome.ANSWERED
+    )
+    return [f"{number} x {kind}" for kind, number in kinds.most_common(MOST_TROUBLES)]
+
+
 def _measure_recovery(transcripts: list[Transcript], fault: float) -> float:
     """Measure the time from a fault to the last try that failed after it."""
     ends = [
@@ -105,6 +122,7 @@
     details = [
         *(f"  VIOLATION {one.promise}: {one.detail}" for one in result.violations),
         *(f"  UNMET {fault}" for fault in result.unmet),
+        *(f"  {line}" for line in result.troubles),
     ]
     return "\n".join((line, *details))
 
--- a/packages/fakes/src/bergamotwood_fakes/runner.py
+++ b/packages/fakes/src/bergamotwood_fakes/runner.py
@@ -37,7 +37,7 @@
 from bergamotwood_fakes.transcript import Transcript
 
 START_SECONDS = 30.0
-SEND_SECONDS = 120.0
+SEND_SECONDS = 60.0
 STOP_SECONDS = 60.0
 LINK_VERBS = tuple(str(action) for action in Action)
 HURTING_VERBS = (
@@ -244,10 +244,9 @@
         member.ask_to_stop()
         departure = Departure(name, member.left_at[-1], None, None)
         self.departures.append(departure)
-        try:
-            departure.exit_code = member.wait(STOP_SECONDS)
-            departure.ended = read_clock()
-        except Exception:
+        departure.exit_code = member.wait(STOP_SECONDS)
+        departure.ended = read_clock()
+        if departure.exit_code is None:
             self.unmet.append(f"{name} did not stop in {STOP_SECONDS} s")
 
     def _submit(self, step: TicketStep) -> None:
@@ -324,9 +323,13 @@
         for member in fleet.members.values()
         if not member.running and member.name not in expected
     ]
+    records = fleet.read_records()
+    for name, code in fleet.stop().items():
+        if code != 0:
+            surprises.append(f"{name} ended with {code} at the planned stop of all")
     return Evidence(
         transcripts=[one for runner in runners for one in runner.transcripts],
-        records=fleet.read_records(),
+        records=records,
         tickets=operator.tickets,
         bills=bills,
         samples=list(sampler.samples),
--- a/packages/fakes/src/bergamotwood_fakes/scenario.py
+++ b/packages/fakes/src/bergamotwood_fakes/scenario.py
@@ -2,11 +2,13 @@
 
 from itertools import combinations
 from pathlib import Path
+from signal import SIGTERM
 from sys import exit as leave
 from tempfile import mkdtemp
 
 from click import Path as PathType
 from click import argument, command, echo, option
+from gevent import getcurrent, signal_handler
 from msgspec import json
 
 from bergamotwood_fakes.language import Scenario, load_scenario
@@ -19,6 +21,7 @@
 )
 from bergamotwood_fakes.runner import run_scenarios
 
+EXIT_TERMINATED = 143
 FILE = PathType(path_type=Path, exists=True)
 
 
@@ -47,6 +50,7 @@
     files: tuple[Path, ...], pairs: bool, folder: Path | None, report: Path | None
 ) -> None:
     """Run scenario files and judge the ten promises; exit 1 when one fails."""
+    signal_handler(SIGTERM, getcurrent().throw, SystemExit(EXIT_TERMINATED))
     scenarios = [load_scenario(file) for file in files]
     groups = (
         [list(pair) for pair in combinations(scenarios, 2)]
