--- a/packages/core/src/bergamotwood_core/cascade.py
+++ b/packages/core/src/bergamotwood_core/cascade.py
@@ -6,10 +6,11 @@
 from random import Random
 from re import fullmatch
 
+from bergamotwood_core.allocation import find_mixes, find_unrated_mixes
 from bergamotwood_core.budget import RatingBudget
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.configuration import NAME_PATTERN, Workspace
-from bergamotwood_core.estimate import Estimate, find_bin, is_score
+from bergamotwood_core.estimate import Estimate, Reliability, find_bin, is_score
 from bergamotwood_core.evidence import (
     MAX_MESSAGE_CELLS,
     CellKey,
@@ -18,27 +19,41 @@
     SequenceFilter,
 )
 from bergamotwood_core.frontier import (
-    Mix,
+    THRESHOLDS,
     Option,
     Prospect,
     Step,
     Terms,
-    allocate,
-    drop_poor,
     list_options,
-    trace_hull,
+    weigh_quality,
 )
 from bergamotwood_core.ids import RequestClass, VersionId, WorkspaceId
-from bergamotwood_core.segment import Segment, SegmentKey, WorkspaceState
+from bergamotwood_core.segment import Hope, Segment, SegmentKey, WorkspaceState
 from bergamotwood_core.usage import Candidate, Usage, UsageAverage
 
 SHORT_PROMPT_TOKENS = 512
 MEDIUM_PROMPT_TOKENS = 4_096
 # Quality believed of the dearest candidate and of the others before any rating.
 DEAREST_PRIOR = 0.9
-OTHERS_PRIOR = 0.5
+OTHERS_PRIOR = 0.6
+# Part of the way from one version to the best that the next one is believed to go.
+PRIOR_STEP = 0.25
+# Share of the cost that a version has to save to be worth a try.
+LEAST_SAVING = 0.2
+# Quality that an answer loses on average when another version failed before.
+ESCALATION_LOSS = 0.05
+# Ratings that this belief counts as.
+ESCALATION_RATINGS = 5.0
+# Ratings with which a version counts as known.
+KNOWN_RATINGS = 40.0
+# Share of the ratings that is for samples.
+SAMPLE_RESERVE = 0.12
+# Share of the answers that were rated before that are rated again.
+REPEAT_SHARE = 0.05
 MAX_CELLS = 4_096
 MAX_WORKSPACES = 1_024
+# Level of the rating budget above which more is spent than comes in.
+AMPLE_LEVEL = 0.5
 
 
 def classify_request(prompt_tokens: int, explicit: str | None = None) -> RequestClass:
@@ -67,9 +82,11 @@
     rating_seconds : float
         Time that one rating takes.
     sample_share : float
-        Share of the answers that are rated afterwards.
-    reliability : float
-        Share of the variance of scores that is true quality.
+        Share of the answers of little-known quality that are rated afterwards.
+    explore_share : float
+        Share of the requests that try a version which may save all of the cost.
+    hope : float
+        Standard errors by which such a version may be better.
     caution : float
         Standard errors that unrated quality is lowered by.
     margin : float
@@ -82,11 +99,12 @@
     ratings_per_second: float = 1.0
     rating_burst: float = 20.0
     rating_seconds: float = 0.5
-    sample_share: float = 0.1
-    reliability: float = 0.8
-    caution: float = 0.5
-    margin: float = 0.01
-    replan_seconds: float = 2.0
+    sample_share: float = 0.2
+    explore_share: float = 0.5
+    hope: float = 1.5
+    caution: float = 0.25
+    margin: float = 0.006
+    replan_seconds: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +127,10 @@
 
     def __init__(self, settings: CascadeSettings, rng: Random) -> None:
         self.settings = settings
-        self.budget = RatingBudget(settings.ratings_per_second, settings.rating_burst)
+        kept = SAMPLE_RESERVE
+        rate, burst = settings.ratings_per_second, settings.rating_burst
+        self.budget = RatingBudget(rate * (1.0 - kept), burst * (1.0 - kept))
+        self.samples = RatingBudget(rate * kept, max(burst * kept, 1.0))
         self._rng = rng
         self._cells: OrderedDict[CellKey, Estimate] = OrderedDict()
         self._usage: OrderedDict[tuple[RequestClass, VersionId], UsageAverage] = (
@@ -118,6 +139,7 @@
         self._workspaces: OrderedDict[WorkspaceId, WorkspaceState] = OrderedDict()
         self._collector = EvidenceCollector(settings.source)
         self._filter = SequenceFilter()
+        self._reliability = Reliability()
 
     def plan(
         self,
@@ -158,8 +180,8 @@
         self.budget.count_request(now)
         if segment.mix is None or now - state.planned_at > self.settings.replan_seconds:
             self._allocate(workspace, state, now)
-        steps = self._draw_option(segment).steps
-        steps = self._fit_budget(steps, now)
+        option = self._draw_option(segment, now)
+        steps = self._explore(workspace, request_class, segment, option, now)
         if deadline is not None:
             steps = self._fit_deadline(steps, request_class, usable, deadline - now)
         return Plan(steps)
@@ -185,12 +207,60 @@
     def record_refusal(self, now: Seconds) -> None:
         """Learn that the rating service refused."""
         self.budget.refuse(now)
+        self.samples.refuse(now)
 
-    def should_sample(self, key: CellKey, now: Seconds) -> bool:
-        """Whether an answer that was returned should be rated afterwards."""
-        if self._rng.random() >= self.settings.sample_share:
+    def record_repeat(self, key: CellKey, first: float, second: float) -> None:
+        """Learn from the second rating of an answer that was rated before."""
+        if is_score(first) and is_score(second):
+            self._reliability.add(self.find_estimate(key).mean, first, second)
+
+    def record_return(
+        self, workspace: Workspace, key: CellKey, score: float | None
+    ) -> None:
+        """Learn which answer the caller got.
+
+        Parameters
+        ----------
+        workspace : Workspace
+            Whose request.
+        key : CellKey
+            What answered.
+        score : float or None
+            Rating with which it was accepted, if it was rated.
+        """
+        estimate = self.find_estimate(key)
+        if score is None:
+            quality = weigh_quality(estimate, self.settings.caution)
+        else:
+            mean = estimate.mean
+            quality = mean + self._reliability.value * (score - mean)
+        state = self._find_state(workspace.key)
+        state.count_quality(quality, workspace.quality_target + self.settings.margin)
+
+    def should_sample(self, key: CellKey, now: Seconds, rated: bool = False) -> bool:
+        """Whether an answer that was returned should be rated afterwards.
+
+        Parameters
+        ----------
+        key : CellKey
+            What answered.
+        now : Seconds
+            The time.
+        rated : bool
+            Whether it was rated before; the answer goes to `record_repeat` then.
+
+        Returns
+        -------
+        bool
+            True for a share that falls as the quality becomes known.
+        """
+        weight = self.find_estimate(key).weight
+        chance = REPEAT_SHARE
+        if not rated:
+            chance = self.settings.sample_share * 2.0 * KNOWN_RATINGS / weight
+        if self._rng.random() >= chance:
             return False
-        return self.budget.take(now)
+        return self._take_sample(weight, now)
 
     def take_evidence(self) -> Evidence:
         """Ratings since the last call, to be sent to the other entries."""
@@ -209,7 +279,13 @@
 
     def find_estimate(self, key: CellKey) -> Estimate:
         """Find the estimate of a cell, made with its prior if it is new."""
-        return self._find_cell(key, OTHERS_PRIOR)
+        estimate = self._cells.get(key)
+        if estimate is None:
+            estimate = self._cells[key] = Estimate(OTHERS_PRIOR)
+            if len(self._cells) > MAX_CELLS:
+                self._cells.popitem(last=False)
+        self._cells.move_to_end(key)
+        return estimate
 
     def _find_state(self, workspace: WorkspaceId) -> WorkspaceState:
         state = self._workspaces.setdefault(workspace, WorkspaceState())
@@ -221,91 +297,113 @@
     def _allocate(
         self, workspace: Workspace, state: WorkspaceState, now: Seconds
     ) -> None:
-        options = [
-            self._list_segment_options(workspace, key, segment)
-            for key, segment in state.segments.items()
-        ]
+        options = self._list_options(workspace, state)
         weights = state.list_weights()
-        target = workspace.quality_target + self.settings.margin
-        options = [drop_poor(listed, target) for listed in options]
-        mixes = self._find_mixes(options, weights, target)
-        for segment, mix in zip(state.segments.values(), mixes, strict=True):
+        target = workspace.quality_target + self.settings.margin + state.correction
+        ample = self.budget.find_level(now) > AMPLE_LEVEL
+        mixes = find_mixes(options, weights, target, self.budget.share, ample)
+        unrated = find_unrated_mixes(options, weights, target)
+        for segment, mix, spare in zip(
+            state.segments.values(), mixes, unrated, strict=True
+        ):
             segment.mix = mix
+            segment.unrated = spare
         state.planned_at = now
 
-    def _find_mixes(
-        self, options: list[list[Option]], weights: list[float], target: float
-    ) -> list[Mix]:
-        limit = self.budget.share * (1.0 - self.settings.sample_share)
-        price = 0.0
-        highest = max(option.cost for listed in options for option in listed)
-        for _ in range(12):
-            hulls = [trace_hull(listed, price) for listed in options]
-            mixes = allocate(hulls, weights, target)
-            if _count_ratings(mixes, weights) <= limit:
-                return mixes
-            price = max(2.0 * price, highest / 64.0)
-        return mixes
+    def _list_options(
+        self, workspace: Workspace, state: WorkspaceState
+    ) -> list[list[Option]]:
+        return [
+            self._list_segment_options(workspace, key, segment)
+            for key, segment in state.segments.items()
+        ]
 
     def _list_segment_options(
         self, workspace: Workspace, key: SegmentKey, segment: Segment
     ) -> list[Option]:
-        prospects = [
-            self._weigh_candidate(workspace, key.request_class, segment, candidate)
-            for candidate in segment.candidates
-        ]
+        prospects: list[Prospect] = []
+        prior = OTHERS_PRIOR
+        for candidate in segment.candidates:
+            if candidate is segment.candidates[-1]:
+                prior = max(prior, DEAREST_PRIOR)
+            prospect = self._weigh_candidate(
+                workspace, key.request_class, segment, candidate, prior
+            )
+            prospects.append(prospect)
+            mean = max(OTHERS_PRIOR, prospect.fresh.mean)
+            prior = mean + PRIOR_STEP * max(DEAREST_PRIOR - mean, 0.0)
+        segment.hopes = [self._find_hope(prospect) for prospect in prospects]
         terms = Terms(
             latency_weight=workspace.latency_weight,
             rating_seconds=self.settings.rating_seconds,
-            reliability=self.settings.reliability,
+            reliability=self._reliability.value,
             caution=self.settings.caution,
         )
         return list_options(prospects, terms)
 
+    def _find_hope(self, prospect: Prospect) -> Hope:
+        quality = weigh_quality(prospect.fresh, -self.settings.hope)
+        return Hope(prospect.version, prospect.cost, quality)
+
     def _weigh_candidate(
         self,
         workspace: Workspace,
         request_class: RequestClass,
         segment: Segment,
         candidate: Candidate,
+        prior: float,
     ) -> Prospect:
         usage = self._usage.get((request_class, candidate.version), UsageAverage())
-        last = candidate is segment.candidates[-1]
-        prior = DEAREST_PRIOR if last else OTHERS_PRIOR
         key = CellKey(workspace.key, request_class, candidate.version)
-        fresh = self._find_cell(key, prior)
+        fresh = self.find_estimate(key)
+        fresh.prior_mean = prior
         key = CellKey(workspace.key, request_class, candidate.version, True)
+        escalated = self.find_estimate(key)
+        escalated.prior_mean = fresh.mean - ESCALATION_LOSS
+        escalated.prior_weight = ESCALATION_RATINGS
         return Prospect(
             version=candidate.version,
             cost=candidate.price(segment.prompt_tokens, usage.output_tokens),
             first_token_seconds=candidate.first_token_seconds,
             total_seconds=candidate.first_token_seconds + usage.decode_seconds,
             fresh=fresh,
-            escalated=self._find_cell(key, fresh.mean),
+            escalated=escalated,
         )
 
-    def _find_cell(self, key: CellKey, prior: float) -> Estimate:
-        estimate = self._cells.get(key)
-        if estimate is None:
-            estimate = self._cells[key] = Estimate(prior)
-            if len(self._cells) > MAX_CELLS:
-                self._cells.popitem(last=False)
-        self._cells.move_to_end(key)
-        return estimate
-
-    def _draw_option(self, segment: Segment) -> Option:
-        mix = segment.mix
-        if mix is None:
-            raise ValueError("segment without an allocation")
-        segment.credit += mix.share
-        if segment.credit < 1.0:
-            return mix.low
-        segment.credit -= 1.0
-        return mix.high
+    def _draw_option(self, segment: Segment, now: Seconds) -> Option:
+        option = segment.draw_rated()
+        if not option.ratings or self.budget.take(now, option.ratings):
+            return option
+        return segment.draw_unrated()
 
-    def _fit_budget(self, steps: tuple[Step, ...], now: Seconds) -> tuple[Step, ...]:
-        fitted = [step for step in steps if not step.rate or self.budget.take(now)]
-        return tuple(fitted)
+    def _explore(
+        self,
+        workspace: Workspace,
+        request_class: RequestClass,
+        segment: Segment,
+        option: Option,
+        now: Seconds,
+    ) -> tuple[Step, ...]:
+        steps = option.steps
+        hope, saving = segment.find_hope()
+        if hope is None:
+            return steps
+        chance = self.settings.explore_share * saving
+        if saving < LEAST_SAVING or self._rng.random() >= chance:
+            return steps
+        if hope.version == steps[-1].version:
+            return steps[-1:]
+        key = CellKey(workspace.key, request_class, hope.version)
+        if not self._take_sample(self.find_estimate(key).weight, now):
+            return steps
+        threshold = min(workspace.quality_target, max(THRESHOLDS))
+        kept = tuple(step for step in steps if step.version != hope.version)
+        return (Step(hope.version, True, threshold), *kept)
+
+    def _take_sample(self, weight: float, now: Seconds) -> bool:
+        if self.samples.take(now):
+            return True
+        return weight < KNOWN_RATINGS and self.budget.take(now)
 
     def _fit_deadline(
         self,
@@ -328,10 +426,3 @@
                 spare -= wait
                 kept.append(step)
         return (*kept, steps[-1])
-
-
-def _count_ratings(mixes: Sequence[Mix], weights: Sequence[float]) -> float:
-    return sum(
-        weight * (mix.low.ratings + mix.share * (mix.high.ratings - mix.low.ratings))
-        for weight, mix in zip(weights, mixes, strict=True)
-    )
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -157,10 +157,19 @@
         for chunk in chunks:
             kept.append(chunk)
             yield chunk
-        key = self._make_cell(call, answer, escalated)
-        if self._entry.policy.should_sample(key, self._entry.clock()):
+        if self._is_sampled(call, answer, escalated):
             spawn(self._rate, call, answer, kept, escalated)
 
+    def _is_sampled(
+        self, call: ChatCall, answer: VersionAnswer, escalated: bool
+    ) -> bool:
+        """Whether to rate a returned answer; those of a roll-out come first."""
+        policy = self._entry.policy
+        now = self._entry.clock()
+        if self._entry.outcomes.is_candidate(answer.version.version_id):
+            return policy.budget.take(now)
+        return policy.should_sample(self._make_cell(call, answer, escalated), now)
+
     def _is_accepted(
         self,
         call: ChatCall,
@@ -253,7 +262,8 @@
 
     def _bill(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
         self._learn(call, answer)
-        commit_bill(self._entry, make_bill(call.work, call.key, call.digest))
+        bill = make_bill(call.work, call.key, call.digest)
+        commit_bill(self._entry, bill, call.work.trace)
         return self._make_receipt(call, answer)
 
     def _make_receipt(self, call: ChatCall, answer: VersionAnswer) -> Receipt:
@@ -312,6 +322,8 @@
 
     def _enter(self, call: ChatCall, version: VersionId) -> None:
         work = call.work
+        work.trace.annotate(request=work.id, workspace=work.workspace.name)
+        self._entry.claims.check_room()
         self._entry.retries.record_offered()
         self._admittance.enter(work, version)
         self._entry.tables.in_flight[work.id] = InFlight(
@@ -321,3 +333,4 @@
     def _leave(self, call: ChatCall) -> None:
         self._entry.tables.in_flight.pop(call.work.id, None)
         self._admittance.leave(call.work.id)
+        call.work.trace.end()
