--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := packages/core packages/daemon packages/ctl packages/fakes
 TOOLS := pytest ruff hypothesis grpcio-tools openai cryptography
 
-.PHONY: setup test lint format demo demo-up bench check-log scenarios soak proto
+.PHONY: setup test lint format demo demo-up bench check-log scenarios scenarios-short soak proto
 
 setup: $(VENV)/ready
 
@@ -41,3 +41,12 @@
 
 check-log: setup
 	PYTHONPATH=$(SRC):tests $(PY) -m core.logcheck
+
+SHORT := smoke keys_raced tickets_raced
+RUN := $(PY) -m bergamotwood_fakes.scenario
+
+scenarios: setup
+	$(RUN) $(if $(PAIRS),--pairs) --json out/scenarios.json scenarios/*.yaml
+
+scenarios-short: setup
+	$(RUN) $(SHORT:%=scenarios/%.yaml)
