--- a/packages/fakes/src/bergamotwood_fakes/demo.py
+++ b/packages/fakes/src/bergamotwood_fakes/demo.py
@@ -112,11 +112,14 @@
         bills = self._operator.read_bills()
         echo("\nbills")
         for bill in bills:
-            attempts = len(bill["attempts"])
+            attempts = ", ".join(
+                f"{attempt['target']} {attempt['outcome']}"
+                for attempt in bill["attempts"]
+            )
             key = bill.get("key") or ""
             echo(
                 f"  {bill['request']:<40} {key:<14} "
-                f"attempts {attempts}  cost {bill['cost']:.4f}"
+                f"cost {bill['cost']:.4f}  {attempts}"
             )
         if len(bills) != 3:
             raise DemoError(f"{len(bills)} bills for three requests")
