--- a/packages/fakes/src/bergamotwood_fakes/demo.py
+++ b/packages/fakes/src/bergamotwood_fakes/demo.py
@@ -118,8 +118,7 @@
             )
             key = bill.get("key") or ""
             echo(
-                f"  {bill['request']:<40} {key:<14} "
-                f"cost {bill['cost']:.4f}  {attempts}"
+                f"  {bill['request']:<40} {key:<14} cost {bill['cost']:.4f}  {attempts}"
             )
         if len(bills) != 3:
             raise DemoError(f"{len(bills)} bills for three requests")
