--- a/packages/fakes/src/bergamotwood_fakes/proxy.py
+++ b/packages/fakes/src/bergamotwood_fakes/proxy.py
@@ -147,9 +147,11 @@
 def _dial(address: Address) -> socket | None:
     """Dial a target, None when it does not answer."""
     try:
-        return create_connection((address.host, address.port), DIAL_SECONDS)
+        far = create_connection((address.host, address.port), DIAL_SECONDS)
     except OSError:
         return None
+    far.settimeout(None)
+    return far
 
 
 @command()
--- a/packages/fakes/src/bergamotwood_fakes/runner.py
+++ b/packages/fakes/src/bergamotwood_fakes/runner.py
@@ -318,6 +318,7 @@
     kept = {number: operator.is_kept(number) for number in sorted(accepted)[-20:]}
     bills = operator.read_bills()
     expected = {name for runner in runners for name in runner.expected_ends}
+    expected |= {engine.name for engine in fleet.plan.engines if engine.poison}
     surprises = [
         f"{member.name} ended with {member.process.poll()}"
         for member in fleet.members.values()
--- a/tests/fakes/test_proxy.py
+++ b/tests/fakes/test_proxy.py
@@ -1,11 +1,13 @@
 from os import getpid
 
-from gevent import Timeout, spawn
+from gevent import Timeout, sleep, spawn
 from gevent.server import StreamServer
 from gevent.socket import create_connection, timeout
 from msgspec import json
 from pytest import fixture, raises
 
+from bergamotwood_fakes.proxy import DIAL_SECONDS
+
 HOST = "127.0.0.1"
 WAIT_SECONDS = 5
 
@@ -61,6 +63,12 @@
     assert talk(dial(proxy)) == b"hello"
 
 
+def test_idle_connection_stays_open(proxy):
+    idle = dial(proxy)
+    sleep(DIAL_SECONDS + 0.2)
+    assert talk(idle) == b"hello"
+
+
 def test_silence_loses_bytes_while_new_connections_work(proxy):
     old = dial(proxy)
     assert talk(old) == b"hello"
