--- /dev/null
+++ b/packages/fakes/src/bergamotwood_fakes/language.py
@@ -0,0 +1,96 @@
+"""The scenario language: what a scenario file may say."""
+
+from pathlib import Path
+
+from msgspec import Struct, ValidationError, convert, yaml
+
+from bergamotwood_fakes.plan import FleetPlan, name_entry
+from bergamotwood_fakes.step import Step
+
+PROCESS_VERBS = ("start", "stop", "pause", "wake", "kill", "restart", "lose_disk")
+
+
+class ScenarioError(Exception):
+    """A scenario file that cannot be used."""
+
+
+class Scenario(Struct, forbid_unknown_fields=True):
+    """A scripted scenario.
+
+    Parameters
+    ----------
+    name, about : str
+        For the report.
+    fleet : FleetPlan
+        What is started.
+    tickets : dict
+        Tickets by name, without their numbers; `base` is applied first.
+    steps : list of Step
+        In order.
+    seed : int
+        Of the callers.
+    lag : float
+        Seconds in which an accepted ticket must be in force everywhere.
+    """
+
+    name: str
+    fleet: FleetPlan
+    tickets: dict[str, dict]
+    steps: list[Step]
+    about: str = ""
+    seed: int = 1
+    lag: float = 6.0
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Read a scenario file and the fleet that it names.
+
+    Raises
+    ------
+    ScenarioError
+        With the file and the fault.
+    """
+    try:
+        document = yaml.decode(path.read_bytes())
+        fleet = document.get("fleet", {})
+        base = yaml.decode((path.parent / fleet.pop("base")).read_bytes())
+        document["fleet"] = {**base["fleet"], **fleet}
+        document["tickets"] = {**base["tickets"], **document.get("tickets", {})}
+        scenario = convert(document, type=Scenario)
+    except (OSError, KeyError, ValidationError) as error:
+        raise ScenarioError(f"{path}: {error}") from error
+    _check_names(path, scenario)
+    return scenario
+
+
+def _check_names(path: Path, scenario: Scenario) -> None:
+    """Check that steps name processes and tickets that there are."""
+    plan = scenario.fleet
+    entries = {name_entry(number + 1) for number in range(plan.entries)}
+    endpoints = {one.name for one in (*plan.engines, *plan.services)}
+    known = entries | endpoints | {"leader", "follower", "rating", "weights"}
+    for step in scenario.steps:
+        for verb in PROCESS_VERBS:
+            name = getattr(step, verb)
+            if name is not None and name not in known:
+                raise ScenarioError(f"{path}: {verb}: unknown process {name}")
+        ticket = step.ticket
+        if ticket is not None and ticket.name not in scenario.tickets:
+            raise ScenarioError(f"{path}: ticket: unknown name {ticket.name}")
+
+
+VERBS = tuple(name for name in Step.__struct_fields__ if name not in ("at", "when"))
+
+
+def name_verb(step: Step) -> str:
+    """Name the one verb of a step.
+
+    Raises
+    ------
+    ScenarioError
+        When it has none or several.
+    """
+    given = [name for name in VERBS if getattr(step, name) is not None]
+    if len(given) > 1 or (not given and step.at is None and step.when is None):
+        raise ScenarioError(f"a step needs one verb, it has {given}")
+    return given[0] if given else ""
