Wire the retry of suspects and the learning of the cascade policy

Cause: the daemon decided on suspects at dispatch alone, before its own table could show the crash it had just recorded, so that a poison request ran again at once; it never told the policy which answers callers got, so that neither the correction of a shortfall nor the measured selection bias acted; prefixes were ranked in one data centre only. Suspects now wait for the record and run on endpoints that every entry computes alike; what finished before is no suspect; the steps of a cascade are a module of their own. A version that a ticket removes between plan and step is a refusal, not an internal error.

--- a/packages/daemon/src/bergamotwood_daemon/attempts.py
+++ b/packages/daemon/src/bergamotwood_daemon/attempts.py
@@ -2,18 +2,15 @@
 
 from dataclasses import dataclass
 
-from gevent import sleep, spawn
 from opentelemetry.trace import Span
 
-from bergamotwood_core.control import ClearSuspect, RecordCrash, encode_command
 from bergamotwood_core.dispatch import check_dispatch
 from bergamotwood_core.errors import (
     Code,
     EndpointError,
     RefusedError,
-    ReplicationError,
 )
-from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation
+from bergamotwood_core.ids import DataCentre
 from bergamotwood_core.outlier import (
     record_cancel,
     record_failure,
@@ -22,25 +19,22 @@
     record_success,
 )
 from bergamotwood_core.placement import Need, choose_endpoint
-from bergamotwood_core.quarantine import (
-    Failure,
-    Isolated,
-    check_fingerprint,
-    is_crash,
-)
-from bergamotwood_core.states import Run
+from bergamotwood_core.quarantine import Isolated
 from bergamotwood_core.tables import Endpoint
 from bergamotwood_core.target import Target
+from bergamotwood_daemon.crashes import (
+    BrokenAttempt,
+    list_apart,
+    note_finished,
+    settle_break,
+    wait_for_clearance,
+)
 from bergamotwood_daemon.endpointcall import EndpointCall, Header
 from bergamotwood_daemon.entry import Entry, Work
-from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.tracing import format_parent
 
 MAX_ATTEMPTS = 3
 MAX_DIALS = 4
-PROBE_SECONDS = 0.3
-CRASH_WATCH_SECONDS = 1.5
-RECORD_CRASH_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +110,7 @@
         if not self._close():
             return
         record_success(self._row, self._entry.clock())
-        if self._work.suspect:
-            spawn(_clear_suspect, self._entry, self._work)
+        note_finished(self._entry, self._work)
 
     def fail(self) -> None:
         """Close after a failure of the endpoint."""
@@ -154,6 +147,7 @@
     EndpointError
         `run` tells whether the endpoint may have got it.
     """
+    wait_for_clearance(entry, work)
     refused: EndpointError | RefusedError | None = None
     for _ in range(MAX_DIALS):
         row = _choose_row(entry, work, target, refused)
@@ -199,17 +193,9 @@
     work.excluded.add(attempt.endpoint)
     if not reset:
         return
-    failure = Failure(
-        running=True,
-        pooled=False,
-        answered=attempt.first_token_seconds is not None,
-        reset=True,
-    )
-    changed = _has_restarted(entry, attempt.endpoint, attempt.incarnation)
-    if is_crash(failure, changed, not _probe(entry, attempt.endpoint)):
-        _record_crash(entry, work, attempt)
-        return
-    spawn(_watch_for_crash, entry, work, attempt, failure)
+    answered = attempt.first_token_seconds is not None
+    broken = BrokenAttempt(attempt.endpoint, attempt.incarnation, answered)
+    settle_break(entry, work, broken)
 
 
 def allow_retry(entry: Entry, work: Work, attempts: int) -> bool:
@@ -228,16 +214,13 @@
     refused: EndpointError | RefusedError | None,
 ) -> Endpoint:
     excluded = frozenset(work.excluded | work.running)
-    clearance = check_fingerprint(entry.tables.configuration.suspects, work.fingerprint)
-    if isinstance(clearance, Isolated):
-        work.suspect = True
-        excluded |= {clearance.avoid}
-    if work.suspect:
-        excluded |= entry.isolation.endpoints
+    excluded |= list_apart(entry, work, target)
     need = Need(
         target=target,
         data_centre=DataCentre(entry.settings.data_centre),
+        nearby=tuple(map(DataCentre, entry.settings.nearby)),
         prefix_hash=work.prefix_hash,
+        prefix_tokens=work.prefix_tokens,
         session=work.session,
         excluded=excluded,
     )
@@ -270,15 +253,15 @@
         work.fingerprint,
     )
     attempt = OpenAttempt(entry, work, row, call, span)
-    if isinstance(clearance, Isolated) or work.suspect:
+    if isinstance(clearance, Isolated):
         work.suspect = True
-        if not attempt.isolate():
-            attempt.cancel()
-            raise RefusedError(
-                "a request under suspicion is running already",
-                Code.OVERLOADED,
-                retry_after=1.0,
-            )
+    if work.suspect and not attempt.isolate():
+        attempt.cancel()
+        raise RefusedError(
+            "a request under suspicion is running already",
+            Code.OVERLOADED,
+            retry_after=1.0,
+        )
     try:
         call.send(min(wait_seconds, work.deadline - now))
     except EndpointError as error:
@@ -300,62 +283,3 @@
     return RefusedError(
         f"no endpoint for {target.name}{reason}", Code.NO_ENDPOINT, retry_after=2.0
     )
-
-
-def _has_restarted(entry: Entry, id: EndpointId, incarnation: Incarnation) -> bool:
-    row = entry.tables.directory.endpoints.get(id)
-    return row is not None and row.announcement.incarnation != incarnation
-
-
-def _probe(entry: Entry, id: EndpointId) -> bool:
-    row = entry.tables.directory.endpoints.get(id)
-    if row is None:
-        return False
-    call = EndpointCall(row.announcement.address, "GET", "/", (), b"")
-    try:
-        call.dial(PROBE_SECONDS)
-    except EndpointError:
-        return False
-    call.close()
-    return True
-
-
-def _watch_for_crash(
-    entry: Entry, work: Work, attempt: OpenAttempt, failure: Failure
-) -> None:
-    """See later whether the endpoint had in fact crashed and come back."""
-    sleep(CRASH_WATCH_SECONDS)
-    if is_crash(
-        failure, _has_restarted(entry, attempt.endpoint, attempt.incarnation), False
-    ):
-        try:
-            _record_crash(entry, work, attempt)
-        except EndpointError as error:
-            log_event("quarantine", "Crash not recorded.", detail=error.detail)
-
-
-def _record_crash(entry: Entry, work: Work, attempt: OpenAttempt) -> None:
-    work.suspect = True
-    log_event(
-        "quarantine",
-        "Endpoint crashed under a request.",
-        endpoint=attempt.endpoint,
-        fingerprint=work.fingerprint,
-        request=work.id,
-    )
-    command = RecordCrash(work.fingerprint, attempt.endpoint, attempt.incarnation)
-    try:
-        entry.control.propose(encode_command(command), RECORD_CRASH_SECONDS)
-    except ReplicationError as error:
-        work.repeatable = False
-        raise EndpointError(
-            f"endpoint {attempt.endpoint} crashed", run=Run.MAY_HAVE_RUN
-        ) from error
-
-
-def _clear_suspect(entry: Entry, work: Work) -> None:
-    command = encode_command(ClearSuspect(work.fingerprint))
-    try:
-        entry.control.propose(command, RECORD_CRASH_SECONDS)
-    except ReplicationError as error:
-        log_event("quarantine", "Suspect not cleared.", detail=error.detail)
--- a/packages/daemon/src/bergamotwood_daemon/chatcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/chatcall.py
@@ -94,6 +94,7 @@
     work = make_work(entry, request, workspace)
     work.prefix_hash = xxh3_64_intdigest(prompt[:PREFIX_CHARACTERS].encode())
     prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN + 1
+    work.prefix_tokens = prompt_tokens
     return ChatCall(
         work=work,
         document=document,
--- a/packages/daemon/src/bergamotwood_daemon/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/entry.py
@@ -18,7 +18,7 @@
 )
 from bergamotwood_core.ledger import Attempt
 from bergamotwood_core.outcome import OutcomeCounter
-from bergamotwood_core.quarantine import Isolation
+from bergamotwood_core.quarantine import FinishedRequests, Isolation
 from bergamotwood_core.retry import HedgeBudget, RetryBudget
 from bergamotwood_core.states import Priority
 from bergamotwood_core.tables import Tables
@@ -76,6 +76,7 @@
     incarnation: int
     retries: RetryBudget = field(default_factory=RetryBudget)
     isolation: Isolation = field(default_factory=Isolation)
+    finished: FinishedRequests = field(default_factory=FinishedRequests)
     draining: bool = False
     sequence: int = 0
 
@@ -131,7 +132,13 @@
     repeatable : bool
         False once a crash under it could not be recorded.
     suspect : bool
-        Whether an endpoint crashed under it at this entry.
+        Whether an endpoint crashed under it, here or elsewhere.
+    suspect_at : Seconds or None
+        Since when this entry knows.
+    crash_granted : bool
+        Whether this entry recorded the newest crash, so that it retries first.
+    prefix_tokens : int or None
+        Estimated size of the prompt.
     """
 
     id: RequestId
@@ -148,3 +155,6 @@
     running: set[EndpointId] = field(default_factory=set)
     repeatable: bool = True
     suspect: bool = False
+    suspect_at: Seconds | None = None
+    crash_granted: bool = False
+    prefix_tokens: int | None = None
--- a/packages/daemon/src/bergamotwood_daemon/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -139,6 +139,8 @@
     ----------
     instance, data_centre : str
         Name and place of the instance.
+    nearby : tuple of str
+        Data centres within a few milliseconds, used like its own.
     listen, peer_listen : Listen
         Where callers and other daemons reach it.
     advertise : Listen or None
@@ -177,6 +179,7 @@
 
     instance: Name
     data_centre: Name
+    nearby: tuple[Name, ...] = ()
     listen: Listen
     peer_listen: Listen
     advertise: Listen | None = None
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/steps.py
@@ -0,0 +1,201 @@
+"""The steps of a cascade: run, rate, accept, and learn from what came back."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import chain
+
+from gevent import spawn
+
+from bergamotwood_core.cascade import Plan, Usage
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    EndpointError,
+    RefusedError,
+)
+from bergamotwood_core.evidence import CellKey
+from bergamotwood_core.frontier import Step
+from bergamotwood_core.ids import VersionId
+from bergamotwood_core.outcome import Outcome
+from bergamotwood_core.stream import Chunk
+from bergamotwood_daemon.answer import VersionAnswer
+from bergamotwood_daemon.chatcall import ChatCall, list_candidates
+from bergamotwood_daemon.completion import join_text
+from bergamotwood_daemon.entry import Entry
+from bergamotwood_daemon.ratings import RatingRequest, Ratings
+
+# Refusals that hold for every step of a request.
+FINAL_CODES = (Code.CONFIG_STALE, Code.QUARANTINED, Code.DEADLINE_EXCEEDED)
+
+
+@dataclass
+class StepAnswer:
+    """The answer of one step.
+
+    Parameters
+    ----------
+    answer : VersionAnswer
+        What a version answers.
+    chunks : iterator of Chunk
+        The answer, from its first chunk.
+    key : CellKey
+        What its ratings are about.
+    score : float or None
+        Rating before it was returned, if it was rated.
+    """
+
+    answer: VersionAnswer
+    chunks: Iterator[Chunk]
+    key: CellKey
+    score: float | None = None
+
+
+class Steps:
+    """Runs cascades at one entry.
+
+    Parameters
+    ----------
+    entry : Entry
+        Tables, policies and ways to the leaders.
+    ratings : Ratings
+        The rating service.
+    """
+
+    def __init__(self, entry: Entry, ratings: Ratings) -> None:
+        self._entry = entry
+        self._ratings = ratings
+
+    def plan(self, call: ChatCall) -> Plan:
+        """Choose the steps by the configuration in force now."""
+        return self._entry.policy.plan(
+            call.work.workspace,
+            call.request_class,
+            list_candidates(self._entry, call),
+            call.prompt_tokens,
+            self._entry.clock(),
+            call.work.deadline,
+        )
+
+    def run(self, call: ChatCall, steps: tuple[Step, ...]) -> StepAnswer:
+        """Run steps until an answer is accepted.
+
+        Where the later steps fail, the newest answer that was whole is returned
+        though its rating is low.
+
+        Raises
+        ------
+        EndpointError, RefusedError, AuthorizationError
+            No step gave an answer.
+        """
+        whole: StepAnswer | None = None
+        failure: BergamotwoodError | None = None
+        for number, step in enumerate(steps):
+            try:
+                found = self._run_step(call, step, number, len(steps))
+            except (EndpointError, RefusedError) as error:
+                failure = error
+                if error.code in FINAL_CODES:
+                    break
+                continue
+            if found.score is None or found.score >= step.threshold:
+                return found
+            whole = found
+        if whole is not None:
+            return whole
+        raise failure or RefusedError("no version may answer", Code.NO_ENDPOINT)
+
+    def open(self, call: ChatCall, version: VersionId, number: int = 0) -> StepAnswer:
+        """Prepare the answer of one version; nothing is sent yet."""
+        entity = self._entry.tables.configuration.versions.get(version)
+        if entity is None:
+            raise RefusedError(f"version {version} is gone", Code.VERSION_WITHDRAWN)
+        answer = VersionAnswer(self._entry, call.work, entity, call.document)
+        key = CellKey(call.work.workspace.key, call.request_class, version, number > 0)
+        return StepAnswer(answer, answer.stream(), key)
+
+    def learn(self, call: ChatCall, returned: StepAnswer) -> None:
+        """Learn from an answer that the caller gets whole."""
+        answer = returned.answer
+        first = answer.first_token_seconds or 0.0
+        usage = Usage(
+            answer.usage.prompt_tokens,
+            answer.usage.completion_tokens,
+            first,
+            self._entry.clock() - answer.started_at,
+        )
+        version = answer.version.version_id
+        policy = self._entry.policy
+        policy.record_answer(call.request_class, version, usage)
+        policy.record_return(call.work.workspace, returned.key, returned.score)
+        self._entry.outcomes.count_outcome(Outcome(version, False, first))
+
+    def note_failure(self, failed: StepAnswer, error: BergamotwoodError) -> None:
+        """Count a failure of an endpoint against its version."""
+        if isinstance(error, EndpointError):
+            outcome = Outcome(failed.answer.version.version_id, failed=True)
+            self._entry.outcomes.count_outcome(outcome)
+
+    def sample(self, call: ChatCall, returned: StepAnswer, text: str) -> None:
+        """Have some returned answers rated, without the caller waiting."""
+        if self._is_sampled(returned):
+            spawn(self._rate_returned, call, returned, text)
+
+    def _run_step(
+        self, call: ChatCall, step: Step, number: int, count: int
+    ) -> StepAnswer:
+        """Run one step; an answer that is rated first comes whole."""
+        found = self.open(call, step.version, number)
+        try:
+            if number == count - 1 or not step.rate:
+                # Waiting for the first chunk gives an early failure its status.
+                found.chunks = chain((next(found.chunks),), found.chunks)
+                return found
+            chunks = list(found.chunks)
+        except (EndpointError, RefusedError) as error:
+            self.note_failure(found, error)
+            raise
+        found.chunks = iter(chunks)
+        # Without a rating the answer is not known to do, and the next step runs.
+        found.score = self._rate(call, found, join_text(chunks)) or 0.0
+        return found
+
+    def _is_sampled(self, returned: StepAnswer) -> bool:
+        """Whether to rate a returned answer; those of a roll-out come first."""
+        policy = self._entry.policy
+        now = self._entry.clock()
+        if returned.score is not None:
+            return policy.should_sample(returned.key, now, rated=True)
+        if self._entry.outcomes.is_candidate(returned.answer.version.version_id):
+            return policy.budget.take(now)
+        return policy.should_sample(returned.key, now)
+
+    def _rate_returned(self, call: ChatCall, returned: StepAnswer, text: str) -> None:
+        if returned.score is None:
+            self._rate(call, returned, text)
+            return
+        second = self._ask(call, returned, text)
+        if second is not None:
+            # The answer was selected by its first rating, so that the second one
+            # tells about the selection and not about the version.
+            self._entry.policy.record_repeat(returned.score, second)
+
+    def _rate(self, call: ChatCall, rated: StepAnswer, text: str) -> float | None:
+        score = self._ask(call, rated, text)
+        if score is None:
+            return None
+        self._entry.policy.record_rating(rated.key, score, self._entry.clock())
+        self._entry.outcomes.count_score(rated.answer.version.version_id, score)
+        return score
+
+    def _ask(self, call: ChatCall, rated: StepAnswer, text: str) -> float | None:
+        rating = RatingRequest(
+            call.work.id,
+            call.work.workspace.name,
+            call.request_class,
+            rated.answer.version.id,
+            text,
+        )
+        score = self._ratings.rate(rating)
+        if score is None:
+            self._entry.policy.record_refusal(self._entry.clock())
+        return score
