Give one place the way into and out of an entry

Cause: chat and plain services each counted offers, waited for a slot and kept the table of requests in flight, line for line. Admittance does it for both.

--- a/packages/daemon/src/bergamotwood_daemon/admittance.py
+++ b/packages/daemon/src/bergamotwood_daemon/admittance.py
@@ -1,12 +1,10 @@
 """Waiting for admission: greenlets over the pure queue."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from gevent.event import AsyncResult
 
 from bergamotwood_core.admission import (
-    Admission,
     Admitted,
     Queued,
     Refused,
@@ -15,8 +13,8 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import Code, RefusedError
 from bergamotwood_core.ids import RequestId
-from bergamotwood_core.tables import DirectoryTables, Endpoint
-from bergamotwood_daemon.entry import Work
+from bergamotwood_core.tables import DirectoryTables, Endpoint, InFlight
+from bergamotwood_daemon.entry import Entry, Work
 
 DISPLACED_RETRY_SECONDS = 1.0
 
@@ -26,40 +24,40 @@
 
     Parameters
     ----------
-    admission : Admission
-        The queue.
-    clock : callable
-        Gives the time.
+    entry : Entry
+        Whose queue, and whose table of requests in flight.
     """
 
-    def __init__(self, admission: Admission, clock: Callable[[], Seconds]) -> None:
-        self._admission = admission
-        self._clock = clock
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._admission = entry.admission
         self._waiting: dict[RequestId, AsyncResult[None]] = {}
 
     def enter(self, work: Work, pool: str) -> None:
-        """Wait for a slot of a pool.
+        """Wait for a slot of a pool, and count the request as in flight.
 
         Raises
         ------
         RefusedError
             At once when the request is given up on; nothing ran.
         """
-        decision = self._admission.offer(
-            work.id, work.workspace, work.priority, work.deadline, self._clock(), pool
+        work.trace.annotate(request=work.id, workspace=work.workspace.name)
+        try:
+            self._entry.claims.check_room()
+            self._entry.retries.record_offered()
+            self._wait_for_slot(work, pool)
+        except RefusedError:
+            work.trace.end()
+            raise
+        self._entry.tables.in_flight[work.id] = InFlight(
+            work.id, work.workspace.key, self._entry.clock(), work.fingerprint
         )
-        match decision:
-            case Admitted():
-                return
-            case Refused(code, retry_after):
-                raise _refuse(code, retry_after)
-            case Queued(displaced):
-                self._refuse_all(displaced, Code.OVERLOADED)
-                self._wait(work.id)
 
-    def leave(self, id: RequestId) -> None:
-        """Give the slot back."""
-        self._admit_all(self._admission.release(id, self._clock()))
+    def leave(self, work: Work) -> None:
+        """Give the slot back; a second call changes nothing."""
+        self._entry.tables.in_flight.pop(work.id, None)
+        self._admit_all(self._admission.release(work.id, self._entry.clock()))
+        work.trace.end()
 
     def expire(self, now: Seconds) -> None:
         """Refuse whoever can no longer start in time."""
@@ -78,6 +76,20 @@
             )
             self._admit_all(self._admission.set_limit(pool, limit, now))
 
+    def _wait_for_slot(self, work: Work, pool: str) -> None:
+        now = self._entry.clock()
+        decision = self._admission.offer(
+            work.id, work.workspace, work.priority, work.deadline, now, pool
+        )
+        match decision:
+            case Admitted():
+                return
+            case Refused(code, retry_after):
+                raise _refuse(code, retry_after)
+            case Queued(displaced):
+                self._refuse_all(displaced, Code.OVERLOADED)
+                self._wait(work.id)
+
     def _wait(self, id: RequestId) -> None:
         outcome: AsyncResult[None] = AsyncResult()
         self._waiting[id] = outcome
--- a/packages/daemon/src/bergamotwood_daemon/chat.py
+++ b/packages/daemon/src/bergamotwood_daemon/chat.py
@@ -8,11 +8,9 @@
     Code,
     RequestError,
 )
-from bergamotwood_core.ids import VersionId
 from bergamotwood_core.ledger import StoredAnswer
 from bergamotwood_core.session import make_session
 from bergamotwood_core.stream import Chunk
-from bergamotwood_core.tables import InFlight
 from bergamotwood_daemon.admittance import Admittance
 from bergamotwood_daemon.answer import VersionAnswer
 from bergamotwood_daemon.authorization import find_workspace
@@ -69,12 +67,12 @@
                 Code.KEY_REQUIRED,
             )
         index = self._entry.watch.applied
-        self._enter(call, plan.steps[0].version)
+        self._admittance.enter(call.work, plan.steps[0].version)
         try:
             if self._entry.watch.applied != index:
                 plan = self._steps.plan(call)
         except BaseException:
-            self._leave(call)
+            self._admittance.leave(call.work)
             raise
         if not call.work.idempotent:
             return self._answer_once(call, plan)
@@ -89,12 +87,12 @@
                 body = self._collect(call, found)
                 return Response(200, JSON, [body], headers)
             events = self._stream(call, found)
-            body = ClosingBody(events, lambda: self._leave(call))
+            body = ClosingBody(events, lambda: self._admittance.leave(call.work))
             streaming = True
             return Response(200, EVENT_STREAM, body, headers)
         finally:
             if not streaming:
-                self._leave(call)
+                self._admittance.leave(call.work)
 
     def _stream(
         self, call: ChatCall, found: StepAnswer
@@ -143,7 +141,7 @@
                 found = self._steps.open(call, plan.steps[-1].version)
                 chunks = list(found.chunks)
             finally:
-                self._leave(call)
+                self._admittance.leave(call.work)
             usage = found.answer.usage
             receipt = self._make_receipt(call, found.answer)
             body = encode_completion(call.work.id, chunks, usage, receipt)
@@ -157,7 +155,7 @@
         finally:
             # A run may go on after its caller was answered; it leaves by itself.
             if not acting:
-                self._leave(call)
+                self._admittance.leave(call.work)
         return Response(stored.status, stored.content_type, [stored.body])
 
     def _bill(self, call: ChatCall, found: StepAnswer) -> Receipt:
@@ -188,18 +186,3 @@
                 answer.version.version_id, self._entry.secret, self._entry.rng
             )
         return call.work.session
-
-    def _enter(self, call: ChatCall, version: VersionId) -> None:
-        work = call.work
-        work.trace.annotate(request=work.id, workspace=work.workspace.name)
-        self._entry.claims.check_room()
-        self._entry.retries.record_offered()
-        self._admittance.enter(work, version)
-        self._entry.tables.in_flight[work.id] = InFlight(
-            work.id, work.workspace.key, self._entry.clock(), work.fingerprint
-        )
-
-    def _leave(self, call: ChatCall) -> None:
-        self._entry.tables.in_flight.pop(call.work.id, None)
-        self._admittance.leave(call.work.id)
-        call.work.trace.end()
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -78,7 +78,7 @@
         self.replicas = self._make_replicas() if settings.is_control else None
         self.entry = self._make_entry()
         self.metrics = Metrics(self.entry, self.replicas)
-        self.admittance = Admittance(self.entry.admission, read_clock)
+        self.admittance = Admittance(self.entry)
         self._peer_server = PeerServer(
             self.replicas or _NoReplicas(), settings.instance_key, self._peer_tls
         )
--- a/packages/daemon/src/bergamotwood_daemon/services.py
+++ b/packages/daemon/src/bergamotwood_daemon/services.py
@@ -15,7 +15,6 @@
 from bergamotwood_core.ids import IdempotencyKey, ServiceName
 from bergamotwood_core.ledger import Attempt, StoredAnswer
 from bergamotwood_core.states import Run
-from bergamotwood_core.tables import InFlight
 from bergamotwood_core.target import ServiceTarget
 from bergamotwood_daemon.admittance import Admittance
 from bergamotwood_daemon.attempts import (
@@ -89,12 +88,12 @@
                 "idempotency-key: needed for a non-idempotent request",
                 Code.KEY_REQUIRED,
             )
-        self._enter(call)
+        self._admittance.enter(call.work, call.service.name)
         if call.work.idempotent:
             try:
                 answer = self._answer_idempotent(call)
             finally:
-                self._leave(call.work)
+                self._admittance.leave(call.work)
         else:
             answer = self._answer_once(call)
         headers = (("Bergamotwood-Request", call.work.id),)
@@ -173,7 +172,7 @@
             try:
                 answer = self._attempt(call)
             finally:
-                self._leave(call.work)
+                self._admittance.leave(call.work)
             return Ran(answer, make_bill(call.work, call.key, call.digest))
 
         timeouts = self._entry.settings.timeouts
@@ -182,7 +181,7 @@
         finally:
             # A run may go on after its caller was answered; it leaves by itself.
             if not acting:
-                self._leave(call.work)
+                self._admittance.leave(call.work)
 
     def _attempt(self, call: ServiceCall) -> StoredAnswer:
         """Run one attempt and read its whole answer."""
@@ -220,21 +219,6 @@
         )
         return StoredAnswer(status, attempt.call.content_type, body)
 
-    def _enter(self, call: ServiceCall) -> None:
-        work = call.work
-        work.trace.annotate(request=work.id, workspace=work.workspace.name)
-        self._entry.claims.check_room()
-        self._entry.retries.record_offered()
-        self._admittance.enter(work, call.service.name)
-        self._entry.tables.in_flight[work.id] = InFlight(
-            work.id, work.workspace.key, self._entry.clock(), work.fingerprint
-        )
-
-    def _leave(self, work: Work) -> None:
-        self._entry.tables.in_flight.pop(work.id, None)
-        self._admittance.leave(work.id)
-        work.trace.end()
-
 
 def _read_passed(request: WebRequest, name: str) -> str | None:
     if name == "content-type":
