Give the log a thread of its own and gRPC enough of them

Cause: in gevent mode gRPC holds a thread of the hub's pool for each call that waits, and the pool has ten. Ruled out: the disk (a sync takes 0.1 ms), the election rules, the proxy. A test holds every thread of the pool and proposes; it failed before.

--- a/packages/daemon/src/bergamotwood_daemon/boot.py
+++ b/packages/daemon/src/bergamotwood_daemon/boot.py
@@ -1,6 +1,10 @@
 """Start of the daemon: gevent takes over blocking calls before other imports."""
 
-from gevent import monkey
+from gevent import get_hub, monkey
+
+# gRPC holds a thread of the hub's pool for each call that waits; the pool's
+# usual ten are all held by long polls and calls to silent peers.
+MAX_THREADS = 256
 
 
 def main() -> None:
@@ -9,6 +13,7 @@
     from grpc.experimental.gevent import init_gevent
 
     init_gevent()
+    get_hub().threadpool.maxsize = MAX_THREADS
     from bergamotwood_daemon.command import main as run_command
 
     run_command()
--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -4,9 +4,10 @@
 from random import Random
 from secrets import randbits, token_hex
 
-from gevent import Greenlet, Timeout, get_hub, joinall, sleep, spawn
+from gevent import Greenlet, Timeout, joinall, sleep, spawn
 from gevent.event import AsyncResult, Event
 from gevent.queue import Queue
+from gevent.threadpool import ThreadPool
 from msgspec import MsgspecError
 
 from bergamotwood_core.clock import Seconds
@@ -80,6 +81,8 @@
         self._replica: Replica | None = None
         self._journal: Journal | None = None
         self._greenlets: list[Greenlet] = []
+        # A thread of its own: calls to silent peers fill the hub's pool.
+        self._disk = ThreadPool(1)
 
     @property
     def leader(self) -> InstanceId | None:
@@ -158,6 +161,7 @@
         joinall(self._greenlets)
         self._fail_waiting("stopped")
         self._journal.close()
+        self._disk.kill()
 
     def propose(self, command: bytes, timeout: float) -> bytes:
         """Commit a command and return the machine's answer.
@@ -418,7 +422,7 @@
                 item.result.set_exception(error)
 
     def _run_blocking(self, function: Callable, *arguments: object) -> object:
-        return get_hub().threadpool.apply(function, arguments)
+        return self._disk.apply(function, arguments)
 
 
 def _run_call(
--- a/packages/daemon/src/bergamotwood_daemon/proposer.py
+++ b/packages/daemon/src/bergamotwood_daemon/proposer.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from gevent import sleep
+from gevent.lock import BoundedSemaphore
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import Code, ReplicationError
@@ -22,6 +23,8 @@
 )
 
 CALL_TIMEOUT_SECONDS = 1.5
+# Calls that wait at once; each holds a thread.
+MAX_CONCURRENT_CALLS = 64
 MIN_BACKOFF_SECONDS = 0.02
 MAX_BACKOFF_SECONDS = 0.3
 
@@ -56,6 +59,7 @@
         self._clock = clock
         self._rng = rng
         self._order = list(channels)
+        self._room = BoundedSemaphore(MAX_CONCURRENT_CALLS)
         rng.shuffle(self._order)
 
     def propose(self, command: bytes, timeout_seconds: float) -> bytes:
@@ -108,11 +112,15 @@
     def _call(
         self, method: Method, body: bytes, timeout_seconds: float
     ) -> Committed | NotLeader | Unknown:
-        channel = self._channels[self._order[0]]
+        name = self._order[0]
+        if not self._room.acquire(timeout=timeout_seconds):
+            return NotLeader(name)
         try:
-            reply = channel.call(method, body, timeout_seconds)
+            reply = self._channels[name].call(method, body, timeout_seconds)
         except ReplicationError as error:
             return Unknown(error.detail)
+        finally:
+            self._room.release()
         return PROPOSE_REPLY.decode(reply)
 
     def _prefer(self, leader: str | None) -> None:
--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -1,8 +1,9 @@
 from functools import partial
+from threading import Event as ThreadEvent
 
 import pytest
 from daemon.loggroups import NAMES, Fleet, ListMachine, read_clock, wait_until
-from gevent import joinall, spawn
+from gevent import get_hub, joinall, spawn
 
 from bergamotwood_core.errors import NotLeaderError, ReplicationError
 from bergamotwood_core.states import Run
@@ -214,3 +215,15 @@
         leader.propose(b"two", 5.0)
     assert caught.value.run is Run.NOT_RUN
     assert not leader.holds_lease(read_clock())
+
+
+def test_calls_that_hold_every_thread_of_the_hub_do_not_stop_the_log(fleet):
+    leader = fleet.start_all()
+    release = ThreadEvent()
+    pool = get_hub().threadpool
+    held = [pool.spawn(release.wait) for _ in range(pool.maxsize)]
+    try:
+        assert leader.propose(b"one", 5.0).endswith(b":one")
+    finally:
+        release.set()
+        joinall(held)
