Say when a repaired replica votes, and wait for it in the scenario of two lost disks

Cause: the scenario took a second disk 3 s after the first came back, before the new replica voted; two of three disks were then gone, and the group stopped for good, as it must.

--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -278,6 +278,7 @@
             clock=read_clock,
             drain=self.drain,
             is_draining=lambda: entry.draining,
+            is_voting=lambda: self.replicas.is_voting if self.replicas else None,
         )
         routes = (
             make_route("GET", "/healthz", _answer_health),
--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -99,6 +99,11 @@
         """Newest term."""
         return self._replica.term if self._replica else Term(0)
 
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica counts for majorities."""
+        return self._replica is not None and self._replica.state.is_voter
+
     @property
     def membership(self) -> Membership:
         """Newest membership."""
--- a/packages/daemon/src/bergamotwood_daemon/operations.py
+++ b/packages/daemon/src/bergamotwood_daemon/operations.py
@@ -53,7 +53,11 @@
 
 
 class StatusView(Struct):
-    """State of one instance and what it knows of the others."""
+    """State of one instance and what it knows of the others.
+
+    `voting` tells whether its replica counts for majorities, which a replica
+    with a new disk does once it has caught up; none without the control role.
+    """
 
     instance: str
     data_centre: str
@@ -64,6 +68,7 @@
     ticket: int
     config_age_seconds: float | None
     in_flight: int
+    voting: bool | None
     entries: list[EntryView]
     endpoints: int
 
@@ -88,6 +93,8 @@
         Begins a graceful shutdown.
     is_draining : callable
         Whether one has begun.
+    is_voting : callable
+        Whether the instance's replica votes; None without the control role.
     """
 
     settings: Settings
@@ -98,6 +105,7 @@
     clock: Callable[[], Seconds]
     drain: Callable[[], None]
     is_draining: Callable[[], bool]
+    is_voting: Callable[[], bool | None]
 
     def apply_ticket(self, request: WebRequest) -> Response:
         """Submit a ticket; a resend gets the first answer again."""
@@ -163,6 +171,7 @@
             ticket=self.tables.configuration.ticket,
             config_age_seconds=age if age != float("inf") else None,
             in_flight=len(self.tables.in_flight),
+            voting=self.is_voting(),
             entries=self._view_entries(),
             endpoints=len(self.tables.directory.endpoints),
         )
--- a/packages/daemon/src/bergamotwood_daemon/replicas.py
+++ b/packages/daemon/src/bergamotwood_daemon/replicas.py
@@ -89,6 +89,11 @@
         self._news = Event()
         control.on_apply(self._wake)
 
+    @property
+    def is_voting(self) -> bool:
+        """Whether this replica counts for majorities in every group."""
+        return all(group.is_voter for group in self._groups.values())
+
     @property
     def control_machine(self) -> ControlMachine:
         """State of the control group at this replica."""
--- a/packages/fakes/src/bergamotwood_fakes/engine.py
+++ b/packages/fakes/src/bergamotwood_fakes/engine.py
@@ -35,7 +35,7 @@
 )
 
 CRASH_STATUS = 13
-SILENCE_SECONDS = 600.0
+FAULT_CHECK_SECONDS = 0.1
 DEFAULT_QUALITY = 0.9
 
 
@@ -215,7 +215,8 @@
         if faults.break_after is not None and index >= faults.break_after:
             raise BrokenStreamError
         if faults.silent_after is not None and index >= faults.silent_after:
-            sleep(SILENCE_SECONDS)
+            while self._faults is faults:
+                sleep(FAULT_CHECK_SECONDS)
             raise BrokenStreamError
 
     def _read_quality(self, version: str) -> float:
--- a/packages/fakes/src/bergamotwood_fakes/runner.py
+++ b/packages/fakes/src/bergamotwood_fakes/runner.py
@@ -134,6 +134,8 @@
             tests.append(lambda c: self._senders[c.finished].finished)
         if condition.effective:
             tests.append(lambda _: self._is_effective())
+        if condition.repaired:
+            tests.append(lambda _: self._is_repaired())
         if condition.endpoints is not None:
             tests.append(lambda c: self._knows_endpoints(c.endpoints))
         if condition.ended is not None:
@@ -169,6 +171,12 @@
                 return False
         return True
 
+    def _is_repaired(self) -> bool:
+        """Whether all running control replicas count for majorities."""
+        running = [entry for entry in self._fleet.entries if entry.running]
+        found = [self._fleet.read_status(entry) for entry in running]
+        return all(one is not None and one["voting"] is not False for one in found)
+
     def _knows_endpoints(self, number: int) -> bool:
         """Whether all running entries know as many endpoints."""
         running = [entry for entry in self._fleet.entries if entry.running]
--- a/packages/fakes/src/bergamotwood_fakes/step.py
+++ b/packages/fakes/src/bergamotwood_fakes/step.py
@@ -22,6 +22,8 @@
         Stream of requests that is over.
     effective : bool
         Every running entry has the newest accepted ticket in force.
+    repaired : bool
+        Every running control replica counts for majorities.
     endpoints : int
         Endpoints that every running entry knows.
     ended : str
@@ -37,6 +39,7 @@
     ran: int | None = None
     finished: str | None = None
     effective: bool = False
+    repaired: bool = False
     endpoints: int | None = None
     ended: str | None = None
     within: float = 30.0
