Dial a lost peer less often, drop lost clients, and hold partitions without polling

Cause: control_isolated made no progress after 15 s of a partition, also between the replicas that could reach each other. The fault-injecting proxy looked at its rules 50 times a second for each connection it held back (4,262 open sockets, 84 to 90 % of a core), so that it delayed everybody. Daemons added to it: a channel was dialled anew at once after each failed call, and a server kept the connections of lost clients (280 to 544 open sockets in a daemon). Held connections now wait until a rule is lifted; a peer that does not answer is dialled after 0.05 to 1 s with jitter; servers drop a client that does not answer pings for 15 s.

--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from hmac import compare_digest
+from random import uniform
+from time import monotonic
 from typing import NewType, Protocol
 
 import grpc
@@ -12,6 +14,7 @@
 from bergamotwood_core.errors import BergamotwoodError, Code, ReplicationError
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.messages import Address
+from bergamotwood_core.states import Run
 from bergamotwood_daemon.encryption import PeerEncryption
 from bergamotwood_daemon.peer_pb2 import Frame
 from bergamotwood_daemon.peer_pb2_grpc import (
@@ -29,6 +32,9 @@
 MAX_WORKERS = 1_024
 MAX_QUEUED_MESSAGES = 1_024
 REPLICATE_TIMEOUT_SECONDS = 1.0
+# Time between two dials of a peer that does not answer.
+MIN_REDIAL_SECONDS = 0.05
+MAX_REDIAL_SECONDS = 1.0
 KEY_HEADER = "bergamotwood-instance-key"
 
 # A new channel must dial anew, so that a silent connection can be replaced.
@@ -42,7 +48,12 @@
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
 )
+# A client that is lost on the way is dropped after 15 s, with its connection.
 SERVER_OPTIONS = (
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
@@ -156,6 +167,8 @@
         self._encryption = encryption
         self._metadata = ((KEY_HEADER, key),)
         self._channel: grpc.Channel | None = None
+        self._backoff = 0.0
+        self._quiet_until = 0.0
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -167,6 +180,10 @@
         ReplicationError
             The peer did not answer; it may have acted.
         """
+        if monotonic() < self._quiet_until:
+            raise ReplicationError(
+                f"{method} at {self._address}: not dialled again yet", run=Run.NOT_RUN
+            )
         channel = self._open()
         try:
             rpc = getattr(PeerStub(channel), method)
@@ -175,10 +192,11 @@
             reply = rpc(frame, timeout=timeout_seconds, metadata=self._metadata)
         except grpc.RpcError as error:
             if error.code() is not grpc.StatusCode.FAILED_PRECONDITION:
-                self._drop(channel)
+                self._give_up(channel)
             raise ReplicationError(
                 f"{method} at {self._address}: {error.details()}", Code.NO_QUORUM
             ) from error
+        self._backoff = 0.0
         self.received_bytes += len(reply.body)
         return reply.body
 
@@ -199,6 +217,14 @@
         credentials = self._encryption.make_channel_credentials()
         return grpc.secure_channel(target, credentials, options=CHANNEL_OPTIONS)
 
+    def _give_up(self, channel: grpc.Channel) -> None:
+        """Drop a channel that failed, and dial anew only after a while."""
+        if self._channel is channel:
+            doubled = max(2.0 * self._backoff, MIN_REDIAL_SECONDS)
+            self._backoff = min(doubled, MAX_REDIAL_SECONDS)
+            self._quiet_until = monotonic() + self._backoff * uniform(0.5, 1.0)
+        self._drop(channel)
+
     def _drop(self, channel: grpc.Channel) -> None:
         if self._channel is channel:
             self._channel = None
--- a/packages/daemon/src/bergamotwood_daemon/proposer.py
+++ b/packages/daemon/src/bergamotwood_daemon/proposer.py
@@ -118,6 +118,8 @@
         try:
             reply = self._channels[name].call(method, body, timeout_seconds)
         except ReplicationError as error:
+            if error.run is Run.NOT_RUN:
+                return NotLeader()
             return Unknown(error.detail)
         finally:
             self._room.release()
--- a/packages/fakes/src/bergamotwood_fakes/link.py
+++ b/packages/fakes/src/bergamotwood_fakes/link.py
@@ -14,7 +14,6 @@
 
 BLOCK_BYTES = 65_536
 WAITING_BLOCKS = 64
-HOLD_CHECK_SECONDS = 0.02
 SHORTEST_DELAY_SECONDS = 0.001
 LONGEST_DELAY_SECONDS = 0.0015
 
@@ -129,7 +128,7 @@
     def _wait_for_passage(self) -> None:
         """Wait while a partition holds this connection back."""
         while self._rules.find(Action.PARTITION, self.source, self.target):
-            gevent.sleep(HOLD_CHECK_SECONDS)
+            self._rules.wait_for_lift()
 
     def _draw_delay(self) -> float:
         """Draw the one-way delay of a block, in seconds."""
--- a/packages/fakes/src/bergamotwood_fakes/rule.py
+++ b/packages/fakes/src/bergamotwood_fakes/rule.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from gevent.event import Event
 from msgspec import Struct
 
 ANYONE = "*"
@@ -66,6 +67,7 @@
     def __init__(self) -> None:
         self._rules: dict[int, Rule] = {}
         self._next = 1
+        self._lifted = Event()
 
     def add(self, rule: Rule) -> int:
         """Put a rule in force and return its number."""
@@ -77,10 +79,21 @@
     def clear(self) -> None:
         """Lift all rules."""
         self._rules.clear()
+        self._announce()
 
     def remove(self, number: int) -> bool:
         """Lift one rule; False when there is none of that number."""
-        return self._rules.pop(number, None) is not None
+        lifted = self._rules.pop(number, None) is not None
+        self._announce()
+        return lifted
+
+    def wait_for_lift(self) -> None:
+        """Wait until some rule is lifted."""
+        self._lifted.wait()
+
+    def _announce(self) -> None:
+        self._lifted.set()
+        self._lifted.clear()
 
     def find(self, action: Action, source: str, target: str) -> Rule | None:
         """Find a rule of one action that names a connection."""
