--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -192,6 +192,8 @@
         "detail": error.detail,
         "code": int(error.code),
         "run": str(error.run),
+        # Where clients of the OpenAI form look for the reason.
+        "error": {"message": error.detail, "code": int(error.code)},
     }
     if request_id:
         document["request"] = request_id
