Call the one maker of request ids and the one quarantine bound; drop a dead event

Cause: the read-through found the entry joining request ids by hand beside watermark.make_request_id, which the ledger parses; the bound of two crashes in control.py beside quarantine.py; and an event in watch.py that nobody waits on. Figures: three places before, one each after; no behaviour changes.

--- a/packages/core/src/bergamotwood_core/control.py
+++ b/packages/core/src/bergamotwood_core/control.py
@@ -46,6 +46,7 @@
     RolloutId,
     TicketNumber,
 )
+from bergamotwood_core.quarantine import QUARANTINE_CRASHES
 from bergamotwood_core.reference import ACTIVE_STATES
 from bergamotwood_core.states import RolloutState, TicketOutcome
 from bergamotwood_core.tables import ConfigurationTables, RolloutProgress, Suspect
@@ -71,8 +72,6 @@
 # Fingerprints, and crash reports, that are kept.
 MAX_SUSPECTS = 4_096
 MAX_CRASH_REPORTS = 8_192
-# Crashes after which a fingerprint is quarantined.
-QUARANTINE_CRASHES = 2
 # Characters of a note, and names of objects, kept with a ticket's answer.
 MAX_KEPT_NOTE = 200
 MAX_KEPT_NAMES = 16
--- a/packages/daemon/src/bergamotwood_daemon/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/entry.py
@@ -13,7 +13,10 @@
 from bergamotwood_core.ids import (
     EndpointId,
     Fingerprint,
+    Incarnation,
+    InstanceId,
     RequestId,
+    Sequence,
     SessionId,
 )
 from bergamotwood_core.ledger import Attempt
@@ -22,6 +25,7 @@
 from bergamotwood_core.retry import HedgeBudget, RetryBudget
 from bergamotwood_core.states import Priority
 from bergamotwood_core.tables import Tables
+from bergamotwood_core.watermark import make_request_id
 from bergamotwood_daemon.claims import Claims
 from bergamotwood_daemon.proposer import Proposer
 from bergamotwood_daemon.settings import Settings
@@ -91,8 +95,11 @@
     def make_request_id(self) -> RequestId:
         """Make an id that no other entry or start makes."""
         self.sequence += 1
-        name = self.settings.instance
-        return RequestId(f"{name}-{self.incarnation}-{self.sequence}")
+        return make_request_id(
+            InstanceId(self.settings.instance),
+            Incarnation(self.incarnation),
+            Sequence(self.sequence),
+        )
 
     def measure_age(self) -> Seconds:
         """Age of the configuration in force, in seconds."""
--- a/packages/daemon/src/bergamotwood_daemon/watch.py
+++ b/packages/daemon/src/bergamotwood_daemon/watch.py
@@ -67,7 +67,6 @@
         self.machine = machine
         self.applied = LogIndex(0)
         self.leader: InstanceId | None = None
-        self.changed = Event()
         self._tables = tables
         self._channels = channels
         self._describe = describe
@@ -202,8 +201,6 @@
             if change.index > self.applied:
                 self.machine.apply(change.index, change.command)
         self.applied = reply.applied
-        self.changed.set()
-        self.changed.clear()
 
     def _take_directory(self, reply: PollReply) -> None:
         now = self._clock()
