--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,17 @@
 VENV := .venv
 PY := $(VENV)/bin/python
-SRC := packages/core/src:packages/daemon/src:packages/ctl/src:packages/fakes/src
+SRC := packages/core/src:packages/daemon/src:packages/ctl/src:packages/fakes/src:platform/src
 export PYTHONPATH := $(SRC)
-PACKAGES := packages/core packages/daemon packages/ctl packages/fakes
+PACKAGES := packages/core packages/daemon packages/ctl packages/fakes platform
 TOOLS := pytest ruff hypothesis grpcio-tools openai cryptography
 
 .PHONY: setup test lint format demo demo-up bench check-log scenarios scenarios-short proto
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/ready: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install -q -c constraints.txt $(TOOLS) $(addprefix -e ,$(PACKAGES))
+	$(PY) -m pip install -q -c constraints.txt $(TOOLS) $(addprefix -e ./,$(PACKAGES))
 	touch $@
 
 test: setup
--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -3,7 +3,12 @@
 A fresh group is formed only by the first initial voter, and only when every
 other one has answered this voter's present identity that it belongs to no
 group. So replicas whose folders were lost cannot form a second group while
-one of the old replicas is left.
+one of the old replicas is left. Where the settings say that the group exists
+already, no group is formed at all.
+
+With open membership any instance may join as a learner. A learner becomes a
+voter where the group has room for one, or in the place of a voter that has
+been silent for long.
 """
 
 from bergamotwood_core.clock import Seconds
@@ -27,6 +32,13 @@
 HELLO_HEARTBEATS = 5
 # Entries that a learner may lack when it becomes a voter.
 PROMOTION_LAG_ENTRIES = 200
+# Members of an open group; more would only cost bandwidth.
+MAX_OPEN_MEMBERS = 9
+# Voters of an open group: a majority of five outlives the loss of two disks.
+MAX_OPEN_VOTERS = 5
+# Silence of the leader, in election time-outs, after which a replica asks to
+# join again: it may have been removed while it was away.
+CUT_OFF_ELECTIONS = 3
 
 
 def is_member(state: ReplicaState) -> bool:
@@ -34,6 +46,16 @@
     return state.membership.find(state.replica) is not None
 
 
+def is_cut_off(state: ReplicaState, now: Seconds) -> bool:
+    """Whether the replica has to ask the others for the group."""
+    if state.genesis is None or not is_member(state):
+        return True
+    if not state.settings.open_membership or state.role is Role.LEADER:
+        return False
+    limit = CUT_OFF_ELECTIONS * state.settings.election_seconds
+    return now > state.heard_at + limit
+
+
 def send_hellos(state: ReplicaState, now: Seconds) -> None:
     """Ask the group's instances to join, from time to time."""
     if now < state.hello_at:
@@ -64,10 +86,11 @@
     if message.genesis not in ("", state.genesis.id):
         return
     leads = state.role is Role.LEADER
-    welcome = Welcome(state.genesis, leads)
+    contacts = tuple(member.instance for member in state.membership.members)
+    welcome = Welcome(state.genesis, leads, contacts)
     state.send(message.instance, message.sender, welcome)
     current = body.answers == state.replica and body.answers_term == state.term
-    if leads and current and message.instance in state.settings.initial_voters:
+    if leads and current and _may_join(state, message.instance):
         state.leadership.newcomers[message.instance] = message.sender
 
 
@@ -82,6 +105,7 @@
         state.delay_election(now)
     if state.genesis.id != body.genesis.id:
         return
+    state.contacts.update(body.contacts)
     state.heard_identity[message.instance] = message.sender
     if body.leads:
         state.heard_leader = (message.sender, message.term)
@@ -109,7 +133,9 @@
 
 def _form_group(state: ReplicaState, now: Seconds) -> None:
     voters = state.settings.initial_voters
-    if state.genesis is not None or voters[0] != state.settings.instance:
+    if state.genesis is not None or not state.settings.forms_group:
+        return
+    if voters[0] != state.settings.instance:
         return
     identities = {**state.greetings, state.settings.instance: state.replica}
     if any(instance not in identities for instance in voters):
@@ -128,20 +154,55 @@
 def _find_others(state: ReplicaState) -> list[InstanceId]:
     known = {member.instance for member in state.membership.members}
     known.update(state.settings.initial_voters)
+    known.update(state.contacts)
     known.discard(state.settings.instance)
     return sorted(known)
 
 
-def _choose_promotion(state: ReplicaState, now: Seconds) -> Promote | None:
+def _may_join(state: ReplicaState, instance: InstanceId) -> bool:
+    if state.settings.open_membership:
+        return True
+    return instance in state.settings.initial_voters
+
+
+def _choose_promotion(state: ReplicaState, now: Seconds) -> Promote | Remove | None:
+    ready = [
+        member
+        for member in state.membership.members
+        if not member.voting and _is_ready_to_vote(state, member, now)
+    ]
+    if not ready:
+        return None
+    if not state.settings.open_membership or _has_room_for_voter(state, now):
+        return Promote(ready[0].replica)
+    return _find_replaceable_voter(state, now)
+
+
+def _is_ready_to_vote(state: ReplicaState, member: Member, now: Seconds) -> bool:
+    progress = state.leadership.progress.get(member.replica)
+    if progress is None or _is_silent(state, member, now):
+        return False
+    near = progress.match + PROMOTION_LAG_ENTRIES >= state.commit
+    return near and not progress.probing and progress.snapshot is None
+
+
+def _has_room_for_voter(state: ReplicaState, now: Seconds) -> bool:
+    """Whether the live members allow a larger odd number of voters."""
+    live = [
+        member
+        for member in state.membership.members
+        if member.replica == state.replica or not _is_silent(state, member, now)
+    ]
+    odd = len(live) - 1 + len(live) % 2
+    return len(state.membership.voters) < min(odd, MAX_OPEN_VOTERS)
+
+
+def _find_replaceable_voter(state: ReplicaState, now: Seconds) -> Remove | None:
     for member in state.membership.members:
-        if member.voting or member.replica == state.replica:
-            continue
-        progress = state.leadership.progress.get(member.replica)
-        if progress is None or _is_silent(state, member, now):
-            continue
-        near = progress.match + PROMOTION_LAG_ENTRIES >= state.commit
-        if near and not progress.probing and progress.snapshot is None:
-            return Promote(member.replica)
+        if member.voting and member.replica != state.replica:
+            silence = _measure_silence(state, member, now)
+            if silence > state.settings.replacement_seconds:
+                return Remove(member.replica)
     return None
 
 
@@ -150,7 +211,9 @@
     for instance, replica in list(newcomers.items()):
         occupant = state.membership.find_instance(instance)
         if occupant is None:
-            return AddLearner(instance, replica)
+            if len(state.membership.members) < MAX_OPEN_MEMBERS:
+                return AddLearner(instance, replica)
+            return _find_silent_learner(state, now)
         if occupant.replica == replica:
             del newcomers[instance]
         elif occupant.replica != state.replica and _is_silent(state, occupant, now):
@@ -158,9 +221,19 @@
     return None
 
 
+def _find_silent_learner(state: ReplicaState, now: Seconds) -> Remove | None:
+    for member in state.membership.members:
+        if not member.voting and _is_silent(state, member, now):
+            return Remove(member.replica)
+    return None
+
+
 def _is_silent(state: ReplicaState, member: Member, now: Seconds) -> bool:
+    return _measure_silence(state, member, now) > state.settings.election_seconds
+
+
+def _measure_silence(state: ReplicaState, member: Member, now: Seconds) -> float:
     leadership = state.leadership
     progress = leadership.progress.get(member.replica)
-    timeout = state.settings.election_seconds
     heard = progress.acked_at if progress else leadership.elected_at
-    return now > max(heard, leadership.elected_at) + timeout
+    return now - max(heard, leadership.elected_at)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of opaque HTTP requests to services, by host and path."""
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/events.py
@@ -0,0 +1,58 @@
+"""Server-sent events cut out of a stream of bytes."""
+
+from msgspec import Struct
+
+
+class StreamEvent(Struct, frozen=True):
+    """One event with its id.
+
+    Parameters
+    ----------
+    data : bytes
+        The event's bytes, with the blank line that ends it.
+    id : str or None
+        Value of its `id` field.
+    """
+
+    data: bytes
+    id: str | None
+
+
+class EventSplitter:
+    """Collects bytes and gives out whole events (HTML Living Standard, 9.2)."""
+
+    def __init__(self) -> None:
+        self._held = b""
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun that is not whole."""
+        return bool(self._held)
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Add bytes and return the events that they complete."""
+        self._held += data
+        events = []
+        while True:
+            end = _find_end(self._held)
+            if end < 0:
+                return events
+            block, self._held = self._held[:end], self._held[end:]
+            events.append(StreamEvent(block, _find_id(block)))
+
+
+def _find_end(data: bytes) -> int:
+    ends = [
+        at + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (at := data.find(mark)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _find_id(block: bytes) -> str | None:
+    for line in block.splitlines():
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            return value.strip().decode("latin-1")
+    return None
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -0,0 +1,130 @@
+"""Health of endpoints, found from an entry's own traffic."""
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.ids import EndpointId, Incarnation
+
+# First pause after a failed connection, doubled with each further one: a
+# restarted process is back within seconds.
+FIRST_PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 4.0
+# Pause after a refusal: a full queue moves on within about one short request.
+FULL_PAUSE_SECONDS = 0.1
+# Weight of the newest result in the moving averages: about the last ten count.
+SMOOTHING = 0.1
+# Failure rate from which an endpoint counts as failing. Sound services fail up
+# to one request in seven by themselves.
+FAILING_RATE = 0.3
+
+
+class Result(StrEnum):
+    """How an attempt at an endpoint ended."""
+
+    OK = "ok"
+    UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
+    FULL = "full"
+    ERROR = "error"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
+class EndpointHealth(Struct):
+    """What an entry has seen of one incarnation.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        The incarnation; a new one begins anew.
+    paused_until : Seconds
+        No request is sent before.
+    failures : int
+        Failed connections in a row.
+    failure_rate : float
+        Moving average of attempts that failed.
+    seconds : float
+        Moving average of the time to an answer; 0 before the first.
+    is_replaced : bool
+        Whether another endpoint has its address.
+    """
+
+    incarnation: Incarnation
+    paused_until: Seconds = Seconds(0.0)
+    failures: int = 0
+    failure_rate: float = 0.0
+    seconds: float = 0.0
+    is_replaced: bool = False
+
+
+class HealthTable:
+    """Health of all endpoints that an entry has used."""
+
+    def __init__(self) -> None:
+        self._entries: dict[EndpointId, EndpointHealth] = {}
+
+    def find(self, endpoint: EndpointId, incarnation: Incarnation) -> EndpointHealth:
+        """Return what is known of an incarnation."""
+        held = self._entries.get(endpoint)
+        if held is None or held.incarnation < incarnation:
+            held = self._entries[endpoint] = EndpointHealth(incarnation)
+        return held
+
+    def keep(self, endpoints: set[EndpointId]) -> None:
+        """Forget all other endpoints."""
+        for endpoint in set(self._entries) - endpoints:
+            del self._entries[endpoint]
+
+    def note(
+        self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        result: Result,
+        seconds: float,
+        now: Seconds,
+    ) -> None:
+        """Take in how an attempt ended.
+
+        Parameters
+        ----------
+        endpoint, incarnation : EndpointId, Incarnation
+            Where it was.
+        result : Result
+            How it ended.
+        seconds : float
+            How long it took.
+        now : Seconds
+            The time.
+        """
+        health = self.find(endpoint, incarnation)
+        match result:
+            case Result.OK:
+                health.failures = 0
+                _smooth_rate(health, 0.0)
+                _smooth_seconds(health, seconds)
+            case Result.ERROR:
+                health.failures = 0
+                _smooth_rate(health, 1.0)
+            case Result.BROKEN | Result.SILENT:
+                _smooth_rate(health, 1.0)
+            case Result.FULL:
+                health.paused_until = Seconds(now + FULL_PAUSE_SECONDS)
+            case Result.REPLACED:
+                health.is_replaced = True
+            case Result.UNREACHABLE:
+                pause = FIRST_PAUSE_SECONDS * 2**health.failures
+                health.failures += 1
+                pause = min(pause, MAX_PAUSE_SECONDS)
+                health.paused_until = Seconds(now + pause)
+
+
+def _smooth_rate(health: EndpointHealth, value: float) -> None:
+    health.failure_rate += SMOOTHING * (value - health.failure_rate)
+
+
+def _smooth_seconds(health: EndpointHealth, value: float) -> None:
+    if health.seconds == 0.0:
+        health.seconds = value
+    health.seconds += SMOOTHING * (value - health.seconds)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/routing.py
@@ -0,0 +1,90 @@
+"""Look-ups in the configuration in force: routes by place, workspaces by key."""
+
+from hashlib import sha256
+
+from bergamotwood_core.gateway.configuration import (
+    GatewayConfiguration,
+    GatewayService,
+    KeyHolder,
+    ServiceRoute,
+)
+from bergamotwood_core.ids import ServiceName
+
+UNIT_BITS = 64
+
+
+class RoutingTable:
+    """A configuration, indexed for requests.
+
+    Parameters
+    ----------
+    configuration : GatewayConfiguration
+        A valid one.
+    """
+
+    def __init__(self, configuration: GatewayConfiguration) -> None:
+        self.configuration = configuration
+        self._routes = {
+            (route.host, route.path_prefix): route for route in configuration.routes
+        }
+        self._holders = {
+            key: holder for holder in configuration.holders for key in holder.keys
+        }
+        self._services = {service.name: service for service in configuration.services}
+
+    @property
+    def number(self) -> int:
+        """Number of the configuration."""
+        return self.configuration.number
+
+    @property
+    def asks_for_keys(self) -> bool:
+        """Whether the configuration has workspaces at all."""
+        return bool(self.configuration.holders)
+
+    def find_route(self, host: str, path: str) -> ServiceRoute | None:
+        """Return the route with the longest prefix of a path."""
+        end = len(path)
+        while end >= 0:
+            route = self._routes.get((host, path[:end]))
+            if route is not None:
+                return route
+            # Prefixes end with a slash: the next candidate ends at the one before.
+            end = path.rfind("/", 0, end - 1) + 1 if end > 1 else -1
+        return None
+
+    def find_holder(self, key: str) -> KeyHolder | None:
+        """Return the workspace that a key belongs to."""
+        return self._holders.get(key)
+
+    def find_service(self, name: ServiceName) -> GatewayService | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+
+def choose_destination(route: ServiceRoute, subject: str) -> ServiceName:
+    """Choose a service of a route by its weights, always the same for a subject.
+
+    Parameters
+    ----------
+    route : ServiceRoute
+        The route.
+    subject : str
+        What is to stay together, such as a session's id.
+    """
+    if len(route.destinations) == 1:
+        return route.destinations[0].service
+    total = sum(destination.weight for destination in route.destinations)
+    point = hash_to_unit(f"{route.name}/{subject}") * total
+    for destination in route.destinations:
+        point -= destination.weight
+        if point < 0.0:
+            return destination.service
+    positive = [item for item in route.destinations if item.weight > 0.0]
+    return positive[-1].service
+
+
+def hash_to_unit(text: str) -> float:
+    """Return a number of [0, 1) that is equal for equal texts, everywhere."""
+    digest = sha256(text.encode("utf-8", "surrogateescape")).digest()
+    return int.from_bytes(digest[: UNIT_BITS // 8]) / 2**UNIT_BITS
--- a/packages/core/src/bergamotwood_core/logmessages.py
+++ b/packages/core/src/bergamotwood_core/logmessages.py
@@ -41,10 +41,21 @@
 
 
 class Welcome(Struct, frozen=True, array_like=True, tag=2):
-    """Answer of a member to `Hello`."""
+    """Answer of a member to `Hello`.
+
+    Parameters
+    ----------
+    genesis : Genesis
+        The group.
+    leads : bool
+        Whether the sender leads it.
+    contacts : tuple of InstanceId
+        Where its members run now, as far as the sender knows.
+    """
 
     genesis: Genesis
     leads: bool
+    contacts: tuple[InstanceId, ...] = ()
 
 
 class PreVote(Struct, frozen=True, array_like=True, tag=3):
--- a/packages/core/src/bergamotwood_core/replica.py
+++ b/packages/core/src/bergamotwood_core/replica.py
@@ -9,7 +9,7 @@
 
 from bergamotwood_core.bootstrap import (
     answer_hello,
-    is_member,
+    is_cut_off,
     repair_membership,
     send_hellos,
     take_welcome,
@@ -149,7 +149,7 @@
     def tick(self, now: Seconds) -> None:
         """Let time pass; to be called several times in a heartbeat."""
         state = self.state
-        if state.genesis is None or not is_member(state):
+        if is_cut_off(state, now):
             send_hellos(state, now)
         if state.role is Role.LEADER:
             self._lead(now)
--- a/packages/core/src/bergamotwood_core/replicastate.py
+++ b/packages/core/src/bergamotwood_core/replicastate.py
@@ -53,6 +53,15 @@
         Most entries sent without an acknowledgement.
     snapshot_part_bytes : int
         Bytes of a snapshot in one message.
+    forms_group : bool
+        Whether the initial voters may form a new group. False where the group
+        exists already and an empty folder means that the disk was lost.
+    open_membership : bool
+        Whether instances other than the initial voters may join, and take the
+        place of voters that stay silent.
+    replacement_seconds : float
+        Silence after which a waiting learner takes a voter's place; longer
+        than a planned restart of a process needs (a few seconds).
     """
 
     instance: InstanceId
@@ -63,6 +72,9 @@
     append_bytes: int = 512 * 1024
     append_entries_ahead: int = 4096
     snapshot_part_bytes: int = 256 * 1024
+    forms_group: bool = True
+    open_membership: bool = False
+    replacement_seconds: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +167,8 @@
         The leader that welcomed it last.
     greetings : dict
         Identities of instances that wait for the group to be formed.
+    contacts : set of InstanceId
+        Instances of members, as other replicas named them.
     effects : Effects
         Collected since the driver last took them.
     """
@@ -180,6 +194,7 @@
     heard_identity: dict[InstanceId, ReplicaId] = field(default_factory=dict)
     heard_leader: tuple[ReplicaId, Term] = (ReplicaId(""), Term(0))
     greetings: dict[InstanceId, ReplicaId] = field(default_factory=dict)
+    contacts: set[InstanceId] = field(default_factory=set)
     effects: Effects = field(default_factory=Effects)
 
     @property
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon of the gateway: entries that forward requests, and control replicas."""
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/belief.py
@@ -0,0 +1,138 @@
+"""What an entry believes: configuration, endpoints, other entries, and since when."""
+
+from collections.abc import Callable
+from zlib import error as ZlibError
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import Code, RefusedError, RequestError
+from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
+from bergamotwood_core.gateway.endpoints import EndpointBeat
+from bergamotwood_core.gateway.machine import ServiceRollout, unpack_document
+from bergamotwood_core.gateway.routing import RoutingTable
+from bergamotwood_core.ids import EndpointId, InstanceId
+from bergamotwood_daemon.gateway.dialect import Dialect
+from bergamotwood_daemon.gateway.peering import EntryStatus, SyncReply
+from bergamotwood_daemon.log import log_event
+
+# Time after which a caller may find an entry that knows the configuration: a
+# new process learns it within about this time.
+STALE_RETRY_SECONDS = 0.5
+NO_LIMITS = CallerLimits()
+
+
+class Belief:
+    """What an entry knows from the control group.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Reads configurations.
+    clock : callable
+        Seconds on a clock that counts while the machine sleeps.
+    key_lease_seconds : float
+        Age of the belief up to which callers' keys are honoured.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        clock: Callable[[], Seconds],
+        key_lease_seconds: float,
+    ) -> None:
+        self.routing: RoutingTable | None = None
+        self.beats: dict[EndpointId, EndpointBeat] = {}
+        self.entries: tuple[EntryStatus, ...] = ()
+        self.rollouts: tuple[ServiceRollout, ...] = ()
+        self.replicas: tuple[InstanceId, ...] = ()
+        self.boot = ""
+        self.version = -1
+        self.confirmed_at = Seconds(float("-inf"))
+        self._dialect = dialect
+        self._clock = clock
+        self._key_lease = key_lease_seconds
+
+    @property
+    def number(self) -> int:
+        """Number of the configuration, -1 before the first."""
+        return self.routing.number if self.routing else -1
+
+    @property
+    def age(self) -> float:
+        """Seconds since all that was committed then is known here."""
+        return self._clock() - self.confirmed_at
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits on callers."""
+        return self.routing.configuration.limits if self.routing else NO_LIMITS
+
+    def require_routing(self) -> RoutingTable:
+        """Return the routing table.
+
+        Raises
+        ------
+        RefusedError
+            Before the first configuration.
+        """
+        if self.routing is None:
+            raise RefusedError(
+                "no configuration yet",
+                Code.CONFIG_STALE,
+                retry_after=STALE_RETRY_SECONDS,
+            )
+        return self.routing
+
+    def require_lease(self) -> None:
+        """Check that a key that was taken away would be known.
+
+        Raises
+        ------
+        RefusedError
+            When the belief is too old.
+        """
+        age = self.age
+        if age > self._key_lease:
+            raise RefusedError(
+                f"keys were last confirmed {age:.1f} s ago",
+                Code.CONFIG_STALE,
+                retry_after=STALE_RETRY_SECONDS,
+            )
+
+    def take(self, reply: SyncReply, asked_at: Seconds) -> None:
+        """Take in an answer to a question asked at a time.
+
+        An older configuration never replaces a newer one.
+        """
+        if reply.document is not None and reply.number > self.number:
+            self._take_document(reply.document)
+        if reply.beats is not None:
+            self.beats = {beat.endpoint: beat for beat in reply.beats}
+        self.boot = reply.boot
+        self.version = reply.version
+        self.entries = reply.entries
+        self.rollouts = reply.rollouts
+        self.replicas = reply.replicas
+        if reply.number == self.number:
+            confirmed_at = Seconds(asked_at - reply.age_seconds)
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def _take_document(self, document: bytes) -> None:
+        try:
+            configuration = self._read(document)
+        except (RequestError, ZlibError) as error:
+            # The replica checked it: this is a fault of the program. The
+            # belief grows old, and keyed requests are refused in time.
+            log_event("entry", "Configuration unreadable.", reason=str(error))
+            return
+        previous = self.number
+        self.routing = RoutingTable(configuration)
+        log_event(
+            "entry",
+            "Configuration in force.",
+            number=configuration.number,
+            previous=previous,
+            routes=len(configuration.routes),
+        )
+
+    def _read(self, document: bytes) -> GatewayConfiguration:
+        return self._dialect.decode_configuration(unpack_document(document))
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/channels.py
@@ -0,0 +1,55 @@
+"""Channels to other daemons, opened at first use."""
+
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.messages import Address
+from bergamotwood_daemon.peer import PeerChannel, ReplicationSender
+
+# Daemons of the gateway trust the network between them, as the fleet's
+# operators keep it apart.
+NO_KEY = ""
+
+
+class PeerChannels:
+    """A channel to each daemon, for calls of one purpose."""
+
+    def __init__(self) -> None:
+        self._channels: dict[InstanceId, PeerChannel] = {}
+
+    def get(self, instance: InstanceId) -> PeerChannel:
+        """Return the channel to a daemon."""
+        channel = self._channels.get(instance)
+        if channel is None:
+            channel = PeerChannel(parse_instance(instance), NO_KEY)
+            self._channels[instance] = channel
+        return channel
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+
+
+class ReplicationSenders:
+    """Senders of replication messages, made at first use."""
+
+    def __init__(self) -> None:
+        self._senders: dict[InstanceId, ReplicationSender] = {}
+
+    def get(self, instance: InstanceId) -> ReplicationSender:
+        """Return the sender to a replica."""
+        sender = self._senders.get(instance)
+        if sender is None:
+            sender = ReplicationSender(PeerChannel(parse_instance(instance), NO_KEY))
+            self._senders[instance] = sender
+        return sender
+
+    def stop(self) -> None:
+        """Stop all senders."""
+        for sender in self._senders.values():
+            sender.stop()
+
+
+def parse_instance(instance: InstanceId) -> Address:
+    """Return the address that an instance is named by."""
+    host, _, port = instance.rpartition(":")
+    return Address(host, int(port))
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -0,0 +1,230 @@
+"""HTTP/1.1 towards endpoints: connections, their reuse, and checked responses."""
+
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from select import POLLIN
+from socket import IPPROTO_TCP, TCP_NODELAY
+
+import h11
+from gevent import Greenlet, spawn
+from gevent.select import poll as make_poll
+from gevent.socket import AF_INET, SOCK_STREAM
+from gevent.socket import socket as Socket
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_daemon.gateway.message import Headers
+
+READ_BYTES = 65_536
+# A connection within a region opens within a few milliseconds; a lost opening
+# packet is sent again by the kernel only after a second.
+CONNECT_SECONDS = 0.6
+# Idle time up to which a connection is used again when the endpoint names none.
+# Shorter than the 5 s that servers commonly use.
+IDLE_SECONDS = 3.0
+# Part of an endpoint's own idle time-out up to which a connection is used again.
+IDLE_PART = 0.6
+# Idle connections kept for each endpoint.
+MAX_IDLE = 8
+# Larger requests are sent beside reading: an endpoint may answer before it has
+# read them, and the windows of a connection hold about this much.
+SEND_AT_ONCE_BYTES = 16_384
+MAX_HEAD_BYTES = 65_536
+
+
+class NotConnectedError(Exception):
+    """The endpoint took no connection; nothing was sent."""
+
+
+class BrokenError(Exception):
+    """The connection broke, or what came is no response."""
+
+
+class SilentError(Exception):
+    """Nothing came in time."""
+
+
+class EndpointConnection:
+    """A connection to an endpoint, for one request at a time.
+
+    Parameters
+    ----------
+    address : str
+        Host and port.
+    clock : callable
+        Gives the time.
+    """
+
+    def __init__(self, address: str, clock: Callable[[], Seconds]) -> None:
+        self.address = address
+        self.idle_until = Seconds(0.0)
+        self._clock = clock
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._sender: Greenlet | None = None
+        self._sock = Socket(AF_INET, SOCK_STREAM)
+        self._idle_seconds = IDLE_SECONDS
+
+    def open(self) -> None:
+        """Connect.
+
+        Raises
+        ------
+        NotConnectedError
+            When it cannot in time.
+        """
+        host, _, port = self.address.rpartition(":")
+        self._sock.settimeout(CONNECT_SECONDS)
+        try:
+            self._sock.connect((host, int(port)))
+            self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        except (OSError, ValueError) as error:
+            self.close()
+            raise NotConnectedError(f"{self.address}: {error}") from error
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing, also no end, has come while it was idle."""
+        poller = make_poll()
+        poller.register(self._sock, POLLIN)
+        return not poller.poll(0)
+
+    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Send a request.
+
+        Raises
+        ------
+        BrokenError
+            When the connection breaks; the endpoint may have read the request.
+        """
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._http.send(head)
+        if body:
+            data += self._http.send(h11.Data(body))
+        data += self._http.send(h11.EndOfMessage())
+        if len(data) > SEND_AT_ONCE_BYTES:
+            self._sender = spawn(self._send_all, data)
+            return
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            raise BrokenError(f"{self.address}: {error}") from error
+
+    def receive(self, seconds: float) -> h11.Event:
+        """Return the next event of the response.
+
+        Raises
+        ------
+        BrokenError, SilentError
+            When there is none.
+        """
+        limit = self._clock() + seconds
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return self._check(event)
+                self._sock.settimeout(max(limit - self._clock(), 0.001))
+                self._http.receive_data(self._sock.recv(READ_BYTES))
+        except TimeoutError as error:
+            raise SilentError(
+                f"{self.address}: nothing within {seconds:.3f} s"
+            ) from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise BrokenError(f"{self.address}: {error}") from error
+
+    def finish(self) -> bool:
+        """End an exchange; return whether the connection can be used again."""
+        sent = self._sender is None or self._sender.ready()
+        done = self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        if not sent or not done or self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        self._sender = None
+        self.idle_until = Seconds(self._clock() + self._idle_seconds)
+        return True
+
+    def close(self) -> None:
+        """Close; the endpoint sees it at once."""
+        if self._sender is not None:
+            self._sender.kill(block=False)
+        with suppress(OSError):
+            self._sock.close()
+
+    def _send_all(self, data: bytes) -> None:
+        # A failure shows at the reader, which knows what it means.
+        with suppress(OSError):
+            self._sock.sendall(data)
+
+    def _check(self, event: h11.Event) -> h11.Event:
+        match event:
+            case h11.ConnectionClosed() | h11.PAUSED:
+                raise BrokenError(f"{self.address}: closed without a response")
+            case h11.Response():
+                self._note_keep_alive(event)
+        return event
+
+    def _note_keep_alive(self, response: h11.Response) -> None:
+        for name, value in response.headers:
+            if name != b"keep-alive":
+                continue
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key == b"timeout" and number.isdigit():
+                    self._idle_seconds = min(IDLE_SECONDS, IDLE_PART * int(number))
+
+
+class ConnectionPool:
+    """Idle connections by endpoint address."""
+
+    def __init__(self, clock: Callable[[], Seconds]) -> None:
+        self._clock = clock
+        self._idle: dict[str, deque[EndpointConnection]] = {}
+        self.opened = 0
+
+    def take(self, address: str, fresh: bool) -> EndpointConnection:
+        """Return an open connection.
+
+        Parameters
+        ----------
+        address : str
+            The endpoint.
+        fresh : bool
+            Whether it must be a new one: a request that is lost on a stale
+            connection could not be repeated.
+
+        Raises
+        ------
+        NotConnectedError
+            When the endpoint takes none.
+        """
+        idle = self._idle.get(address)
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.idle_until > self._clock() and connection.is_quiet:
+                return connection
+            connection.close()
+        connection = EndpointConnection(address, self._clock)
+        connection.open()
+        self.opened += 1
+        return connection
+
+    def give_back(self, connection: EndpointConnection) -> None:
+        """Keep a connection whose exchange is over, if it can be used again."""
+        if not connection.finish():
+            connection.close()
+            return
+        idle = self._idle.setdefault(connection.address, deque())
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.popleft().close()
+
+    def expire(self) -> None:
+        """Close connections that were idle for long."""
+        now = self._clock()
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].idle_until <= now:
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
@@ -0,0 +1,55 @@
+"""Counters and histograms of an entry, as text for its metrics address."""
+
+from bergamotwood_core.gateway.call import Call
+from bergamotwood_core.gateway.health import Result
+
+# Bounds that fit objectives from 0.1 s to 4 s and deadlines up to 25 s.
+BUCKET_SECONDS = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
+
+
+class EntryCounters:
+    """Counts requests and attempts."""
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], int] = {}
+        self._buckets: dict[str, list[int]] = {}
+        self._sums: dict[str, float] = {}
+
+    def note_request(self, call: Call | None, exchange, seconds: float) -> None:
+        """Count a request by kind of route and status."""
+        kind = call.route.kind.value if call else "none"
+        status = exchange.status if exchange.is_finished else "broken"
+        self._count("requests_total", f'kind="{kind}",status="{status}"')
+        buckets = self._buckets.setdefault(kind, [0] * (len(BUCKET_SECONDS) + 1))
+        at = sum(seconds > bound for bound in BUCKET_SECONDS)
+        buckets[at] += 1
+        self._sums[kind] = self._sums.get(kind, 0.0) + seconds
+
+    def note_attempt(self, call: Call, result: Result) -> None:
+        """Count an attempt by service and result."""
+        self._count("attempts_total", f'service="{call.service}",result="{result}"')
+
+    def render(self, gauges: dict[str, float]) -> str:
+        """Return everything in the text format of Prometheus."""
+        lines = []
+        for name, value in gauges.items():
+            lines.append(f"bergamotwood_{name} {value}")
+        for (name, labels), count in sorted(self._counts.items()):
+            lines.append(f"bergamotwood_{name}{{{labels}}} {count}")
+        for kind, buckets in sorted(self._buckets.items()):
+            lines.extend(self._render_histogram(kind, buckets))
+        return "\n".join(lines) + "\n"
+
+    def _render_histogram(self, kind: str, buckets: list[int]) -> list[str]:
+        name = "bergamotwood_request_seconds"
+        lines = []
+        total = 0
+        for bound, count in zip((*BUCKET_SECONDS, "+Inf"), buckets, strict=True):
+            total += count
+            lines.append(f'{name}_bucket{{kind="{kind}",le="{bound}"}} {total}')
+        lines.append(f'{name}_sum{{kind="{kind}"}} {self._sums[kind]:.6f}')
+        lines.append(f'{name}_count{{kind="{kind}"}} {total}')
+        return lines
+
+    def _count(self, name: str, labels: str) -> None:
+        self._counts[name, labels] = self._counts.get((name, labels), 0) + 1
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -0,0 +1,149 @@
+"""A gateway daemon: an entry, a control replica, or both."""
+
+from collections.abc import Callable
+from random import Random, SystemRandom
+from time import time_ns
+
+from gevent import sleep, spawn
+from gevent.event import Event
+
+from bergamotwood_core.gateway.configuration import CallerLimits
+from bergamotwood_core.ids import Incarnation
+from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.gateway.channels import NO_KEY, parse_instance
+from bergamotwood_daemon.gateway.dialect import Dialect
+from bergamotwood_daemon.gateway.entry import GatewayEntry
+from bergamotwood_daemon.gateway.forwarder import Forwarder
+from bergamotwood_daemon.gateway.replica import GatewayReplica
+from bergamotwood_daemon.gateway.server import Handler, HttpServer
+from bergamotwood_daemon.gateway.settings import GatewaySettings, ListenAddress
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.peer import PeerServer
+
+NANOSECONDS_PER_MICROSECOND = 1_000
+MAINTAIN_SECONDS = 1.0
+# Callers keep a list of entries up to three times its time to live.
+LEAVE_LIVES = 3.0
+# Time kept at the end of the grace period for closing.
+END_SECONDS = 0.3
+POLL_SECONDS = 0.05
+
+
+class GatewayDaemon:
+    """Runs the roles that its settings give it.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Its settings.
+    dialect : Dialect
+        Translates for the platform.
+    """
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect) -> None:
+        self.settings = settings
+        self.rng = Random(SystemRandom().getrandbits(64))
+        self.entry: GatewayEntry | None = None
+        self.replica: GatewayReplica | None = None
+        self._stopped = Event()
+        self._is_stopping = False
+        self._servers: list[HttpServer] = []
+        self._callers: HttpServer | None = None
+        self._peers: PeerServer | None = None
+        if settings.callers is not None:
+            self._make_entry(dialect)
+        if settings.control is not None:
+            self._make_replica(dialect)
+
+    def serve(self, listen: ListenAddress | None, handler: Handler) -> None:
+        """Answer requests at another address, where the settings name one."""
+        if listen is not None:
+            server = HttpServer(listen, handler, CallerLimits, read_clock)
+            self._servers.append(server)
+
+    def start(self) -> None:
+        """Listen and take part in the fleet."""
+        if self.replica is not None:
+            peer = parse_instance(self.settings.instance)
+            self._peers = PeerServer(self.replica, NO_KEY)
+            self._peers.start(peer)
+            self.replica.start()
+        if self.entry is not None:
+            self.entry.watch.start()
+            spawn(self._maintain)
+            self._callers.start()
+        for server in self._servers:
+            server.start()
+        log_event(
+            "daemon",
+            "Started.",
+            instance=self.settings.name,
+            entry=self.entry is not None,
+            control=self.replica is not None,
+            forms_group=self.settings.forms_group,
+        )
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over what may change while the daemon runs."""
+        self.settings = settings
+        if self.entry is not None:
+            self.entry.settings = settings
+        log_event("daemon", "Settings reloaded.", seeds=list(settings.seeds))
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        log_event("daemon", "Stopping.")
+        spawn(self._finish)
+
+    def wait(self) -> None:
+        """Wait until a graceful stop has ended."""
+        self._stopped.wait()
+
+    def _make_entry(self, dialect: Dialect) -> None:
+        incarnation = Incarnation(time_ns() // NANOSECONDS_PER_MICROSECOND)
+        self.entry = GatewayEntry(
+            self.settings, dialect, read_clock, self.rng, incarnation
+        )
+        forwarder = Forwarder(self.entry)
+        self._callers = HttpServer(
+            self.settings.callers,
+            forwarder.handle,
+            lambda: self.entry.belief.limits,
+            read_clock,
+        )
+
+    def _make_replica(self, dialect: Dialect) -> None:
+        rng = Random(self.rng.getrandbits(64))
+        self.replica = GatewayReplica(self.settings, dialect, read_clock, rng)
+
+    def _maintain(self) -> None:
+        while True:
+            sleep(MAINTAIN_SECONDS)
+            self.entry.maintain()
+
+    def _finish(self) -> None:
+        limit = read_clock() + self.settings.bounds.grace_seconds - END_SECONDS
+        if self.entry is not None:
+            self._lead_callers_away(limit)
+        if self.replica is not None:
+            self.replica.stop()
+        log_event("daemon", "Stopped.")
+        self._stopped.set()
+
+    def _lead_callers_away(self, limit: float) -> None:
+        """Serve on while callers keep old answers, then finish what runs."""
+        self.entry.is_leaving = True
+        self.entry.watch.report_now()
+        self._callers.is_closing = True
+        sleep(LEAVE_LIVES * self.settings.bounds.address_seconds)
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        self._wait_until(lambda: not self._callers.busy, limit)
+        self.entry.watch.stop()
+
+    def _wait_until(self, is_met: Callable[[], bool], limit: float) -> None:
+        while not is_met() and read_clock() < limit:
+            sleep(POLL_SECONDS)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -0,0 +1,150 @@
+"""An entry of the gateway: holds what its parts share."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from random import Random
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.call import Call
+from bergamotwood_core.gateway.endpoints import EndpointBeat
+from bergamotwood_core.gateway.health import HealthTable
+from bergamotwood_core.gateway.machine import RolloutOutcome
+from bergamotwood_core.gateway.retries import RetryBudget
+from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation
+from bergamotwood_daemon.gateway.belief import Belief
+from bergamotwood_daemon.gateway.client import ConnectionPool
+from bergamotwood_daemon.gateway.counters import EntryCounters
+from bergamotwood_daemon.gateway.dialect import Dialect
+from bergamotwood_daemon.gateway.peering import EntryStatus
+from bergamotwood_daemon.gateway.settings import GatewaySettings
+from bergamotwood_daemon.gateway.watch import ControlWatch
+
+# Entries named in one answer to callers.
+MAX_ADDRESSES = 64
+
+
+class GatewayEntry:
+    """Everything that the parts of an entry share.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Its settings.
+    dialect : Dialect
+        Translates header fields and documents.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of random choices.
+    incarnation : Incarnation
+        Start of this process.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        clock: Callable[[], Seconds],
+        rng: Random,
+        incarnation: Incarnation,
+    ) -> None:
+        bounds = settings.bounds
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.rng = rng
+        self.is_leaving = False
+        self.belief = Belief(dialect, clock, bounds.key_lease_seconds)
+        self.health = HealthTable()
+        self.pool = ConnectionPool(clock)
+        self.counters = EntryCounters()
+        self.budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
+        )
+        self.watch = ControlWatch(
+            self.belief, self._describe, lambda: self.settings.seeds, clock, rng
+        )
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._outstanding: Counter[EndpointId] = Counter()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return not self.is_leaving and self.belief.routing is not None
+
+    def list_addresses(self, data_centre: DataCentre) -> list[str]:
+        """Return the entries to use, those of a data centre first."""
+        entries = [entry for entry in self.belief.entries if entry.is_ready]
+        own = self._describe_address()
+        addresses = {entry.address: entry.data_centre for entry in entries}
+        addresses.pop(own, None)
+        if self.is_ready:
+            addresses[own] = self.settings.data_centre
+        near = [name for name, at in addresses.items() if at == data_centre]
+        return (near or list(addresses))[:MAX_ADDRESSES]
+
+    def list_allowed_beats(self, call: Call) -> Iterable[EndpointBeat]:
+        """Return the endpoints whose version may get a request."""
+        barred = {
+            (rollout.service, rollout.target)
+            for rollout in self.belief.rollouts
+            if rollout.outcome is not RolloutOutcome.COMPLETED
+        }
+        return [
+            beat
+            for beat in self.belief.beats.values()
+            if (beat.service, beat.version) not in barred
+        ]
+
+    def count_outstanding(self, endpoint: EndpointId) -> float:
+        """Return requests at an endpoint, those of other entries as reported."""
+        own = self._outstanding[endpoint]
+        others = sum(
+            status.outstanding.get(endpoint, 0)
+            for status in self.belief.entries
+            if status.instance != self.settings.instance
+        )
+        return own + others
+
+    def note_started(self, endpoint: EndpointId) -> None:
+        """Count a request that is sent to an endpoint."""
+        self._outstanding[endpoint] += 1
+
+    def note_ended(self, endpoint: EndpointId) -> None:
+        """Count a request that is over at an endpoint."""
+        self._outstanding[endpoint] -= 1
+        if self._outstanding[endpoint] <= 0:
+            del self._outstanding[endpoint]
+
+    def maintain(self) -> None:
+        """Drop what has expired; to be called about each second."""
+        self.pool.expire()
+        self.health.keep(set(self.belief.beats))
+        self.budget.entries = max(len(self.belief.entries), 1)
+
+    def list_gauges(self) -> dict[str, float]:
+        """Return the present values for the metrics address."""
+        return {
+            "configuration_number": self.belief.number,
+            "belief_age_seconds": round(self.belief.age, 3),
+            "endpoints": len(self.belief.beats),
+            "entries": len(self.belief.entries),
+            "outstanding": sum(self._outstanding.values()),
+            "connections_opened_total": self.pool.opened,
+        }
+
+    def _describe(self) -> EntryStatus:
+        self._sequence += 1
+        return EntryStatus(
+            self.settings.instance,
+            self._incarnation,
+            self._sequence,
+            self._describe_address(),
+            self.settings.data_centre,
+            self.is_ready,
+            dict(self._outstanding),
+        )
+
+    def _describe_address(self) -> str:
+        return str(self.settings.callers)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -0,0 +1,359 @@
+"""Takes requests of callers to endpoints and their answers back."""
+
+from hashlib import sha256
+
+import h11
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import (
+    AuthorizationError,
+    BergamotwoodError,
+    Code,
+    EndpointError,
+    RefusedError,
+    RequestError,
+)
+from bergamotwood_core.gateway.call import Call, CallTerms, ForwardTerms
+from bergamotwood_core.gateway.configuration import KeyHolder, RouteKind, ServiceRoute
+from bergamotwood_core.gateway.health import Result
+from bergamotwood_core.gateway.models import choose_first_model, choose_next_model
+from bergamotwood_core.gateway.placement import (
+    Candidate,
+    choose_endpoint,
+    find_candidates,
+    list_models,
+)
+from bergamotwood_core.gateway.retries import may_send_again
+from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
+from bergamotwood_core.ids import ModelName
+from bergamotwood_core.states import Run
+from bergamotwood_daemon.gateway.attempt import (
+    Answered,
+    Attempt,
+    Dropped,
+    NotRun,
+    Outcome,
+    Unclear,
+)
+from bergamotwood_daemon.gateway.entry import GatewayEntry
+from bergamotwood_daemon.gateway.message import HttpResponse
+from bergamotwood_daemon.gateway.server import CallerGoneError, Exchange
+from bergamotwood_daemon.gateway.streams import StreamRelay
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.web import PROBLEM_JSON, encode_problem
+
+# Patience that is assumed of a caller that states none.
+DEFAULT_PATIENCE_SECONDS = 10.0
+# Time after which a caller finds room again where every endpoint refused.
+FULL_RETRY_SECONDS = 0.3
+# Time after which a service without endpoints may have some again: about one
+# beat of an endpoint that starts.
+ABSENT_RETRY_SECONDS = 0.6
+# Endpoints count from 0 to 9, the most urgent first; routes seldom exceed 3.
+MAX_URGENCY = 9
+
+
+class Forwarder:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    entry : GatewayEntry
+        The entry that it works for.
+    """
+
+    def __init__(self, entry: GatewayEntry) -> None:
+        self._entry = entry
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        call: Call | None = None
+        started_at = exchange.request.received_at
+        try:
+            call = self._admit(exchange)
+            self._forward(call, exchange)
+        except BergamotwoodError as error:
+            self._refuse(exchange, error)
+        except CallerGoneError:
+            log_event("request", "Caller left.", **_describe(call))
+            raise
+        finally:
+            seconds = self._entry.clock() - started_at
+            self._entry.counters.note_request(call, exchange, seconds)
+
+    def _admit(self, exchange: Exchange) -> Call:
+        entry = self._entry
+        request = exchange.request
+        routing = entry.belief.require_routing()
+        terms = entry.dialect.read_call(request.headers)
+        route = routing.find_route(request.host, request.path)
+        if route is None:
+            raise RequestError(
+                f"no route for {request.host}{request.path}", Code.UNKNOWN_PATH
+            )
+        holder = self._authorize(routing, route, terms)
+        patience = terms.patience_seconds or DEFAULT_PATIENCE_SECONDS
+        call = Call(
+            terms=terms,
+            route=route,
+            holder=holder,
+            service=choose_destination(route, terms.session or terms.request),
+            received_at=Seconds(request.received_at),
+            deadline=Seconds(
+                request.received_at + min(patience, route.timeout_seconds)
+            ),
+            fingerprint=_make_fingerprint(exchange, holder),
+            last_event=terms.last_event,
+            model=terms.model,
+        )
+        entry.budget.note_request(call.service, entry.clock())
+        if terms.leaves_model_open:
+            call.model = self._choose_model(call)
+        return call
+
+    def _authorize(
+        self, routing: RoutingTable, route: ServiceRoute, terms: CallTerms
+    ) -> KeyHolder | None:
+        if not route.requires_key or not routing.asks_for_keys:
+            return None
+        self._entry.belief.require_lease()
+        holder = routing.find_holder(terms.key)
+        if holder is None:
+            raise AuthorizationError("unknown key")
+        return holder
+
+    def _choose_model(self, call: Call) -> ModelName:
+        held = list_models(self._entry.belief.beats.values(), call)
+        model = choose_first_model(call.route.models, held)
+        if model is None:
+            raise RefusedError(
+                f"{call.service}: no endpoint holds a model of the route",
+                Code.NO_ENDPOINT,
+                retry_after=ABSENT_RETRY_SECONDS,
+            )
+        return model
+
+    def _forward(self, call: Call, exchange: Exchange) -> None:
+        relay = StreamRelay(self._entry, call, exchange)
+        last: Outcome | None = None
+        while True:
+            candidate = self._choose(call, last, relay)
+            if call.tried:
+                self._entry.budget.note_repeat(call.service, self._entry.clock())
+            call.tried.append(candidate.beat.endpoint)
+            last = self._try(call, candidate, exchange, relay)
+            if exchange.is_finished:
+                return
+            if self._may_repeat(call, last):
+                continue
+            self._conclude(call, exchange, last, relay)
+            return
+
+    def _choose(
+        self, call: Call, last: Outcome | None, relay: StreamRelay
+    ) -> Candidate:
+        entry = self._entry
+        candidates = find_candidates(
+            entry.list_allowed_beats(call),
+            call,
+            entry.health,
+            entry.count_outstanding,
+            entry.clock(),
+        )
+        chosen = choose_endpoint(
+            candidates, call, entry.settings.data_centre, entry.rng
+        )
+        if chosen is not None:
+            return chosen
+        if last is not None and not isinstance(last, NotRun):
+            self._conclude_failure(last)
+        if relay.has_begun:
+            raise EndpointError("no endpoint to go on at", Code.STREAM_BROKEN)
+        raise RefusedError(
+            f"{call.service}: no endpoint takes requests",
+            Code.NO_ENDPOINT,
+            retry_after=FULL_RETRY_SECONDS if call.tried else ABSENT_RETRY_SECONDS,
+        )
+
+    def _try(
+        self,
+        call: Call,
+        candidate: Candidate,
+        exchange: Exchange,
+        relay: StreamRelay,
+    ) -> Outcome:
+        entry = self._entry
+        beat = candidate.beat
+        started_at = entry.clock()
+        entry.note_started(beat.endpoint)
+        attempt = Attempt(entry, call, exchange.request, beat, self._write_terms)
+        outcome: Outcome | None = None
+        try:
+            outcome = self._run(call, attempt, exchange, relay)
+        finally:
+            entry.note_ended(beat.endpoint)
+            attempt.close()
+            if outcome is not None:
+                self._note(call, candidate, outcome, started_at)
+        return outcome
+
+    def _run(
+        self,
+        call: Call,
+        attempt: Attempt,
+        exchange: Exchange,
+        relay: StreamRelay,
+    ) -> Outcome:
+        if call.route.kind is not RouteKind.STREAMING:
+            outcome = attempt.fetch()
+            if isinstance(outcome, Answered) and not self._is_worth_repeating(
+                call, outcome
+            ):
+                exchange.answer(outcome.response)
+            return outcome
+        outcome = attempt.begin()
+        if not isinstance(outcome, h11.Response):
+            return outcome
+        larger = self._find_larger_model(call, outcome, relay)
+        if larger is not None:
+            call.model = larger
+            return Dropped("low confidence")
+        return relay.pass_on(attempt, outcome)
+
+    def _find_larger_model(
+        self, call: Call, head: h11.Response, relay: StreamRelay
+    ) -> ModelName | None:
+        if not call.terms.leaves_model_open or relay.has_begun:
+            return None
+        now = self._entry.clock()
+        if not self._entry.budget.allows(call.service, now):
+            return None
+        if call.runs >= call.route.max_attempts:
+            return None
+        terms = self._entry.dialect.read_answer(list(head.headers))
+        held = list_models(self._entry.belief.beats.values(), call)
+        return choose_next_model(call.route.models, held, call.model, terms.confidence)
+
+    def _write_terms(self, call: Call, attempt: Attempt) -> ForwardTerms:
+        if call.holder is not None:
+            self._entry.belief.require_lease()
+        return ForwardTerms(
+            endpoint=attempt.beat.endpoint,
+            patience_seconds=call.deadline - self._entry.clock(),
+            workspace=call.holder.workspace if call.holder else None,
+            model=call.model if call.terms.leaves_model_open else ModelName(""),
+            urgency=min(call.urgency, MAX_URGENCY)
+            if call.route.kind is RouteKind.STREAMING
+            else None,
+            last_event=call.last_event,
+        )
+
+    def _is_worth_repeating(self, call: Call, outcome: Answered) -> bool:
+        if outcome.response.status < 500:
+            return False
+        return self._may_repeat(call, outcome)
+
+    def _may_repeat(self, call: Call, outcome: Outcome) -> bool:
+        entry = self._entry
+        now = entry.clock()
+        has_run = not isinstance(outcome, NotRun)
+        if not may_send_again(call, has_run, now):
+            return False
+        unsent = isinstance(outcome, NotRun) and not outcome.was_sent
+        return unsent or entry.budget.allows(call.service, now)
+
+    def _note(
+        self,
+        call: Call,
+        candidate: Candidate,
+        outcome: Outcome,
+        started_at: Seconds,
+    ) -> None:
+        entry = self._entry
+        beat = candidate.beat
+        now = entry.clock()
+        result = outcome.result
+        entry.health.note(
+            beat.endpoint, beat.incarnation, result, now - started_at, now
+        )
+        entry.counters.note_attempt(call, result)
+        if result is Result.OK:
+            return
+        log_event(
+            "attempt",
+            "Attempt failed.",
+            **_describe(call),
+            endpoint=beat.endpoint,
+            address=beat.address,
+            number=len(call.tried),
+            result=result,
+            reason=outcome.reason,
+            milliseconds=round(1000 * (now - started_at), 1),
+            failure_rate=round(candidate.health.failure_rate, 2),
+            configuration=entry.belief.number,
+            age=round(entry.belief.age, 2),
+        )
+
+    def _conclude(
+        self, call: Call, exchange: Exchange, last: Outcome, relay: StreamRelay
+    ) -> None:
+        match last:
+            case Answered(response):
+                exchange.answer(response)
+            case NotRun(reason):
+                if relay.has_begun:
+                    raise EndpointError(reason, Code.STREAM_BROKEN)
+                raise RefusedError(
+                    reason, Code.OVERLOADED, retry_after=FULL_RETRY_SECONDS
+                )
+            case _:
+                self._conclude_failure(last)
+
+    def _conclude_failure(self, last: Outcome) -> None:
+        match last:
+            case Unclear(reason) if last.result is Result.SILENT:
+                raise EndpointError(reason, Code.STREAM_SILENT)
+            case _:
+                raise EndpointError(last.reason, Code.ENDPOINT_FAILED)
+
+    def _refuse(self, exchange: Exchange, error: BergamotwoodError) -> None:
+        request = self._entry.dialect.read_id(exchange.request.headers)
+        log_event(
+            "request",
+            "Refused." if error.run is Run.NOT_RUN else "Failed.",
+            request=request,
+            status=error.status,
+            code=error.code.name,
+            run=error.run,
+            reason=error.detail,
+            retry_after=error.retry_after,
+            configuration=self._entry.belief.number,
+            age=round(self._entry.belief.age, 2),
+        )
+        if exchange.status:
+            # The answer has begun: only a closed connection says that it failed.
+            return
+        headers = [(b"content-type", PROBLEM_JSON.encode())]
+        if error.retry_after is not None:
+            headers.append((b"retry-after", f"{error.retry_after:.3f}".encode()))
+        exchange.answer(HttpResponse(error.status, headers, encode_problem(error)))
+
+
+def _make_fingerprint(exchange: Exchange, holder: KeyHolder | None) -> str:
+    request = exchange.request
+    digest = sha256(request.method + b" " + request.target + b"\n")
+    digest.update((holder.workspace if holder else "").encode() + b"\n")
+    digest.update(request.body)
+    return digest.hexdigest()[:32]
+
+
+def _describe(call: Call | None) -> dict[str, object]:
+    if call is None:
+        return {}
+    return {
+        "request": call.terms.request,
+        "route": call.route.name,
+        "workspace": call.holder.workspace if call.holder else None,
+        "service": call.service,
+        "model": call.model,
+    }
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/message.py
@@ -0,0 +1,101 @@
+"""HTTP messages as they travel through the gateway."""
+
+from msgspec import Struct
+
+Headers = list[tuple[bytes, bytes]]
+
+# Fields that concern one connection only (RFC 9110, 7.6.1), and framing.
+CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+
+class HttpRequest(Struct):
+    """A whole request of a caller.
+
+    Parameters
+    ----------
+    method, target : bytes
+        From the request line; the target is forwarded as it is.
+    headers : list of (bytes, bytes)
+        Lower-case names and values, in order.
+    body : bytes
+        The whole body.
+    received_at : float
+        When its first byte was read, on the daemon's clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at: float
+
+    @property
+    def path(self) -> str:
+        """Path of the target, without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    @property
+    def query(self) -> str:
+        """Query of the target."""
+        return self.target.partition(b"?")[2].decode("latin-1")
+
+    @property
+    def host(self) -> str:
+        """Host that the caller asked for, lower case, without a port."""
+        value = find_field(self.headers, b"host") or ""
+        return value.strip().lower().partition(":")[0]
+
+
+class HttpResponse(Struct):
+    """A whole response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : list of (bytes, bytes)
+        Lower-case names and values.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+
+def find_field(headers: Headers, name: bytes) -> str | None:
+    """Return the first value of a header field, None without one."""
+    for held, value in headers:
+        if held == name:
+            return value.decode("latin-1")
+    return None
+
+
+def strip_connection_fields(headers: Headers) -> Headers:
+    """Return the fields that may be forwarded."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in CONNECTION_FIELDS and name not in named
+    ]
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
@@ -0,0 +1,117 @@
+"""Messages between gateway daemons, carried in gRPC frames."""
+
+from msgspec import Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from bergamotwood_core.gateway.endpoints import EndpointBeat
+from bergamotwood_core.gateway.machine import ServiceRollout
+from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation, InstanceId
+
+
+class EntryStatus(Struct, frozen=True, array_like=True):
+    """What an entry says of itself.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Its address for other daemons.
+    incarnation : Incarnation
+        Start of its process.
+    sequence : int
+        Rises with each status of an incarnation.
+    address : str
+        Where callers connect.
+    data_centre : DataCentre
+        Where it runs.
+    is_ready : bool
+        Whether callers should be sent there.
+    outstanding : dict
+        Requests that it has at each endpoint.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+    sequence: int
+    address: str
+    data_centre: DataCentre
+    is_ready: bool
+    outstanding: dict[EndpointId, int]
+
+
+class SyncRequest(Struct, frozen=True, array_like=True, tag=1):
+    """An entry reports and asks for what is new.
+
+    Parameters
+    ----------
+    status : EntryStatus
+        The report.
+    number : int
+        Configuration that it holds.
+    boot : str
+        Run of the replica's process that `version` is from.
+    version : int
+        Version of the directory that it holds.
+    hold_seconds : float
+        How long the replica may wait for news.
+    """
+
+    status: EntryStatus
+    number: int
+    boot: str
+    version: int
+    hold_seconds: float
+
+
+class SyncReply(Struct, frozen=True, array_like=True):
+    """What is new for an entry.
+
+    Parameters
+    ----------
+    age_seconds : float
+        All that was committed that long ago is in this reply.
+    replicas : tuple of InstanceId
+        Members of the control group.
+    number : int
+        Configuration in force.
+    document : bytes or None
+        Its document, compressed, when the entry holds another one.
+    rollouts : tuple of ServiceRollout
+        Newest roll-out of each service.
+    boot, version : str, int
+        Version of the directory.
+    beats : tuple of EndpointBeat or None
+        All endpoints, when the entry holds another version.
+    entries : tuple of EntryStatus
+        All live entries.
+    """
+
+    age_seconds: float
+    replicas: tuple[InstanceId, ...]
+    number: int
+    document: bytes | None
+    rollouts: tuple[ServiceRollout, ...]
+    boot: str
+    version: int
+    beats: tuple[EndpointBeat, ...] | None
+    entries: tuple[EntryStatus, ...]
+
+
+class Relay(Struct, frozen=True, array_like=True, tag=2):
+    """Soft state that a replica passes on to the others."""
+
+    beats: tuple[EndpointBeat, ...]
+    statuses: tuple[EntryStatus, ...]
+
+
+class StateReply(Struct, frozen=True, array_like=True):
+    """The leader's confirmed state, for a read."""
+
+    number: int
+    document: bytes
+    rollouts: tuple[ServiceRollout, ...]
+
+
+ENCODER = Encoder()
+POLL = Decoder(SyncRequest | Relay)
+SYNC_REPLY = Decoder(SyncReply)
+STATE_REPLY = Decoder(StateReply)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -0,0 +1,430 @@
+"""A control replica: the log, the directory, and what operators order."""
+
+from collections.abc import Callable
+from random import Random
+from secrets import token_hex
+
+from gevent import sleep, spawn
+from gevent.event import Event
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import (
+    Code,
+    NotLeaderError,
+    RefusedError,
+    ReplicationError,
+    RequestError,
+)
+from bergamotwood_core.gateway.configuration import find_faults
+from bergamotwood_core.gateway.endpoints import EndpointBeat, EndpointDirectory
+from bergamotwood_core.gateway.machine import (
+    OUTCOMES,
+    BeginRollout,
+    CommandOutcome,
+    GatewayCommand,
+    GatewayMachine,
+    RecordDeparture,
+    ReplaceConfiguration,
+    ServiceRollout,
+    encode_command,
+    pack_document,
+    unpack_document,
+)
+from bergamotwood_core.ids import EndpointId, Incarnation, InstanceId, ServiceName
+from bergamotwood_core.states import EndpointState
+from bergamotwood_daemon.gateway.channels import PeerChannels, ReplicationSenders
+from bergamotwood_daemon.gateway.dialect import Dialect
+from bergamotwood_daemon.gateway.entries import EntryTable
+from bergamotwood_daemon.gateway.peering import (
+    ENCODER,
+    POLL,
+    STATE_REPLY,
+    Relay,
+    StateReply,
+    SyncReply,
+    SyncRequest,
+)
+from bergamotwood_daemon.gateway.settings import GatewaySettings
+from bergamotwood_daemon.group import LogGroup
+from bergamotwood_daemon.groupsettings import GroupSettings
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.peer import POLL as POLL_METHOD
+from bergamotwood_daemon.peer import PROPOSE, QUERY, GroupTransport
+from bergamotwood_daemon.wire import (
+    PROPOSE_REPLY,
+    PROPOSE_REQUEST,
+    REPLICATE_BATCH,
+    Committed,
+    NotLeader,
+    ProposeRequest,
+    Unknown,
+)
+
+GROUP = "gateway"
+# Half of the usual 0.2 s: a wiped replica has to be a voter again within 4 s.
+HEARTBEAT_SECONDS = 0.1
+# Pause between two tries to find the leader; elections take about a second.
+RETRY_SECONDS = 0.05
+# Collects soft state into one call to each replica, well below a beat's period.
+RELAY_SECONDS = 0.05
+RELAY_TIMEOUT_SECONDS = 0.5
+EXPIRE_SECONDS = 0.25
+# Beats come each second or so; traffic finds dead endpoints long before this.
+ENDPOINT_SILENCE_SECONDS = 30.0
+MAX_HOLD_SECONDS = 2.0
+
+
+class GatewayReplica:
+    """One replica of the gateway's control group.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Its settings.
+    dialect : Dialect
+        Reads configurations.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Source of election delays.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._boot = token_hex(8)
+        self._machine = GatewayMachine()
+        self._senders = ReplicationSenders()
+        self._channels = PeerChannels()
+        self._relays = PeerChannels()
+        self.directory = EndpointDirectory(ENDPOINT_SILENCE_SECONDS)
+        self.entries = EntryTable(clock)
+        self._news = Event()
+        self._beats: list[EndpointBeat] = []
+        self._statuses: list = []
+        self._settled = -1
+        self.group = LogGroup(
+            GROUP,
+            GroupSettings(
+                instance=settings.instance,
+                initial_voters=tuple(sorted(settings.seeds)),
+                folder=settings.data_folder,
+                heartbeat_seconds=HEARTBEAT_SECONDS,
+                command_bytes=8 * 1024 * 1024,
+                forms_group=settings.forms_group,
+                open_membership=True,
+            ),
+            self._machine,
+            GroupTransport(GROUP, self._senders),
+            clock,
+            rng,
+        )
+        self.group.on_apply(self._take_applied)
+
+    def start(self) -> None:
+        """Take part in the group."""
+        self.group.start()
+        self._take_applied()
+        spawn(self._relay)
+        spawn(self._expire)
+
+    def stop(self) -> None:
+        """Hand leadership over and stop."""
+        self.group.stop(handover=True)
+        self._senders.stop()
+        self._channels.close()
+        self._relays.close()
+
+    def replace_configuration(self, document: bytes) -> CommandOutcome:
+        """Put a configuration in force, unless a higher number holds.
+
+        Raises
+        ------
+        RequestError
+            When it is invalid; every reason is named.
+        ReplicationError
+            When no majority confirms it in time.
+        """
+        configuration = self._dialect.decode_configuration(document)
+        faults = find_faults(configuration)
+        if faults:
+            raise RequestError("; ".join(faults[:8]), Code.TICKET_INVALID)
+        command = ReplaceConfiguration(configuration.number, pack_document(document))
+        return self._commit(command)
+
+    def read_configuration(self) -> bytes:
+        """Return the newest configuration as it was sent.
+
+        Raises
+        ------
+        RefusedError
+            Before the first one.
+        ReplicationError
+            When no leader confirms it in time.
+        """
+        state = self._read_state()
+        if state.number < 0:
+            raise RefusedError("no configuration yet", Code.CONFIG_STALE)
+        return unpack_document(state.document)
+
+    def begin_rollout(
+        self, service: ServiceName, target: str, duration_seconds: float
+    ) -> CommandOutcome:
+        """Order the roll-out of a version.
+
+        Raises
+        ------
+        RequestError
+            When another version of the service is being rolled out.
+        ReplicationError
+            When no majority confirms it in time.
+        """
+        outcome = self._commit(BeginRollout(service, target, duration_seconds))
+        if not outcome.accepted:
+            raise RequestError(outcome.reason, Code.TICKET_CONFLICT)
+        return outcome
+
+    def find_rollout(self, service: ServiceName) -> ServiceRollout | None:
+        """Return the newest roll-out of a service, from the leader.
+
+        Raises
+        ------
+        ReplicationError
+            When no leader confirms it in time.
+        """
+        for rollout in self._read_state().rollouts:
+            if rollout.service == service:
+                return rollout
+        return None
+
+    def take_beat(self, beat: EndpointBeat) -> None:
+        """Take in a beat; that an endpoint leaves is committed first.
+
+        Raises
+        ------
+        ReplicationError
+            When no majority confirms in time that it leaves.
+        """
+        if beat.state is EndpointState.LEAVING:
+            self.record_departure(beat.endpoint, beat.incarnation, beat.state)
+            return
+        if self.directory.take_beat(beat, self._clock()):
+            self._beats.append(beat)
+            self._wake_if_news()
+
+    def record_departure(
+        self,
+        endpoint: EndpointId,
+        incarnation: Incarnation | None,
+        state: EndpointState,
+    ) -> None:
+        """Commit that an endpoint gets no more work.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+            The endpoint.
+        incarnation : Incarnation or None
+            Which of its runs; None for the newest that is known.
+        state : EndpointState
+            What it says of itself.
+
+        Raises
+        ------
+        ReplicationError
+            When no majority confirms it in time.
+        """
+        if incarnation is None:
+            held = self.directory.find(endpoint)
+            incarnation = held.incarnation if held else Incarnation(0)
+        outcome = self._commit(RecordDeparture(endpoint, incarnation, state))
+        if outcome.changed:
+            log_event("directory", "Endpoint leaves.", endpoint=endpoint, state=state)
+
+    def handle_replicate(self, body: bytes) -> bytes:
+        """Take replication messages."""
+        for envelope in REPLICATE_BATCH.decode(body).envelopes:
+            self.group.receive(envelope.body)
+        return b""
+
+    def handle_propose(self, body: bytes) -> bytes:
+        """Submit a command that another replica received."""
+        request = PROPOSE_REQUEST.decode(body)
+        try:
+            result = self.group.propose(request.command, request.timeout_seconds)
+        except NotLeaderError as error:
+            return ENCODER.encode(NotLeader(error.leader))
+        except ReplicationError as error:
+            return ENCODER.encode(Unknown(error.detail))
+        return ENCODER.encode(Committed(result))
+
+    def handle_query(self, body: bytes) -> bytes:
+        """Answer a read with the leader's confirmed state."""
+        self.group.read_barrier(self._settings.bounds.acknowledge_seconds)
+        return ENCODER.encode(self._describe_state())
+
+    def handle_poll(self, body: bytes) -> bytes:
+        """Answer an entry, or take soft state of another replica."""
+        match POLL.decode(body):
+            case SyncRequest() as request:
+                return ENCODER.encode(self._answer_sync(request))
+            case Relay(beats, statuses):
+                now = self._clock()
+                for beat in beats:
+                    self.directory.take_beat(beat, now)
+                for status in statuses:
+                    self.entries.take(status)
+                self._wake_if_news()
+                return b""
+
+    @property
+    def _version(self) -> int:
+        return self.directory.version + self.entries.version
+
+    def _answer_sync(self, request: SyncRequest) -> SyncReply:
+        if self.entries.take(request.status):
+            self._statuses.append(request.status)
+            self._wake_if_news()
+        self._wait_for_news(request)
+        state = self._machine.state
+        age = self.group.confirmed_age(self._clock())
+        known = request.boot == self._boot and request.version == self._version
+        return SyncReply(
+            age_seconds=age,
+            replicas=self._list_replicas(),
+            number=state.number,
+            document=state.document if state.number > request.number else None,
+            rollouts=tuple(state.rollouts.values()),
+            boot=self._boot,
+            version=self._version,
+            beats=None if known else self.directory.list_beats(),
+            entries=self.entries.list_live(),
+        )
+
+    def _wait_for_news(self, request: SyncRequest) -> None:
+        limit = self._clock() + min(request.hold_seconds, MAX_HOLD_SECONDS)
+        while not self._has_news(request):
+            left = limit - self._clock()
+            if left <= 0.0:
+                return
+            self._news.wait(left)
+
+    def _has_news(self, request: SyncRequest) -> bool:
+        if self._machine.state.number > request.number:
+            return True
+        return request.boot != self._boot or request.version != self._version
+
+    def _list_replicas(self) -> tuple[InstanceId, ...]:
+        members = tuple(member.instance for member in self.group.membership.members)
+        return members or self._settings.seeds
+
+    def _commit(self, command: GatewayCommand) -> CommandOutcome:
+        """Commit a command at the leader, wherever it is."""
+        data = encode_command(command)
+        limit = self._clock() + self._settings.bounds.acknowledge_seconds
+        while True:
+            left = limit - self._clock()
+            if left <= 0.0:
+                raise ReplicationError("no majority confirmed it in time")
+            try:
+                return OUTCOMES.decode(self._propose(data, left))
+            except ReplicationError:
+                sleep(RETRY_SECONDS)
+
+    def _propose(self, data: bytes, seconds: float) -> bytes:
+        if self.group.is_leader:
+            return self.group.propose(data, seconds)
+        leader = self._find_leader()
+        request = ENCODER.encode(ProposeRequest(GROUP, data, seconds))
+        reply = self._channels.get(leader).call(PROPOSE, request, seconds)
+        match PROPOSE_REPLY.decode(reply):
+            case Committed(result):
+                return result
+            case NotLeader(found):
+                raise NotLeaderError(f"{leader} does not lead", found)
+            case Unknown(detail):
+                raise ReplicationError(detail)
+
+    def _read_state(self) -> StateReply:
+        limit = self._clock() + self._settings.bounds.acknowledge_seconds
+        while True:
+            left = limit - self._clock()
+            if left <= 0.0:
+                raise ReplicationError("no leader confirmed its state in time")
+            try:
+                return self._query(left)
+            except ReplicationError:
+                sleep(RETRY_SECONDS)
+
+    def _query(self, seconds: float) -> StateReply:
+        if self.group.is_leader:
+            self.group.read_barrier(seconds)
+            return self._describe_state()
+        reply = self._channels.get(self._find_leader()).call(QUERY, b"", seconds)
+        return STATE_REPLY.decode(reply)
+
+    def _find_leader(self) -> InstanceId:
+        leader = self.group.leader
+        if leader is None or leader == self._settings.instance:
+            raise NotLeaderError("no leader is known")
+        return leader
+
+    def _describe_state(self) -> StateReply:
+        state = self._machine.state
+        rollouts = tuple(state.rollouts.values())
+        return StateReply(state.number, state.document, rollouts)
+
+    def _take_applied(self) -> None:
+        state = self._machine.state
+        self.directory.take_departures(state.departures)
+        if state.number != self._settled:
+            self._settled = state.number
+            log_event(
+                "control",
+                "Configuration applied.",
+                number=state.number,
+                index=self.group.applied,
+            )
+        self._wake()
+
+    def _wake_if_news(self) -> None:
+        version = self._version
+        if version != getattr(self, "_woken_at", None):
+            self._woken_at = version
+            self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news.clear()
+
+    def _relay(self) -> None:
+        while True:
+            sleep(RELAY_SECONDS)
+            if not self._beats and not self._statuses:
+                continue
+            body = ENCODER.encode(Relay(tuple(self._beats), tuple(self._statuses)))
+            self._beats.clear()
+            self._statuses.clear()
+            for instance in self._list_replicas():
+                if instance != self._settings.instance:
+                    spawn(self._send_relay, instance, body)
+
+    def _send_relay(self, instance: InstanceId, body: bytes) -> None:
+        try:
+            self._relays.get(instance).call(POLL_METHOD, body, RELAY_TIMEOUT_SECONDS)
+        except ReplicationError as error:
+            log_event("control", "Relay lost.", replica=instance, reason=error.detail)
+
+    def _expire(self) -> None:
+        while True:
+            sleep(EXPIRE_SECONDS)
+            self.directory.expire(self._clock())
+            self.entries.expire()
+            self._wake_if_news()
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -0,0 +1,376 @@
+"""HTTP/1.1 towards callers, one request at a time on each connection."""
+
+from collections.abc import Callable
+from contextlib import suppress
+from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+
+import h11
+from gevent import Greenlet, GreenletExit, Timeout, getcurrent, spawn
+from gevent.event import Event
+from gevent.server import StreamServer
+from gevent.socket import socket as Socket
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.configuration import CallerLimits
+from bergamotwood_daemon.gateway.message import Headers, HttpRequest, HttpResponse
+from bergamotwood_daemon.gateway.settings import ListenAddress
+from bergamotwood_daemon.log import log_event, log_failure
+
+READ_BYTES = 65_536
+# Unread bytes of a caller that are kept; more stay in the kernel.
+MAX_UNREAD_BYTES = 1_048_576
+# Time that a caller may take to accept a piece of an answer. It gives up on
+# its own much earlier.
+SEND_SECONDS = 30.0
+# Time for the caller to take note of an error before its connection is closed.
+LINGER_SECONDS = 0.5
+BACKLOG = 1_024
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class CallerTimeoutError(Exception):
+    """The caller has not sent what it began, or nothing for long."""
+
+
+class Inbound:
+    """Bytes of a caller, read ahead so that its leaving is seen at once."""
+
+    def __init__(self, sock: Socket) -> None:
+        self.is_closed = False
+        self._sock = sock
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._news = Event()
+        self._room = Event()
+        self._watcher: Callable[[], None] | None = None
+        self._reader = spawn(self._read)
+
+    @property
+    def has_bytes(self) -> bool:
+        """Whether unread bytes wait."""
+        return bool(self._pieces)
+
+    def watch(self, callback: Callable[[], None] | None) -> None:
+        """Set what is called when the caller leaves."""
+        self._watcher = callback
+        if callback is not None and self.is_closed:
+            callback()
+
+    def receive(self, seconds: float) -> bytes:
+        """Return the next bytes, empty at the end.
+
+        Raises
+        ------
+        CallerTimeoutError
+            When none come in time.
+        """
+        while not self._pieces and not self.is_closed:
+            self._news.clear()
+            if not self._news.wait(seconds):
+                raise CallerTimeoutError
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        self._size = 0
+        self._room.set()
+        return data
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._watcher = None
+        self._reader.kill(block=False)
+
+    def _read(self) -> None:
+        while True:
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                break
+            self._pieces.append(data)
+            self._size += len(data)
+            self._news.set()
+            while self._size > MAX_UNREAD_BYTES:
+                self._room.clear()
+                self._room.wait()
+        self.is_closed = True
+        self._news.set()
+        if self._watcher is not None:
+            self._watcher()
+
+
+class Exchange:
+    """One request and the way to answer it.
+
+    Attributes
+    ----------
+    request : HttpRequest
+        What the caller sent.
+    status : int
+        Status that was sent, 0 before.
+    is_finished : bool
+        Whether the whole answer was sent.
+    """
+
+    def __init__(self, connection: "CallerConnection", request: HttpRequest) -> None:
+        self.request = request
+        self.status = 0
+        self.is_finished = False
+        self._connection = connection
+
+    def answer(self, response: HttpResponse) -> None:
+        """Send a whole answer."""
+        headers = [
+            *response.headers,
+            (b"content-length", str(len(response.body)).encode()),
+        ]
+        self._begin(response.status, headers)
+        data = [h11.Data(response.body)] if response.body else []
+        self._connection.send(*data, h11.EndOfMessage(), after=self._head)
+        self.is_finished = True
+
+    def begin_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer that follows in pieces."""
+        self._begin(status, [*headers, (b"transfer-encoding", b"chunked")])
+        self._connection.send(after=self._head)
+
+    def send_piece(self, piece: bytes) -> None:
+        """Send a piece of the answer."""
+        self._connection.send(h11.Data(piece))
+
+    def end_stream(self) -> None:
+        """Say that the answer is complete."""
+        self._connection.send(h11.EndOfMessage())
+        self.is_finished = True
+
+    def _begin(self, status: int, headers: Headers) -> None:
+        self.status = status
+        if self._connection.is_last:
+            headers = [*headers, (b"connection", b"close")]
+        self._head = self._connection.encode(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+
+Handler = Callable[[Exchange], None]
+
+
+class CallerConnection:
+    """A caller's connection; serves its requests one after the other."""
+
+    def __init__(self, server: "HttpServer", sock: Socket) -> None:
+        self._server = server
+        self._sock = sock
+        self._inbound = Inbound(sock)
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
+        )
+        self._first_byte_at = Seconds(0.0)
+        self.is_busy = False
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection ends with this answer."""
+        return self._server.is_closing
+
+    def run(self) -> None:
+        """Serve until either side closes."""
+        self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        self._sock.settimeout(SEND_SECONDS)
+        try:
+            while self._serve_one():
+                self._http.start_next_cycle()
+        except CallerGoneError:
+            pass
+        except CallerTimeoutError:
+            self._refuse_slow()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint or 400)
+        except OSError as error:
+            log_event("caller", "Connection lost.", reason=str(error))
+        finally:
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request waits."""
+        if not self.is_busy and not self._inbound.has_bytes:
+            with suppress(OSError):
+                self._sock.shutdown(SHUT_WR)
+
+    def encode(self, event: h11.Event) -> bytes:
+        """Return an event as bytes."""
+        return self._http.send(event)
+
+    def send(self, *events: h11.Event, after: bytes = b"") -> None:
+        """Send bytes and events together."""
+        data = [after, *(self._http.send(event) for event in events)]
+        self._sock.sendall(b"".join(data))
+
+    def _serve_one(self) -> bool:
+        request = self._read_request()
+        if request is None:
+            return False
+        exchange = Exchange(self, request)
+        self.is_busy = True
+        worker = getcurrent()
+        self._inbound.watch(lambda: _interrupt(worker))
+        try:
+            self._server.handler(exchange)
+        finally:
+            self._inbound.watch(None)
+            self.is_busy = False
+        if not exchange.is_finished:
+            return False
+        states = self._http.states
+        return states[h11.SERVER] is h11.DONE and states[h11.CLIENT] is h11.DONE
+
+    def _read_request(self) -> HttpRequest | None:
+        head: h11.Request | None = None
+        body: list[bytes] = []
+        size = 0
+        self._first_byte_at = self._server.clock()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self.send(h11.InformationalResponse(status_code=100, headers=[]))
+                self._receive(head is not None)
+                continue
+            match event:
+                case h11.Request():
+                    head = event
+                case h11.Data():
+                    size += len(event.data)
+                    if size > self._server.limits().body_bytes:
+                        raise h11.RemoteProtocolError("body too large", 413)
+                    body.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    break
+                case _:
+                    return None
+        return HttpRequest(
+            bytes(head.method),
+            bytes(head.target),
+            [(bytes(name), bytes(value)) for name, value in head.headers],
+            b"".join(body),
+            self._first_byte_at,
+        )
+
+    def _receive(self, has_head: bool) -> None:
+        limits = self._server.limits()
+        waits = not has_head and not self._http.trailing_data[0]
+        seconds = limits.idle_seconds if waits or has_head else limits.header_seconds
+        data = self._inbound.receive(seconds)
+        if waits:
+            self._first_byte_at = self._server.clock()
+        self._http.receive_data(data)
+
+    def _refuse_slow(self) -> None:
+        if self._http.trailing_data[0] or self._http.their_state is h11.SEND_BODY:
+            self._refuse(408)
+
+    def _refuse(self, status: int) -> None:
+        log_event("caller", "Request refused.", status=status)
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        head = h11.Response(
+            status_code=status,
+            headers=[(b"content-length", b"0"), (b"connection", b"close")],
+        )
+        with suppress(OSError, h11.LocalProtocolError):
+            self.send(head, h11.EndOfMessage())
+            self._linger()
+
+    def _linger(self) -> None:
+        """Let the caller read the answer before unread bytes reset it."""
+        self._sock.shutdown(SHUT_WR)
+        with Timeout(LINGER_SECONDS, False):
+            while not self._inbound.is_closed:
+                self._inbound.receive(LINGER_SECONDS)
+
+    def _close(self) -> None:
+        self._inbound.stop()
+        with suppress(OSError):
+            self._sock.close()
+
+
+def _interrupt(worker: Greenlet) -> None:
+    worker.kill(CallerGoneError, block=False)
+
+
+class HttpServer:
+    """Listens for callers and hands their requests to a handler.
+
+    Parameters
+    ----------
+    listen : ListenAddress
+        Where to listen.
+    handler : callable
+        Answers an `Exchange`; an exception closes the connection.
+    limits : callable
+        Returns the limits in force.
+    clock : callable
+        Gives the time.
+    """
+
+    def __init__(
+        self,
+        listen: ListenAddress,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self.limits = limits
+        self.clock = clock
+        self.is_closing = False
+        self._handler = handler
+        self._listen = listen
+        self._connections: set[CallerConnection] = set()
+        self._server = StreamServer(
+            (listen.host, listen.port), self._take, backlog=BACKLOG
+        )
+
+    @property
+    def busy(self) -> int:
+        """Requests that are being answered."""
+        return sum(connection.is_busy for connection in self._connections)
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def close_idle(self) -> None:
+        """Close connections without a request."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        self._server.close()
+
+    def handler(self, exchange: Exchange) -> None:
+        """Answer a request; an unforeseen error ends its connection."""
+        try:
+            self._handler(exchange)
+        except (CallerGoneError, GreenletExit, OSError):
+            raise
+        except Exception as error:
+            log_failure("caller", "Request failed inside.", reason=repr(error))
+            if not exchange.status:
+                exchange.answer(HttpResponse(502, []))
+
+    def _take(self, sock: Socket, address: tuple[str, int]) -> None:
+        connection = CallerConnection(self, sock)
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/watch.py
@@ -0,0 +1,146 @@
+"""Keeps an entry's belief fresh from one control replica at a time."""
+
+from collections.abc import Callable
+from random import Random
+
+from gevent import Greenlet, sleep, spawn
+from msgspec import MsgspecError
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.ids import InstanceId
+from bergamotwood_daemon.gateway.belief import Belief
+from bergamotwood_daemon.gateway.channels import PeerChannels
+from bergamotwood_daemon.gateway.peering import (
+    ENCODER,
+    SYNC_REPLY,
+    EntryStatus,
+    SyncReply,
+    SyncRequest,
+)
+from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.peer import POLL
+
+# How long a replica may wait for news: a third of the time after which an
+# entry that does not report counts as gone.
+HOLD_SECONDS = 0.4
+# More than the hold and a way there and back; short enough to try three
+# replicas within the lease on keys.
+CALL_SECONDS = 0.9
+# Age from which a replica is cut off from the others, or they have no leader.
+STALE_SECONDS = 0.9
+RETRY_SECONDS = 0.1
+
+
+class ControlWatch:
+    """Asks a control replica for news, and another one when it fails.
+
+    Parameters
+    ----------
+    belief : Belief
+        Takes the answers.
+    describe : callable
+        Returns the entry's status.
+    seeds : callable
+        Returns the replicas named in the settings.
+    clock : callable
+        Gives the time.
+    rng : Random
+        Spreads entries over the replicas.
+    """
+
+    def __init__(
+        self,
+        belief: Belief,
+        describe: Callable[[], EntryStatus],
+        seeds: Callable[[], tuple[InstanceId, ...]],
+        clock: Callable[[], Seconds],
+        rng: Random,
+    ) -> None:
+        self._belief = belief
+        self._describe = describe
+        self._seeds = seeds
+        self._clock = clock
+        self._rng = rng
+        self._channels = PeerChannels()
+        self._replica: InstanceId | None = None
+        self._failed: set[InstanceId] = set()
+        self._is_lost = False
+        self._greenlet: Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._greenlet = spawn(self._run)
+
+    def stop(self) -> None:
+        """Ask no more."""
+        self._greenlet.kill()
+        self._channels.close()
+
+    def report_now(self) -> None:
+        """Report to every known replica at once, without taking the answers."""
+        status = self._describe()
+        for replica in self._list_replicas():
+            spawn(self._report, replica, status)
+
+    def _run(self) -> None:
+        while True:
+            if self._replica is None:
+                self._replica = self._choose_replica()
+            if not self._ask(self._replica):
+                self._failed.add(self._replica)
+                self._replica = None
+                sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.0))
+
+    def _ask(self, replica: InstanceId) -> bool:
+        asked_at = self._clock()
+        try:
+            reply = self._call(replica, HOLD_SECONDS)
+        except (ReplicationError, MsgspecError) as error:
+            self._note_lost(replica, str(error))
+            return False
+        self._belief.take(reply, asked_at)
+        if reply.age_seconds > STALE_SECONDS:
+            self._note_lost(replica, f"its state is {reply.age_seconds:.1f} s old")
+            return False
+        self._note_found(replica)
+        return True
+
+    def _call(self, replica: InstanceId, hold_seconds: float) -> SyncReply:
+        belief = self._belief
+        request = SyncRequest(
+            self._describe(), belief.number, belief.boot, belief.version, hold_seconds
+        )
+        body = ENCODER.encode(request)
+        return SYNC_REPLY.decode(
+            self._channels.get(replica).call(POLL, body, CALL_SECONDS)
+        )
+
+    def _report(self, replica: InstanceId, status: EntryStatus) -> None:
+        body = ENCODER.encode(SyncRequest(status, -1, "", -1, 0.0))
+        try:
+            self._channels.get(replica).call(POLL, body, CALL_SECONDS)
+        except ReplicationError as error:
+            log_event("entry", "Report lost.", replica=replica, reason=error.detail)
+
+    def _choose_replica(self) -> InstanceId:
+        known = self._list_replicas()
+        fresh = [replica for replica in known if replica not in self._failed]
+        if not fresh:
+            self._failed.clear()
+            fresh = known
+        return self._rng.choice(fresh)
+
+    def _list_replicas(self) -> list[InstanceId]:
+        return sorted({*self._belief.replicas, *self._seeds()})
+
+    def _note_lost(self, replica: InstanceId, reason: str) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            log_event("entry", "Control lost.", replica=replica, reason=reason)
+
+    def _note_found(self, replica: InstanceId) -> None:
+        self._failed.clear()
+        if self._is_lost:
+            self._is_lost = False
+            log_event("entry", "Control regained.", replica=replica)
--- a/packages/daemon/src/bergamotwood_daemon/groupsettings.py
+++ b/packages/daemon/src/bergamotwood_daemon/groupsettings.py
@@ -43,6 +43,8 @@
         Messages and proposals that wait at once.
     command_bytes : int
         Most bytes of one command.
+    forms_group, open_membership : bool
+        As in `ReplicaSettings`.
     """
 
     instance: InstanceId
@@ -56,6 +58,8 @@
     kept_entries: int = 500
     inbox_limit: int = 10_000
     command_bytes: int = 1024 * 1024
+    forms_group: bool = True
+    open_membership: bool = False
 
     def build_replica_settings(self) -> ReplicaSettings:
         """Return the settings of the pure replica."""
@@ -65,4 +69,6 @@
             election_seconds=self.election_seconds,
             heartbeat_seconds=self.heartbeat_seconds,
             lease_seconds=self.lease_seconds,
+            forms_group=self.forms_group,
+            open_membership=self.open_membership,
         )
