Roll versions out by share of sessions, with a verdict on pooled evidence

Entries choose a session's version by its hash and the share; until half of the time only sessions that are not open elsewhere move. They report counts for each version and route; the leader bets against the version before (sequential test) and commits the verdict.

--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -142,6 +142,8 @@
         Last event that the caller has.
     model : ModelName
         Model of the current attempt.
+    confidence : float or None
+        Opinion of the newest model that answered.
     """
 
     terms: CallTerms
@@ -155,6 +157,7 @@
     runs: int = 0
     last_event: str = ""
     model: ModelName = ModelName("")
+    confidence: float | None = None
 
     @property
     def urgency(self) -> int:
--- a/packages/core/src/bergamotwood_core/gateway/machine.py
+++ b/packages/core/src/bergamotwood_core/gateway/machine.py
@@ -38,11 +38,23 @@
 
 
 class BeginRollout(Struct, frozen=True, array_like=True, tag=2):
-    """Move a service to another version within some seconds."""
+    """Move a service to another version within some seconds.
+
+    Parameters
+    ----------
+    service, target : str
+        The service and the version.
+    duration_seconds : float
+        Time that the operator gives it.
+    ordered_at : float
+        Time of day in seconds, so that a replica that starts later knows how
+        much of the time is left.
+    """
 
     service: ServiceName
     target: str
     duration_seconds: float
+    ordered_at: float
 
 
 class SettleRollout(Struct, frozen=True, array_like=True, tag=3):
@@ -75,15 +87,18 @@
         Time that the operator gives it.
     outcome : RolloutOutcome
         How far it is.
-    ordered_at : LogIndex
+    index : LogIndex
         Log entry of the order; it names the roll-out.
+    ordered_at : float
+        Time of day in seconds.
     """
 
     service: ServiceName
     target: str
     duration_seconds: float
     outcome: RolloutOutcome
-    ordered_at: LogIndex
+    index: LogIndex
+    ordered_at: float
 
 
 class Departure(Struct, frozen=True, array_like=True):
@@ -203,6 +218,7 @@
             command.duration_seconds,
             RolloutOutcome.IN_PROGRESS,
             index,
+            command.ordered_at,
         )
         return CommandOutcome(True, True)
 
@@ -217,6 +233,7 @@
             held.target,
             held.duration_seconds,
             command.outcome,
+            held.index,
             held.ordered_at,
         )
         return CommandOutcome(True, True)
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/pace.py
@@ -0,0 +1,77 @@
+"""Usual times of requests, and which requests are slow beside them."""
+
+from msgspec import Struct
+
+from bergamotwood_core.ids import ModelName
+
+# Weight of the newest request in the moving averages.
+SMOOTHING = 0.1
+# Requests that make an average.
+LEAST_SAMPLES = 5
+# Times the average from which a request counts as slow. Prompts that are read
+# from the start take up to five times as long as cached ones until the first
+# event; between events the load changes little.
+SLOW_HEAD = 8.0
+SLOW_EVENT = 3.5
+SLOW_WHOLE = 4.0
+# Events without which the time between them says little.
+LEAST_EVENTS = 3
+
+
+class Timing(Struct, frozen=True):
+    """Times of one answer.
+
+    Parameters
+    ----------
+    head_seconds : float
+        Until it began.
+    whole_seconds : float
+        Until it was whole.
+    events : int
+        Events of a stream, 0 for other answers.
+    """
+
+    head_seconds: float
+    whole_seconds: float
+    events: int = 0
+
+    @property
+    def event_seconds(self) -> float:
+        """Mean time between events."""
+        return (self.whole_seconds - self.head_seconds) / max(self.events, 1)
+
+
+class _Average(Struct):
+    samples: int = 0
+    head: float = 0.0
+    event: float = 0.0
+    whole: float = 0.0
+
+
+class PaceTable:
+    """Moving averages of answers' times for each route and model."""
+
+    def __init__(self) -> None:
+        self._averages: dict[tuple[str, ModelName], _Average] = {}
+
+    def note(self, route: str, model: ModelName, timing: Timing) -> None:
+        """Take in a sound answer."""
+        average = self._averages.setdefault((route, model), _Average())
+        average.samples += 1
+        weight = max(SMOOTHING, 1.0 / average.samples)
+        average.head += weight * (timing.head_seconds - average.head)
+        average.event += weight * (timing.event_seconds - average.event)
+        average.whole += weight * (timing.whole_seconds - average.whole)
+
+    def is_slow(self, route: str, model: ModelName, timing: Timing) -> bool:
+        """Whether an answer took several times as long as usual."""
+        average = self._averages.get((route, model))
+        if average is None or average.samples < LEAST_SAMPLES:
+            return False
+        if timing.events == 0:
+            return timing.whole_seconds > SLOW_WHOLE * average.whole
+        if timing.head_seconds > SLOW_HEAD * average.head:
+            return True
+        if timing.events < LEAST_EVENTS:
+            return False
+        return timing.event_seconds > SLOW_EVENT * average.event
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.call import Call, ForwardTerms
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointBeat
@@ -110,6 +111,7 @@
         write_terms: Callable[[Call, "Attempt"], ForwardTerms],
     ) -> None:
         self.beat = beat
+        self.head_at = Seconds(0.0)
         self._entry = entry
         self._call = call
         self._request = request
@@ -159,6 +161,7 @@
         except SilentError as error:
             self._call.runs += 1
             return Unclear(str(error), Result.SILENT)
+        self.head_at = self._entry.clock()
         return self._check(head)
 
     def receive(self, seconds: float) -> h11.Event:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/belief.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/belief.py
@@ -7,9 +7,10 @@
 from bergamotwood_core.errors import Code, RefusedError, RequestError
 from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
 from bergamotwood_core.gateway.endpoints import EndpointBeat
-from bergamotwood_core.gateway.machine import ServiceRollout, unpack_document
+from bergamotwood_core.gateway.machine import unpack_document
+from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
-from bergamotwood_core.ids import EndpointId, InstanceId
+from bergamotwood_core.ids import EndpointId, InstanceId, ServiceName, SessionId
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.peering import EntryStatus, SyncReply
 from bergamotwood_daemon.log import log_event
@@ -42,7 +43,8 @@
         self.routing: RoutingTable | None = None
         self.beats: dict[EndpointId, EndpointBeat] = {}
         self.entries: tuple[EntryStatus, ...] = ()
-        self.rollouts: tuple[ServiceRollout, ...] = ()
+        self.rollouts: dict[ServiceName, RolloutView] = {}
+        self.open_sessions: frozenset[SessionId] = frozenset()
         self.replicas: tuple[InstanceId, ...] = ()
         self.boot = ""
         self.version = -1
@@ -110,12 +112,33 @@
         self.boot = reply.boot
         self.version = reply.version
         self.entries = reply.entries
-        self.rollouts = reply.rollouts
+        self._take_rollouts(reply)
         self.replicas = reply.replicas
         if reply.number == self.number:
             confirmed_at = Seconds(asked_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def _take_rollouts(self, reply: SyncReply) -> None:
+        for view in reply.rollouts:
+            service = view.rollout.service
+            held = self.rollouts.get(service)
+            if held is None or held.rollout != view.rollout:
+                log_event(
+                    "entry",
+                    "Roll-out changed.",
+                    service=service,
+                    target=view.rollout.target,
+                    outcome=view.rollout.outcome,
+                    elapsed=round(view.elapsed_seconds, 2),
+                )
+            elif view.share < held.share:
+                # Sessions never go back while a roll-out is in progress.
+                view = RolloutView(view.rollout, view.elapsed_seconds, held.share)
+            self.rollouts[service] = view
+        self.open_sessions = frozenset(
+            session for entry in reply.entries for session in entry.open_sessions
+        )
+
     def _take_document(self, document: bytes) -> None:
         try:
             configuration = self._read(document)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -1,7 +1,7 @@
 """An entry of the gateway: holds what its parts share."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
 
 from bergamotwood_core.clock import Seconds
@@ -9,12 +9,19 @@
 from bergamotwood_core.gateway.endpoints import EndpointBeat
 from bergamotwood_core.gateway.health import HealthTable
 from bergamotwood_core.gateway.machine import RolloutOutcome
+from bergamotwood_core.gateway.pace import PaceTable, Timing
 from bergamotwood_core.gateway.retries import RetryBudget
-from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation
+from bergamotwood_core.gateway.rollout import (
+    RolloutView,
+    SessionMemory,
+    is_on_target,
+)
+from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation, SessionId
 from bergamotwood_daemon.gateway.belief import Belief
 from bergamotwood_daemon.gateway.client import ConnectionPool
 from bergamotwood_daemon.gateway.counters import EntryCounters
 from bergamotwood_daemon.gateway.dialect import Dialect
+from bergamotwood_daemon.gateway.evidence import EvidenceCounter
 from bergamotwood_daemon.gateway.peering import EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.gateway.watch import ControlWatch
@@ -58,6 +65,9 @@
         self.health = HealthTable()
         self.pool = ConnectionPool(clock)
         self.counters = EntryCounters()
+        self.pace = PaceTable()
+        self.evidence = EvidenceCounter()
+        self.sessions = SessionMemory(bounds.session_seconds)
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
         )
@@ -84,18 +94,23 @@
         near = [name for name, at in addresses.items() if at == data_centre]
         return (near or list(addresses))[:MAX_ADDRESSES]
 
-    def list_allowed_beats(self, call: Call) -> Iterable[EndpointBeat]:
-        """Return the endpoints whose version may get a request."""
-        barred = {
-            (rollout.service, rollout.target)
-            for rollout in self.belief.rollouts
-            if rollout.outcome is not RolloutOutcome.COMPLETED
-        }
-        return [
-            beat
-            for beat in self.belief.beats.values()
-            if (beat.service, beat.version) not in barred
+    def list_allowed_beats(self, call: Call) -> list[list[EndpointBeat]]:
+        """Return the endpoints whose version may get a request, preferred first."""
+        beats = [
+            beat for beat in self.belief.beats.values() if beat.service == call.service
         ]
+        view = self.belief.rollouts.get(call.service)
+        if view is None:
+            return [beats]
+        target = view.rollout.target
+        new = [beat for beat in beats if beat.version == target]
+        old = [beat for beat in beats if beat.version != target]
+        match view.rollout.outcome:
+            case RolloutOutcome.COMPLETED:
+                return [new, old]
+            case RolloutOutcome.ROLLED_BACK:
+                return [old]
+        return [new, old] if self._is_on_target(view, call) else [old]
 
     def count_outstanding(self, endpoint: EndpointId) -> float:
         """Return requests at an endpoint, those of other entries as reported."""
@@ -117,6 +132,21 @@
         if self._outstanding[endpoint] <= 0:
             del self._outstanding[endpoint]
 
+    def note_outcome(
+        self, call: Call, beat: EndpointBeat, is_bad: bool, timing: Timing | None
+    ) -> None:
+        """Take in how a request ended on an endpoint's version."""
+        is_slow = timing is not None and self.pace.is_slow(
+            call.route.name, call.model, timing
+        )
+        view = self.belief.rollouts.get(call.service)
+        runs = view is not None and view.rollout.outcome is RolloutOutcome.IN_PROGRESS
+        if runs:
+            self.evidence.note(view.rollout, beat.version, call, is_bad or is_slow)
+        is_usual = not runs or beat.version != view.rollout.target
+        if timing is not None and not is_bad and is_usual:
+            self.pace.note(call.route.name, call.model, timing)
+
     def maintain(self) -> None:
         """Drop what has expired; to be called about each second."""
         self.pool.expire()
@@ -144,6 +174,25 @@
             self.settings.data_centre,
             self.is_ready,
             dict(self._outstanding),
+            self.evidence.list_counts(),
+            self._list_open_sessions(),
+        )
+
+    def _is_on_target(self, view: RolloutView, call: Call) -> bool:
+        session = call.terms.session
+        version = self.sessions.find_version(call.service, session, self.clock())
+        elsewhere = version is not None and version != view.rollout.target
+        is_open = elsewhere or session in self.belief.open_sessions
+        return is_on_target(view, session or call.terms.request, is_open)
+
+    def _list_open_sessions(self) -> tuple[SessionId, ...]:
+        now = self.clock()
+        return tuple(
+            session
+            for view in self.belief.rollouts.values()
+            if view.rollout.outcome is RolloutOutcome.IN_PROGRESS
+            and not view.may_move_sessions
+            for session in self.sessions.list_open(view.rollout, now)
         )
 
     def _describe_address(self) -> str:
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
@@ -0,0 +1,36 @@
+"""What an entry has seen of versions that are being rolled out."""
+
+from bergamotwood_core.gateway.call import Call
+from bergamotwood_core.gateway.machine import ServiceRollout
+from bergamotwood_core.gateway.rollout import VersionEvidence
+from bergamotwood_core.ids import LogIndex, ServiceName
+
+
+class EvidenceCounter:
+    """Counts requests by version and route, from the start of each roll-out."""
+
+    def __init__(self) -> None:
+        self._rollouts: dict[ServiceName, LogIndex] = {}
+        self._counts: dict[tuple[ServiceName, str, str], tuple[int, int]] = {}
+
+    def note(
+        self, rollout: ServiceRollout, version: str, call: Call, is_bad: bool
+    ) -> None:
+        """Count a request that ended while a roll-out was in progress."""
+        if self._rollouts.get(rollout.service) != rollout.index:
+            self._rollouts[rollout.service] = rollout.index
+            self._forget(rollout.service)
+        key = (rollout.service, version, call.route.name)
+        trials, bad = self._counts.get(key, (0, 0))
+        self._counts[key] = (trials + 1, bad + is_bad)
+
+    def list_counts(self) -> tuple[VersionEvidence, ...]:
+        """Return all counts."""
+        return tuple(
+            VersionEvidence(*key, trials, bad)
+            for key, (trials, bad) in self._counts.items()
+        )
+
+    def _forget(self, service: ServiceName) -> None:
+        for key in [key for key in self._counts if key[0] == service]:
+            del self._counts[key]
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from bergamotwood_core.gateway.configuration import KeyHolder, RouteKind, ServiceRoute
 from bergamotwood_core.gateway.health import Result
 from bergamotwood_core.gateway.models import choose_first_model, choose_next_model
+from bergamotwood_core.gateway.pace import Timing
 from bergamotwood_core.gateway.placement import (
     Candidate,
     choose_endpoint,
@@ -30,6 +31,7 @@
 from bergamotwood_daemon.gateway.attempt import (
     Answered,
     Attempt,
+    Delivered,
     Dropped,
     NotRun,
     Outcome,
@@ -72,6 +74,7 @@
         try:
             call = self._admit(exchange)
             self._forward(call, exchange)
+            self._log_answer(call, exchange)
         except BergamotwoodError as error:
             self._refuse(exchange, error)
         except CallerGoneError:
@@ -141,6 +144,7 @@
             if call.tried:
                 self._entry.budget.note_repeat(call.service, self._entry.clock())
             call.tried.append(candidate.beat.endpoint)
+            self._note_session(call, candidate)
             last = self._try(call, candidate, exchange, relay)
             if exchange.is_finished:
                 return
@@ -153,18 +157,15 @@
         self, call: Call, last: Outcome | None, relay: StreamRelay
     ) -> Candidate:
         entry = self._entry
-        candidates = find_candidates(
-            entry.list_allowed_beats(call),
-            call,
-            entry.health,
-            entry.count_outstanding,
-            entry.clock(),
-        )
-        chosen = choose_endpoint(
-            candidates, call, entry.settings.data_centre, entry.rng
-        )
-        if chosen is not None:
-            return chosen
+        for beats in entry.list_allowed_beats(call):
+            candidates = find_candidates(
+                beats, call, entry.health, entry.count_outstanding, entry.clock()
+            )
+            chosen = choose_endpoint(
+                candidates, call, entry.settings.data_centre, entry.rng
+            )
+            if chosen is not None:
+                return chosen
         if last is not None and not isinstance(last, NotRun):
             self._conclude_failure(last)
         if relay.has_begun:
@@ -175,6 +176,15 @@
             retry_after=FULL_RETRY_SECONDS if call.tried else ABSENT_RETRY_SECONDS,
         )
 
+    def _note_session(self, call: Call, candidate: Candidate) -> None:
+        if call.terms.session:
+            self._entry.sessions.note(
+                call.service,
+                call.terms.session,
+                candidate.beat.version,
+                self._entry.clock(),
+            )
+
     def _try(
         self,
         call: Call,
@@ -194,7 +204,8 @@
             entry.note_ended(beat.endpoint)
             attempt.close()
             if outcome is not None:
-                self._note(call, candidate, outcome, started_at)
+                timing = self._measure(outcome, attempt, relay, started_at)
+                self._note(call, candidate, outcome, timing)
         return outcome
 
     def _run(
@@ -225,14 +236,13 @@
     ) -> ModelName | None:
         if not call.terms.leaves_model_open or relay.has_begun:
             return None
-        now = self._entry.clock()
-        if not self._entry.budget.allows(call.service, now):
-            return None
+        call.confidence = self._entry.dialect.read_answer(list(head.headers)).confidence
         if call.runs >= call.route.max_attempts:
             return None
-        terms = self._entry.dialect.read_answer(list(head.headers))
+        if not self._entry.budget.allows(call.service, self._entry.clock()):
+            return None
         held = list_models(self._entry.belief.beats.values(), call)
-        return choose_next_model(call.route.models, held, call.model, terms.confidence)
+        return choose_next_model(call.route.models, held, call.model, call.confidence)
 
     def _write_terms(self, call: Call, attempt: Attempt) -> ForwardTerms:
         if call.holder is not None:
@@ -262,21 +272,39 @@
         unsent = isinstance(outcome, NotRun) and not outcome.was_sent
         return unsent or entry.budget.allows(call.service, now)
 
+    def _measure(
+        self,
+        outcome: Outcome,
+        attempt: Attempt,
+        relay: StreamRelay,
+        started_at: Seconds,
+    ) -> Timing:
+        seconds = self._entry.clock() - started_at
+        if not isinstance(outcome, Delivered):
+            return Timing(seconds, seconds)
+        return Timing(attempt.head_at - started_at, seconds, relay.events)
+
     def _note(
         self,
         call: Call,
         candidate: Candidate,
         outcome: Outcome,
-        started_at: Seconds,
+        timing: Timing,
     ) -> None:
         entry = self._entry
         beat = candidate.beat
-        now = entry.clock()
         result = outcome.result
         entry.health.note(
-            beat.endpoint, beat.incarnation, result, now - started_at, now
+            beat.endpoint,
+            beat.incarnation,
+            result,
+            timing.whole_seconds,
+            entry.clock(),
         )
         entry.counters.note_attempt(call, result)
+        if isinstance(outcome, Answered | Delivered | Unclear):
+            is_bad = result is not Result.OK
+            entry.note_outcome(call, beat, is_bad, None if is_bad else timing)
         if result is Result.OK:
             return
         log_event(
@@ -288,7 +316,8 @@
             number=len(call.tried),
             result=result,
             reason=outcome.reason,
-            milliseconds=round(1000 * (now - started_at), 1),
+            version=beat.version,
+            milliseconds=round(1000 * timing.whole_seconds, 1),
             failure_rate=round(candidate.health.failure_rate, 2),
             configuration=entry.belief.number,
             age=round(entry.belief.age, 2),
@@ -316,6 +345,21 @@
             case _:
                 raise EndpointError(last.reason, Code.ENDPOINT_FAILED)
 
+    def _log_answer(self, call: Call, exchange: Exchange) -> None:
+        log_event(
+            "request",
+            "Answered.",
+            **_describe(call),
+            status=exchange.status,
+            endpoints=call.tried,
+            confidence=call.confidence,
+            session=call.terms.session,
+            prompt=call.terms.prompt_tokens,
+            milliseconds=round(1000 * (self._entry.clock() - call.received_at), 1),
+            configuration=self._entry.belief.number,
+            age=round(self._entry.belief.age, 2),
+        )
+
     def _refuse(self, exchange: Exchange, error: BergamotwoodError) -> None:
         request = self._entry.dialect.read_id(exchange.request.headers)
         log_event(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
@@ -5,7 +5,14 @@
 
 from bergamotwood_core.gateway.endpoints import EndpointBeat
 from bergamotwood_core.gateway.machine import ServiceRollout
-from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation, InstanceId
+from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
+from bergamotwood_core.ids import (
+    DataCentre,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    SessionId,
+)
 
 
 class EntryStatus(Struct, frozen=True, array_like=True):
@@ -27,6 +34,10 @@
         Whether callers should be sent there.
     outstanding : dict
         Requests that it has at each endpoint.
+    evidence : tuple of VersionEvidence
+        What it has seen of versions that are being rolled out.
+    open_sessions : tuple of SessionId
+        Sessions on versions before, of those that are to be moved first.
     """
 
     instance: InstanceId
@@ -36,6 +47,8 @@
     data_centre: DataCentre
     is_ready: bool
     outstanding: dict[EndpointId, int]
+    evidence: tuple[VersionEvidence, ...] = ()
+    open_sessions: tuple[SessionId, ...] = ()
 
 
 class SyncRequest(Struct, frozen=True, array_like=True, tag=1):
@@ -75,7 +88,7 @@
         Configuration in force.
     document : bytes or None
         Its document, compressed, when the entry holds another one.
-    rollouts : tuple of ServiceRollout
+    rollouts : tuple of RolloutView
         Newest roll-out of each service.
     boot, version : str, int
         Version of the directory.
@@ -89,7 +102,7 @@
     replicas: tuple[InstanceId, ...]
     number: int
     document: bytes | None
-    rollouts: tuple[ServiceRollout, ...]
+    rollouts: tuple[RolloutView, ...]
     boot: str
     version: int
     beats: tuple[EndpointBeat, ...] | None
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 from secrets import token_hex
+from time import time
 
 from gevent import sleep, spawn
 from gevent.event import Event
@@ -26,6 +27,7 @@
     RecordDeparture,
     ReplaceConfiguration,
     ServiceRollout,
+    SettleRollout,
     encode_command,
     pack_document,
     unpack_document,
@@ -39,11 +41,13 @@
     ENCODER,
     POLL,
     STATE_REPLY,
+    EntryStatus,
     Relay,
     StateReply,
     SyncReply,
     SyncRequest,
 )
+from bergamotwood_daemon.gateway.rollouts import RolloutControl
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.groupsettings import GroupSettings
@@ -108,7 +112,7 @@
         self.entries = EntryTable(clock)
         self._news = Event()
         self._beats: list[EndpointBeat] = []
-        self._statuses: list = []
+        self._statuses: list[EntryStatus] = []
         self._settled = -1
         self.group = LogGroup(
             GROUP,
@@ -126,6 +130,9 @@
             clock,
             rng,
         )
+        self.rollouts = RolloutControl(
+            self._machine, self.directory, self.entries, clock
+        )
         self.group.on_apply(self._take_applied)
 
     def start(self) -> None:
@@ -186,7 +193,8 @@
         ReplicationError
             When no majority confirms it in time.
         """
-        outcome = self._commit(BeginRollout(service, target, duration_seconds))
+        command = BeginRollout(service, target, duration_seconds, time())
+        outcome = self._commit(command)
         if not outcome.accepted:
             raise RequestError(outcome.reason, Code.TICKET_CONFLICT)
         return outcome
@@ -215,9 +223,13 @@
         if beat.state is EndpointState.LEAVING:
             self.record_departure(beat.endpoint, beat.incarnation, beat.state)
             return
-        if self.directory.take_beat(beat, self._clock()):
-            self._beats.append(beat)
-            self._wake_if_news()
+        version = self.directory.version
+        if not self.directory.take_beat(beat, self._clock()):
+            return
+        self._beats.append(beat)
+        if self.directory.version != version:
+            self._log_endpoint(beat)
+        self._wake_if_news()
 
     def record_departure(
         self,
@@ -284,6 +296,30 @@
                 self._wake_if_news()
                 return b""
 
+    def _settle_rollouts(self) -> None:
+        for command in self.rollouts.list_verdicts():
+            spawn(self._settle, command)
+
+    def _settle(self, command: SettleRollout) -> None:
+        try:
+            self._commit(command)
+        except ReplicationError as error:
+            # The next tick comes to the same verdict.
+            log_event("rollout", "Verdict not committed.", reason=error.detail)
+
+    def _log_endpoint(self, beat: EndpointBeat) -> None:
+        log_event(
+            "directory",
+            "Endpoint announced.",
+            endpoint=beat.endpoint,
+            incarnation=beat.incarnation,
+            sequence=beat.sequence,
+            service=beat.service,
+            address=beat.address,
+            version=beat.version,
+            models=beat.models,
+        )
+
     @property
     def _version(self) -> int:
         return self.directory.version + self.entries.version
@@ -301,7 +337,7 @@
             replicas=self._list_replicas(),
             number=state.number,
             document=state.document if state.number > request.number else None,
-            rollouts=tuple(state.rollouts.values()),
+            rollouts=self.rollouts.list_views(),
             boot=self._boot,
             version=self._version,
             beats=None if known else self.directory.list_beats(),
@@ -428,3 +464,5 @@
             self.directory.expire(self._clock())
             self.entries.expire()
             self._wake_if_news()
+            if self.group.is_leader:
+                self._settle_rollouts()
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -0,0 +1,134 @@
+"""Roll-outs at a control replica: shares for entries, verdicts for the log."""
+
+from collections.abc import Callable
+from time import time
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.endpoints import EndpointDirectory
+from bergamotwood_core.gateway.machine import (
+    GatewayMachine,
+    RolloutOutcome,
+    ServiceRollout,
+    SettleRollout,
+)
+from bergamotwood_core.gateway.rollout import (
+    CAPACITY_PART,
+    RolloutView,
+    RolloutWatch,
+    VersionEvidence,
+    choose_outcome,
+    choose_share,
+    merge_evidence,
+)
+from bergamotwood_core.ids import LogIndex
+from bergamotwood_daemon.gateway.entries import EntryTable
+from bergamotwood_daemon.log import log_event
+
+
+class RolloutControl:
+    """Watches the roll-outs in progress.
+
+    Parameters
+    ----------
+    machine : GatewayMachine
+        Holds the roll-outs.
+    directory : EndpointDirectory
+        Endpoints of each version.
+    entries : EntryTable
+        Evidence of the entries.
+    clock : callable
+        Gives the time.
+    """
+
+    def __init__(
+        self,
+        machine: GatewayMachine,
+        directory: EndpointDirectory,
+        entries: EntryTable,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._machine = machine
+        self._directory = directory
+        self._entries = entries
+        self._clock = clock
+        self._watches: dict[LogIndex, RolloutWatch] = {}
+
+    def list_views(self) -> tuple[RolloutView, ...]:
+        """Return every service's newest roll-out as entries need it."""
+        return tuple(self._describe(held) for held in self._list_rollouts())
+
+    def list_verdicts(self) -> list[SettleRollout]:
+        """Return the roll-outs that end now; to be called on the leader."""
+        verdicts = []
+        for rollout in self._list_rollouts():
+            if rollout.outcome is RolloutOutcome.IN_PROGRESS:
+                verdict = self._judge(rollout)
+                if verdict is not RolloutOutcome.IN_PROGRESS:
+                    command = SettleRollout(rollout.service, rollout.target, verdict)
+                    verdicts.append(command)
+        return verdicts
+
+    def _judge(self, rollout: ServiceRollout) -> RolloutOutcome:
+        watch = self._watches.setdefault(rollout.index, RolloutWatch())
+        evidence = self._merge_evidence()
+        harm = watch.find_harm(rollout, evidence, self._clock())
+        view = self._describe(rollout)
+        outstanding = self._count_outstanding_before(rollout)
+        verdict = choose_outcome(
+            rollout, view.elapsed_seconds, harm, view.share, outstanding
+        )
+        if verdict is not RolloutOutcome.IN_PROGRESS:
+            log_event(
+                "rollout",
+                "Verdict.",
+                service=rollout.service,
+                target=rollout.target,
+                outcome=verdict,
+                harmed_route=harm,
+                elapsed=round(view.elapsed_seconds, 2),
+                outstanding_before=outstanding,
+                evidence=[
+                    (item.version, item.route, item.trials, item.bad)
+                    for item in evidence
+                    if item.service == rollout.service
+                ],
+            )
+        return verdict
+
+    def _describe(self, rollout: ServiceRollout) -> RolloutView:
+        elapsed = max(time() - rollout.ordered_at, 0.0)
+        if rollout.outcome is not RolloutOutcome.IN_PROGRESS:
+            share = 1.0 if rollout.outcome is RolloutOutcome.COMPLETED else 0.0
+            return RolloutView(rollout, elapsed, share)
+        share = choose_share(
+            rollout, elapsed, self._merge_evidence(), self._has_capacity(rollout)
+        )
+        return RolloutView(rollout, elapsed, share)
+
+    def _list_rollouts(self) -> list[ServiceRollout]:
+        return list(self._machine.state.rollouts.values())
+
+    def _merge_evidence(self) -> list[VersionEvidence]:
+        return merge_evidence(status.evidence for status in self._entries.list_live())
+
+    def _has_capacity(self, rollout: ServiceRollout) -> bool:
+        versions = [
+            beat.version
+            for beat in self._directory.list_beats()
+            if beat.service == rollout.service
+        ]
+        new = versions.count(rollout.target)
+        return new > 0 and new >= CAPACITY_PART * (len(versions) - new)
+
+    def _count_outstanding_before(self, rollout: ServiceRollout) -> int:
+        before = {
+            beat.endpoint
+            for beat in self._directory.list_beats()
+            if beat.service == rollout.service and beat.version != rollout.target
+        }
+        return sum(
+            count
+            for status in self._entries.list_live()
+            for endpoint, count in status.outstanding.items()
+            if endpoint in before
+        )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -39,10 +39,13 @@
     ----------
     has_begun : bool
         Whether the caller has the head of the answer.
+    events : int
+        Events of the response that is passed on.
     """
 
     def __init__(self, entry: GatewayEntry, call: Call, exchange: Exchange) -> None:
         self.has_begun = False
+        self.events = 0
         self._entry = entry
         self._call = call
         self._exchange = exchange
@@ -52,6 +55,7 @@
         if not 200 <= head.status_code < 300:
             return self._collect_failure(attempt, head)
         splitter = EventSplitter()
+        self.events = 0
         try:
             while True:
                 event = attempt.receive(self._measure_patience())
@@ -85,6 +89,7 @@
         return Answered(HttpResponse(head.status_code, headers, b"".join(pieces)))
 
     def _send(self, events: list[StreamEvent], head: h11.Response) -> None:
+        self.events += len(events)
         fresh = [event for event in events if self._is_new(event)]
         if not fresh:
             return
