--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -73,7 +73,7 @@
         started_at = exchange.request.received_at
         try:
             call = self._admit(exchange)
-            self._forward(call, exchange)
+            self._forward_truly(call, exchange)
             self._log_answer(call, exchange)
         except BergamotwoodError as error:
             self._refuse(exchange, error)
@@ -136,6 +136,15 @@
             )
         return model
 
+    def _forward_truly(self, call: Call, exchange: Exchange) -> None:
+        """Forward; a refusal after an attempt that may have run says so."""
+        try:
+            self._forward(call, exchange)
+        except RefusedError as error:
+            if call.runs == 0:
+                raise
+            raise EndpointError(error.detail, Code.ENDPOINT_FAILED) from error
+
     def _forward(self, call: Call, exchange: Exchange) -> None:
         relay = StreamRelay(self._entry, call, exchange)
         last: Outcome | None = None
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -333,6 +333,11 @@
             (listen.host, listen.port), self._take, backlog=BACKLOG
         )
 
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._server.server_port
+
     @property
     def busy(self) -> int:
         """Requests that are being answered."""
--- /dev/null
+++ b/tests/core/gateway/test_events.py
@@ -0,0 +1,24 @@
+import pytest
+
+from bergamotwood_core.gateway.events import EventSplitter
+
+TEXT = (
+    b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda"
+)
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+def test_events_are_whole_however_the_bytes_come(size):
+    splitter = EventSplitter()
+    events = []
+    for at in range(0, len(TEXT), size):
+        events += splitter.feed(TEXT[at : at + size])
+    assert [event.id for event in events] == ["1", "2", None, "3"]
+    assert b"".join(event.data for event in events) + b"id: 4\nda" == TEXT
+    assert splitter.has_rest
+
+
+def test_nothing_is_left_after_a_whole_event():
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"data: x\n\n")) == 1
+    assert not splitter.has_rest
--- /dev/null
+++ b/tests/core/gateway/test_machine.py
@@ -0,0 +1,90 @@
+from bergamotwood_core.gateway.machine import (
+    MAX_DEPARTURES,
+    OUTCOMES,
+    BeginRollout,
+    GatewayMachine,
+    RecordDeparture,
+    ReplaceConfiguration,
+    RolloutOutcome,
+    SettleRollout,
+    encode_command,
+    pack_document,
+    unpack_document,
+)
+from bergamotwood_core.ids import EndpointId, Incarnation, LogIndex, ServiceName
+from bergamotwood_core.states import EndpointState
+
+SERVICE = ServiceName("models")
+
+
+def apply(machine, command, index=1):
+    return OUTCOMES.decode(machine.apply(LogIndex(index), encode_command(command)))
+
+
+def begin(target="v2"):
+    return BeginRollout(SERVICE, target, 20.0, 100.0)
+
+
+def test_the_highest_number_holds_and_gaps_are_allowed():
+    machine = GatewayMachine()
+    assert apply(machine, ReplaceConfiguration(7, b"seven")).changed
+    older = apply(machine, ReplaceConfiguration(4, b"four"))
+    assert older.accepted
+    assert not older.changed
+    assert apply(machine, ReplaceConfiguration(12, b"twelve")).changed
+    assert (machine.state.number, machine.state.document) == (12, b"twelve")
+
+
+def test_other_content_under_the_number_held_changes_nothing():
+    machine = GatewayMachine()
+    apply(machine, ReplaceConfiguration(7, b"seven"))
+    assert not apply(machine, ReplaceConfiguration(7, b"other")).changed
+    assert machine.state.document == b"seven"
+
+
+def test_an_ordered_rollout_is_accepted_again():
+    machine = GatewayMachine()
+    assert apply(machine, begin(), 3).changed
+    again = apply(machine, begin(), 4)
+    assert again.accepted
+    assert not again.changed
+    assert machine.state.rollouts[SERVICE].index == 3
+
+
+def test_two_rollouts_of_a_service_do_not_overlap():
+    machine = GatewayMachine()
+    apply(machine, begin())
+    assert not apply(machine, begin("v3")).accepted
+    apply(machine, SettleRollout(SERVICE, "v2", RolloutOutcome.ROLLED_BACK))
+    assert apply(machine, begin("v3")).changed
+
+
+def test_a_settled_rollout_keeps_its_first_verdict():
+    machine = GatewayMachine()
+    apply(machine, begin())
+    apply(machine, SettleRollout(SERVICE, "v2", RolloutOutcome.COMPLETED))
+    late = apply(machine, SettleRollout(SERVICE, "v2", RolloutOutcome.ROLLED_BACK))
+    assert not late.changed
+    assert machine.state.rollouts[SERVICE].outcome is RolloutOutcome.COMPLETED
+
+
+def test_departures_are_kept_once_and_bounded():
+    machine = GatewayMachine()
+    for at in range(MAX_DEPARTURES + 5):
+        command = RecordDeparture(
+            EndpointId(f"e{at}"), Incarnation(1), EndpointState.LEAVING
+        )
+        assert apply(machine, command).changed
+        assert not apply(machine, command).changed
+    assert len(machine.state.departures) == MAX_DEPARTURES
+    assert machine.state.departures[-1].endpoint == f"e{MAX_DEPARTURES + 4}"
+
+
+def test_a_restored_snapshot_is_the_same_state():
+    machine = GatewayMachine()
+    apply(machine, ReplaceConfiguration(7, pack_document(b"seven")))
+    apply(machine, begin())
+    other = GatewayMachine()
+    other.restore(machine.snapshot())
+    assert other.state == machine.state
+    assert unpack_document(other.state.document) == b"seven"
--- /dev/null
+++ b/tests/daemon/gateway/test_replica.py
@@ -0,0 +1,229 @@
+from random import Random
+
+import pytest
+from core.gateway.samples import PLAIN, make_beat, make_configuration, make_route
+from daemon.gateway.desk import PlainDialect
+from gevent import Timeout, sleep
+from msgspec.structs import replace
+
+from bergamotwood_core.errors import (
+    BergamotwoodError,
+    Code,
+    RefusedError,
+    ReplicationError,
+    RequestError,
+)
+from bergamotwood_core.gateway.machine import RolloutOutcome
+from bergamotwood_core.ids import EndpointId, Incarnation, InstanceId, Sequence
+from bergamotwood_core.states import EndpointState, Run
+from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.gateway import channels
+from bergamotwood_daemon.gateway.belief import Belief
+from bergamotwood_daemon.gateway.peering import EntryStatus
+from bergamotwood_daemon.gateway.replica import GatewayReplica
+from bergamotwood_daemon.gateway.settings import GatewaySettings, ListenAddress
+from bergamotwood_daemon.gateway.watch import ControlWatch
+from bergamotwood_daemon.peer import POLL, PROPOSE, QUERY, REPLICATE
+
+WAIT_SECONDS = 20.0
+
+
+class NumberDialect(PlainDialect):
+    """A document is the number of the configuration that it stands for."""
+
+    def decode_configuration(self, document):
+        return replace(self.configuration, number=int(document))
+
+
+class DirectChannel:
+    """Calls a replica of the same process, if it runs."""
+
+    running = {}
+
+    def __init__(self, address, key):
+        self._address = str(address)
+
+    def call(self, method, body, seconds):
+        handler = self.running.get(self._address)
+        sleep(0.001)
+        if handler is None:
+            raise ReplicationError(f"{self._address}: not there", run=Run.NOT_RUN)
+        act = {
+            REPLICATE: handler.handle_replicate,
+            PROPOSE: handler.handle_propose,
+            POLL: handler.handle_poll,
+            QUERY: handler.handle_query,
+        }[method]
+        try:
+            with Timeout(seconds):
+                return act(body)
+        except (Timeout, BergamotwoodError) as error:
+            raise ReplicationError(f"{method} at {self._address}: {error}")
+
+    def close(self):
+        pass
+
+
+class Fleet:
+    """Three replicas on loopback, and entries that watch them."""
+
+    def __init__(self, tmp_path):
+        self.dialect = NumberDialect(make_configuration())
+        self.seeds = tuple(InstanceId(f"c{at}:1") for at in range(3))
+        self.replicas = {}
+        self.watches = []
+        self.folder = tmp_path
+        for seed in self.seeds:
+            self.start(seed)
+        self.wait_for(lambda: any(r.group.is_leader for r in self.replicas.values()))
+
+    def start(self, seed, forms_group=True):
+        settings = GatewaySettings(
+            seed,
+            str(seed),
+            "karen",
+            ("karen",),
+            self.seeds,
+            control=ListenAddress("127.0.0.1", 0),
+            data_folder=self.folder / seed.replace(":", "-"),
+            forms_group=forms_group,
+        )
+        replica = GatewayReplica(settings, self.dialect, read_clock, Random(seed))
+        replica.start()
+        self.replicas[seed] = replica
+        DirectChannel.running[seed] = replica
+
+    def kill(self, seed):
+        del DirectChannel.running[seed]
+        self.replicas.pop(seed).group.stop(handover=False)
+
+    def find(self, leads):
+        for seed, replica in self.replicas.items():
+            if replica.group.is_leader is leads:
+                return seed, replica
+        return None, None
+
+    def watch(self):
+        belief = Belief(self.dialect, read_clock, 4.0)
+        at = len(self.watches)
+        name = InstanceId(f"127.0.0.1:{at + 1}")
+
+        def describe():
+            describe.sequence += 1
+            return EntryStatus(
+                name, Incarnation(1), describe.sequence, f"e{at}:80", "karen", True, {}
+            )
+
+        describe.sequence = 0
+        watch = ControlWatch(
+            belief, describe, lambda: self.seeds, read_clock, Random(at)
+        )
+        watch.start()
+        self.watches.append(watch)
+        return belief
+
+    def wait_for(self, is_met):
+        with Timeout(WAIT_SECONDS):
+            while not is_met():
+                sleep(0.02)
+
+    def insist(self, act):
+        """Repeat an order until it is answered, as operators do."""
+        with Timeout(WAIT_SECONDS):
+            while True:
+                try:
+                    return act()
+                except ReplicationError:
+                    sleep(0.05)
+
+    def stop(self):
+        for watch in self.watches:
+            watch.stop()
+        for seed in list(self.replicas):
+            self.kill(seed)
+
+
+@pytest.fixture
+def fleet(tmp_path, monkeypatch):
+    monkeypatch.setattr(channels, "PeerChannel", DirectChannel)
+    fleet = Fleet(tmp_path)
+    yield fleet
+    fleet.stop()
+
+
+def test_a_change_at_any_replica_is_in_force_everywhere(fleet):
+    belief = fleet.watch()
+    _, follower = fleet.find(leads=False)
+    with pytest.raises(RefusedError):
+        fleet.insist(follower.read_configuration)
+    assert fleet.insist(lambda: follower.replace_configuration(b"7")).changed
+    assert not fleet.insist(lambda: follower.replace_configuration(b"5")).changed
+    for replica in fleet.replicas.values():
+        assert fleet.insist(replica.read_configuration) == b"7"
+    fleet.wait_for(lambda: belief.number == 7)
+    assert belief.age < 2.0
+
+
+def test_an_invalid_change_is_refused_and_changes_nothing(fleet):
+    _, leader = fleet.find(leads=True)
+    routes = (make_route(timeout_seconds=0.0), make_route())
+    fleet.dialect.configuration = make_configuration(routes=routes)
+    with pytest.raises(RequestError, match="time-out") as caught:
+        leader.replace_configuration(b"9")
+    assert "2 routes" in caught.value.detail
+    assert caught.value.code is Code.TICKET_INVALID
+    with pytest.raises(RefusedError):
+        fleet.insist(leader.read_configuration)
+
+
+def test_an_acknowledged_departure_is_known_at_every_entry(fleet):
+    fleet.insist(lambda: fleet.find(leads=True)[1].replace_configuration(b"7"))
+    beliefs = [fleet.watch() for _ in range(3)]
+    seeds = list(fleet.replicas)
+    fleet.replicas[seeds[0]].take_beat(make_beat())
+    endpoint = EndpointId("e-1")
+    fleet.wait_for(lambda: all(endpoint in belief.beats for belief in beliefs))
+    leaving = make_beat(sequence=Sequence(2), state=EndpointState.LEAVING)
+    fleet.insist(lambda: fleet.replicas[seeds[1]].take_beat(leaving))
+    fleet.wait_for(lambda: not any(endpoint in belief.beats for belief in beliefs))
+    fleet.replicas[seeds[2]].take_beat(make_beat(sequence=Sequence(3)))
+    sleep(0.3)
+    assert not any(endpoint in belief.beats for belief in beliefs)
+
+
+def test_entries_name_each_other_until_one_falls_silent(fleet):
+    fleet.insist(lambda: fleet.find(leads=True)[1].replace_configuration(b"7"))
+    first, second = fleet.watch(), fleet.watch()
+    fleet.wait_for(lambda: len(first.entries) == len(second.entries) == 2)
+    fleet.watches.pop().stop()
+    fleet.wait_for(lambda: len(first.entries) == 1)
+
+
+def test_nothing_is_lost_with_the_leader_and_its_disk(fleet):
+    belief = fleet.watch()
+    leader, replica = fleet.find(leads=True)
+    fleet.insist(lambda: replica.replace_configuration(b"7"))
+    fleet.insist(lambda: replica.begin_rollout(PLAIN, "v2", 60.0))
+    fleet.kill(leader)
+    for path in (fleet.folder / leader.replace(":", "-")).rglob("*"):
+        if path.is_file():
+            path.unlink()
+    fleet.start(leader, forms_group=False)
+    wiped = fleet.replicas[leader]
+    assert fleet.insist(wiped.read_configuration) == b"7"
+    rollout = fleet.insist(lambda: wiped.find_rollout(PLAIN))
+    assert (rollout.target, rollout.outcome) == ("v2", RolloutOutcome.IN_PROGRESS)
+    fleet.wait_for(lambda: wiped.group.is_voter)
+    fleet.wait_for(lambda: belief.number == 7 and belief.age < 1.0)
+
+
+def test_without_a_majority_nothing_is_acknowledged_or_read(fleet):
+    _, leader = fleet.find(leads=True)
+    fleet.insist(lambda: leader.replace_configuration(b"7"))
+    followers = [s for s, r in fleet.replicas.items() if not r.group.is_leader]
+    for seed in followers:
+        fleet.kill(seed)
+    with pytest.raises(ReplicationError):
+        leader.replace_configuration(b"8")
+    with pytest.raises(ReplicationError):
+        leader.read_configuration()
--- /dev/null
+++ b/tests/daemon/gateway/test_server.py
@@ -0,0 +1,135 @@
+from core.gateway.samples import make_configuration, make_route
+from gevent import sleep
+
+from bergamotwood_core.gateway.configuration import CallerLimits
+
+
+def answer(arrival):
+    arrival.answer(arrival.headers["id"])
+
+
+def configure(**limits):
+    return make_configuration(
+        routes=(make_route(requires_key=False),), limits=CallerLimits(**limits)
+    )
+
+
+def make_head(id="q-1", extra=""):
+    return f"POST /a/x HTTP/1.1\r\nhost: h.example\r\nid: {id}\r\n{extra}"
+
+
+def test_requests_on_one_connection_are_answered_in_order(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    heads = [make_head(f"q-{at}", "content-length: 0\r\n\r\n") for at in range(3)]
+    caller.send_raw("".join(heads).encode())
+    data = b""
+    while not data.endswith(b"q-2"):
+        data += caller.sock.recv(4096)
+    parts = data.split(b"HTTP/1.1 200")[1:]
+    assert [part[-3:] for part in parts] == [b"q-0", b"q-1", b"q-2"]
+
+
+def read_all(caller):
+    data = b""
+    while True:
+        try:
+            piece = caller.sock.recv(4096)
+        except ConnectionResetError:
+            return data
+        if not piece:
+            return data
+        data += piece
+
+
+def test_a_request_in_a_body_is_not_run(make_desk):
+    desk = make_desk(configure(), one=answer)
+    inner = make_head("smuggled", "content-length: 0\r\n\r\n").encode()
+    caller = desk.connect()
+    caller.send("POST", body=inner, id="outer")
+    assert caller.read().body == "outer"
+    sleep(0.05)
+    assert [a.headers["id"] for a in desk.list_arrivals()] == ["outer"]
+    assert desk.list_arrivals()[0].body == inner
+
+
+def test_a_request_framed_twice_runs_at_most_once_and_whole(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    extra = "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+    inner = make_head("smuggled", "content-length: 0\r\n\r\n")
+    caller.send_raw((make_head("outer", extra) + "0\r\n\r\n" + inner).encode())
+    caller.finish_sending()
+    read_all(caller)
+    for arrival in desk.list_arrivals():
+        assert arrival.body == b""
+        assert "transfer-encoding" not in arrival.headers
+
+
+def test_two_lengths_are_refused(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    extra = "content-length: 4\r\ncontent-length: 5\r\n\r\nabcde"
+    caller.send_raw(make_head(extra=extra).encode())
+    assert read_all(caller).startswith(b"HTTP/1.1 400")
+    assert desk.list_arrivals() == []
+
+
+def test_chunked_bodies_reach_the_endpoint_whole(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    caller.send_raw(make_head(extra="transfer-encoding: chunked\r\n\r\n").encode())
+    for piece in (b"3\r\nabc\r\n", b"2;x=y\r\nde", b"\r\n0\r\n\r\n"):
+        caller.send_raw(piece)
+        sleep(0.01)
+    assert b"200" in caller.sock.recv(4096)
+    assert desk.list_arrivals()[0].body == b"abcde"
+
+
+def test_headers_and_bodies_that_are_too_large_are_refused(make_desk):
+    desk = make_desk(configure(header_bytes=2_000, body_bytes=1_000), one=answer)
+    caller = desk.connect()
+    caller.send_raw(make_head(extra=f"x: {'y' * 3000}\r\n").encode())
+    assert read_all(caller).startswith(b"HTTP/1.1 431")
+    caller = desk.connect()
+    caller.send_raw(make_head(extra="content-length: 1001\r\n\r\n").encode())
+    caller.send_raw(b"z" * 1001)
+    assert read_all(caller).startswith(b"HTTP/1.1 413")
+    assert desk.list_arrivals() == []
+
+
+def test_a_request_that_is_not_sent_in_time_is_refused_and_idle_ones_closed(make_desk):
+    desk = make_desk(configure(header_seconds=0.1, idle_seconds=0.2), one=answer)
+    slow = desk.connect()
+    slow.send_raw(b"POST /a/x HT")
+    idle = desk.connect()
+    assert read_all(slow).startswith(b"HTTP/1.1 408")
+    assert read_all(idle) == b""
+
+
+def test_a_closing_entry_answers_and_says_so(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    assert "connection" not in caller.call().headers
+    desk.server.is_closing = True
+    reply = caller.call(id="q-2")
+    assert (reply.status, reply.headers["connection"]) == (200, "close")
+    assert caller.sock.recv(10) == b""
+
+
+def test_idle_connections_are_closed_and_busy_ones_finish(make_desk):
+    go = []
+
+    def act(arrival):
+        while not go:
+            sleep(0.01)
+        arrival.answer()
+
+    desk = make_desk(configure(), one=act)
+    busy, idle = desk.connect(), desk.connect()
+    busy.send()
+    desk.endpoints["one"].arrived.wait(5.0)
+    desk.server.close_idle()
+    assert idle.sock.recv(10) == b""
+    go.append(True)
+    assert busy.read().status == 200
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,151 @@
+import pytest
+from msgspec.json import encode
+
+from bergamotwood_core.errors import RequestError
+from bergamotwood_core.gateway.configuration import RouteKind, find_faults
+from bergamotwood_core.states import EndpointState
+from bergamotwood_platform.documents import (
+    decode_beat,
+    decode_configuration,
+    decode_departure,
+    decode_rollout,
+)
+
+ROUTE = {
+    "name": "r",
+    "hostname": "Ficu95.example",
+    "path_prefix": "/lohu930/",
+    "route_type": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 4000,
+    "priority": 1,
+    "sizes": ["small", "large"],
+    "backends": [{"service": "pool", "weight": 90}, {"service": "desk", "weight": 10}],
+    "max_attempts": 3,
+    "public": False,
+    "session_affinity": True,
+    "resumable": True,
+    "itl_target_ms": 1500,
+    "unknown": {"x": 1},
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "pool",
+            "health_path": "/healthz",
+            "max_connections": 370,
+            "runtime": {
+                "slots": 64,
+                "kv_capacity": 362689,
+                "model_list": [{"name": "small", "cost": 0.0074}],
+            },
+        },
+        {"name": "desk"},
+    ],
+    "limits": {"max_header_bytes": 8192, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "circle", "api_keys": ["a", "b"], "priority": 1}],
+}
+BEAT = {
+    "service": "pool",
+    "address": "10.128.0.9:8080",
+    "zone": "karen",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "warmup_left_ms": 250,
+    "phase": "unified",
+    "model_list": [{"name": "small", "version": 1, "loras": []}],
+    "sequence": 4,
+    "born": 1783727335582,
+}
+
+
+def test_a_configuration_becomes_the_gateways():
+    configuration = decode_configuration(encode(CONFIGURATION))
+    assert find_faults(configuration) == ()
+    route = configuration.routes[0]
+    assert configuration.number == 7
+    assert route.host == "ficu95.example"
+    assert route.kind is RouteKind.STREAMING
+    assert (route.timeout_seconds, route.objective_seconds) == (15.0, 4.0)
+    assert route.event_gap_seconds == 1.5
+    assert [d.weight for d in route.destinations] == [90, 10]
+    assert route.requires_key
+    assert configuration.services[0].engine.model_costs == {"small": 0.0074}
+    assert configuration.limits.header_bytes == 8192
+    assert configuration.holders[0].keys == ("a", "b")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"version": None},
+        {"routes": {}},
+        {"routes": [{**ROUTE, "route_type": "magic"}]},
+        {"routes": [{**ROUTE, "timeout_ms": "long"}]},
+        {"routes": [{**ROUTE, "backends": None}]},
+        {"services": [{}]},
+        {"tenants": [{"api_keys": []}]},
+    ],
+)
+def test_a_configuration_that_cannot_be_read_is_refused(change):
+    with pytest.raises(RequestError):
+        decode_configuration(encode({**CONFIGURATION, **change}))
+
+
+def test_a_configuration_that_is_cut_short_is_refused_at_every_byte():
+    body = encode(CONFIGURATION)
+    for end in range(0, len(body), 7):
+        with pytest.raises(RequestError):
+            decode_configuration(body[:end])
+
+
+def test_a_heartbeat_becomes_a_beat():
+    beat = decode_beat("i-1", encode(BEAT))
+    assert (beat.endpoint, beat.incarnation, beat.sequence) == ("i-1", BEAT["born"], 4)
+    assert beat.state is EndpointState.SERVING
+    assert beat.warmup_seconds == 0.25
+    assert beat.models == ("small",)
+    leaving = decode_beat("i-1", encode({**BEAT, "state": "draining"}))
+    assert leaving.state is EndpointState.LEAVING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"born": "yesterday"},
+        {"born": 1.5},
+        {"sequence": None},
+        {"state": "dreaming"},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"slots": 0},
+        {"service": None},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_endpoint(change):
+    with pytest.raises(RequestError):
+        decode_beat("i-1", encode({**BEAT, **change}))
+    for missing in change:
+        rest = {key: value for key, value in BEAT.items() if key != missing}
+        with pytest.raises(RequestError):
+            decode_beat("i-1", encode(rest))
+
+
+def test_a_heartbeat_of_wrong_bytes_is_refused():
+    for body in (b"", b"\xff\xfe", b"[]", b"null", b"[" * 20_000):
+        with pytest.raises(RequestError):
+            decode_beat("i-1", body)
+
+
+def test_departures_and_rollouts_are_read():
+    assert decode_departure(b"") is None
+    assert decode_departure(b"{}") is None
+    assert decode_departure(b'{"born": 5}') == 5
+    body = b'{"service": "pool", "target": "v2", "duration_s": 12}'
+    assert decode_rollout(body) == ("pool", "v2", 12.0)
+    with pytest.raises(RequestError):
+        decode_rollout(b'{"service": "pool"}')
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,81 @@
+from subprocess import run
+from sys import executable
+
+import pytest
+
+from bergamotwood_core.errors import SettingsError
+from bergamotwood_daemon.gateway.settings import ListenAddress
+from bergamotwood_platform.settings import find_settings_file, load_settings
+
+ENTRY = """
+node_name = "edge-1"
+role = "entry"
+serves = ["edge", "registry"]
+ip = "10.1.0.40"
+zone = "karen"
+region = "nairobi"
+port_range = [7340, 7355]
+seed_nodes = ["10.1.0.42:8229", "10.2.0.31:8229"]
+bootstrap = true
+heartbeat_ms = 1200
+something_new = 4
+[zones]
+karen = "nairobi"
+embakasi = "nairobi"
+far = "elsewhere"
+[listen]
+frontend = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory_addr = "10.1.0.40:8224"
+[bounds]
+revoke_ms = 5000
+grace_period_s = 8
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "local.toml"
+    path.write_text(text)
+    return path
+
+
+def test_an_entry_is_told_where_to_listen_and_whom_to_ask(tmp_path):
+    loaded = load_settings(write(tmp_path, ENTRY))
+    settings = loaded.gateway
+    assert settings.instance == "10.1.0.40:7340"
+    assert settings.seeds == ("10.1.0.42:7340", "10.2.0.31:7340")
+    assert settings.callers == ListenAddress("10.1.0.40", 8227)
+    assert settings.control is None
+    assert settings.neighbours == ("karen", "embakasi")
+    assert settings.bounds.key_lease_seconds == 4.0
+    assert settings.bounds.grace_seconds == 8.0
+    assert settings.bounds.address_seconds == 1.0
+    assert settings.forms_group
+    assert loaded.addresses == ListenAddress("10.1.0.40", 8224)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('ip = "10.1.0.40"', "", "ip"),
+        ("port_range = [7340, 7355]", "port_range = []", "port_range"),
+        ('seed_nodes = ["10.1.0.42:8229"', 'seed_nodes = ["nowhere"', "nowhere"),
+        ("bootstrap = true", 'bootstrap = "yes"', "bootstrap"),
+        ("[listen]", '[listen]\ncontrol_plane = "10.1.0.40:1"', "data_path"),
+        ("[zones]", "[zones", "local.toml"),
+    ],
+)
+def test_a_faulty_file_is_refused_with_the_place(tmp_path, old, new, said):
+    with pytest.raises(SettingsError, match=said):
+        load_settings(write(tmp_path, ENTRY.replace(old, new)))
+
+
+def test_the_environment_must_name_the_file(monkeypatch):
+    monkeypatch.delenv("BERGAMOTWOOD_CONFIG", raising=False)
+    with pytest.raises(SettingsError, match="BERGAMOTWOOD_CONFIG"):
+        find_settings_file()
+
+
+def test_the_folder_does_not_hide_the_standard_module():
+    code = "import platform; platform.python_version()"
+    assert run([executable, "-c", code], check=False).returncode == 0
