Place prompts by the time until they are read, and keep them where they are cached

Entries learn the reading pace of each model, report the reading time that they have open at each engine, and weigh a wait within the objective less than reading a shared prompt again.

--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -1,4 +1,9 @@
-"""Choice of the endpoint that gets a request."""
+"""Choice of the endpoint that gets a request.
+
+Costs are seconds until the answer begins. Answers the ordinary load and bursts on
+engines: prompts that wait to be read hold up those behind them, so that a prompt goes
+where it is cached unless the wait there is longer than reading it anew.
+"""
 
 from collections.abc import Callable, Iterable
 from random import Random
@@ -9,108 +14,207 @@
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.endpoints import EndpointBeat
 from bergamotwood_core.gateway.health import FAILING_RATE, EndpointHealth, HealthTable
+from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.routing import hash_to_unit
+from bergamotwood_core.gateway.work import PromptMemory, ReadingPace
 from bergamotwood_core.ids import DataCentre, EndpointId, ModelName
 from bergamotwood_core.states import EndpointState
 
-# Cost of an endpoint that fails many requests, in slots: it is used where
-# nothing else is left, and now and then, so that its recovery is seen.
-FAILING_COST = 8.0
-# Share of requests that still go to a failing endpoint.
+# Cost of an endpoint where every request fails, in seconds: more than the
+# objective of any route, so that it is used where nothing else is left.
+FAILING_SECONDS = 8.0
+# Share of requests that still go to a failing endpoint, so that its recovery
+# is seen.
 PROBE_SHARE = 0.02
-# Cost of leaving the data centre, in slots of one endpoint.
-DISTANCE_COST = 0.15
-# Cost of an endpoint that is still warming up.
-WARMUP_COST = 1.0
-# Value of a prompt that is probably cached, in slots, for each 1,000 tokens.
-CACHED_VALUE = 0.5
-# Requests at one endpoint over the mean of all, up to which a subject stays.
-SUBJECT_BOUND = 1.5
+# Cost of leaving the data centre, in seconds: a round trip and its price.
+DISTANCE_SECONDS = 0.01
+# Cost of an endpoint that is still warming up, in seconds.
+WARMUP_SECONDS = 0.2
+# Part of the shared prompt that is taken to be cached at a subject's home, where
+# all entries send it.
+HOME_PART = 0.8
+# Cost of reading a shared token anew, in seconds, beside the time it takes: the
+# time is lost to others, and users pay for it. A shared prompt of 13,000 tokens
+# is worth a wait of a quarter of a second.
+READ_AGAIN_SECONDS = 2e-5
+# Part of a route's objective up to which waiting costs less than its time: an
+# answer that begins within the objective is as good as one that begins sooner.
+EASY_WAIT_PART = 0.4
+# Cost of each request that an endpoint has, in seconds: it slows every token a
+# little, by 2 to 3 % of a step.
+REQUEST_SECONDS = 0.003
+# Time of a plain request before any was measured, in seconds.
+PLAIN_SECONDS = 0.05
+# Part by which costs are blurred, so that entries that know the same do not all
+# choose the same endpoint.
+BLUR = 0.1
 
 
 class Candidate(Struct, frozen=True):
-    """An endpoint that may get a request, with what is known of it."""
+    """An endpoint that may get a request, with what is known of it.
+
+    Parameters
+    ----------
+    beat : EndpointBeat
+        The endpoint.
+    health : EndpointHealth
+        From the entry's own traffic.
+    load : EndpointLoad
+        Of all entries.
+    uncached_tokens : int
+        Tokens of the prompt that it probably has to read.
+    uncached_shared_tokens : int
+        Those of them that other requests share.
+    is_guess : bool
+        Whether the cached part is only likely, from where others send it.
+    """
 
     beat: EndpointBeat
     health: EndpointHealth
-    outstanding: float
-
-
-def find_candidates(
-    beats: Iterable[EndpointBeat],
-    call: Call,
-    health: HealthTable,
-    count_outstanding: Callable[[EndpointId], float],
-    now: Seconds,
-) -> list[Candidate]:
-    """Return the endpoints that may get a request now.
-
-    Answers the ordinary load: endpoints that leave, were tried already, are
-    paused or have lost their address are left out.
+    load: EndpointLoad
+    uncached_tokens: int = 0
+    uncached_shared_tokens: int = 0
+    is_guess: bool = False
+
+
+class Placement:
+    """Chooses endpoints for one entry.
+
+    Parameters
+    ----------
+    home : DataCentre
+        Where the entry is.
+    health : HealthTable
+        Health of the endpoints.
+    find_load : callable
+        Returns an endpoint's load.
+    rng : Random
+        Source of random choices.
     """
-    found = []
-    for beat in beats:
-        if beat.service != call.service or beat.state is not EndpointState.SERVING:
-            continue
-        if call.model and beat.models and call.model not in beat.models:
-            continue
-        seen = health.find(beat.endpoint, beat.incarnation)
-        if seen.is_replaced or seen.paused_until > now or beat.endpoint in call.tried:
-            continue
-        found.append(Candidate(beat, seen, count_outstanding(beat.endpoint)))
-    return found
-
-
-def choose_endpoint(
-    candidates: list[Candidate], call: Call, home: DataCentre, rng: Random
-) -> Candidate | None:
-    """Choose the endpoint for a request, None without candidates."""
-    if not candidates:
-        return None
-    preferred = _find_subject_home(candidates, call)
-
-    def measure_cost(candidate: Candidate) -> tuple[float, float]:
-        cost = _measure_cost(candidate, home, rng)
-        if candidate is preferred:
-            cost -= CACHED_VALUE * _count_shared_tokens(call) / 1000.0
-        return cost, rng.random()
 
-    return min(candidates, key=measure_cost)
+    def __init__(
+        self,
+        home: DataCentre,
+        health: HealthTable,
+        find_load: Callable[[EndpointId], EndpointLoad],
+        rng: Random,
+    ) -> None:
+        self.pace = ReadingPace()
+        self.memory = PromptMemory()
+        self._home = home
+        self._health = health
+        self._find_load = find_load
+        self._rng = rng
+
+    def choose(
+        self, beats: Iterable[EndpointBeat], call: Call, now: Seconds
+    ) -> Candidate | None:
+        """Return the endpoint for a request, None where none may get it now."""
+        usable = self._find_usable(beats, call, now)
+        home = find_subject_home([beat for beat, _ in usable], call)
+        candidates = [
+            self._describe(beat, seen, call, beat is home) for beat, seen in usable
+        ]
+        return min(
+            candidates, key=lambda item: self._measure_cost(item, call), default=None
+        )
+
+    def estimate_reading(self, candidate: Candidate, call: Call) -> float:
+        """Return seconds until an endpoint has read a request's prompt."""
+        return self.pace.estimate(call.model, candidate.uncached_tokens)
+
+    def note_sent(self, candidate: Candidate, call: Call) -> None:
+        """Note that an endpoint reads a request's prompt."""
+        beat = candidate.beat
+        self.memory.note(beat.endpoint, beat.incarnation, call.model, call.terms.prompt)
+
+    def note_begun(self, candidate: Candidate, call: Call, seconds: float) -> None:
+        """Take in how long it took until the answer began."""
+        if not candidate.is_guess:
+            self.pace.note(call.model, candidate.uncached_tokens, seconds)
+
+    def _find_usable(
+        self, beats: Iterable[EndpointBeat], call: Call, now: Seconds
+    ) -> list[tuple[EndpointBeat, EndpointHealth]]:
+        found = []
+        for beat in beats:
+            if beat.service != call.service or beat.state is not EndpointState.SERVING:
+                continue
+            if call.model and beat.models and call.model not in beat.models:
+                continue
+            seen = self._health.find(beat.endpoint, beat.incarnation)
+            if seen.is_replaced or seen.paused_until > now:
+                continue
+            if beat.endpoint not in call.tried:
+                found.append((beat, seen))
+        return found
+
+    def _describe(
+        self, beat: EndpointBeat, seen: EndpointHealth, call: Call, is_home: bool
+    ) -> Candidate:
+        load = self._find_load(beat.endpoint)
+        tokens = call.terms.prompt_tokens
+        shared = count_shared_tokens(call)
+        cached = self.memory.count_cached(
+            beat.endpoint, beat.incarnation, call.model, call.terms.prompt[:-1]
+        )
+        guess = int(HOME_PART * shared) if is_home else 0
+        known = max(cached, guess)
+        return Candidate(
+            beat,
+            seen,
+            load,
+            max(tokens - known, 0),
+            max(shared - known, 0),
+            is_guess=guess > cached,
+        )
+
+    def _measure_cost(self, candidate: Candidate, call: Call) -> float:
+        beat = candidate.beat
+        load = candidate.load
+        if call.terms.prompt_tokens:
+            cost = self._measure_reading_cost(candidate, call)
+        else:
+            seconds = candidate.health.seconds or PLAIN_SECONDS
+            cost = seconds * (1.0 + load.requests / max(beat.slots, 1))
+        if beat.data_centre != self._home:
+            cost += DISTANCE_SECONDS
+        if beat.warmup_seconds > 0.0:
+            cost += WARMUP_SECONDS
+        cost *= 1.0 + BLUR * self._rng.random()
+        return cost + self._measure_failing(candidate.health)
+
+    def _measure_reading_cost(self, candidate: Candidate, call: Call) -> float:
+        load = candidate.load
+        reading = self.pace.estimate(call.model, candidate.uncached_tokens)
+        wait = reading + load.reading_seconds + REQUEST_SECONDS * load.requests
+        easy = EASY_WAIT_PART * call.route.objective_seconds
+        return (
+            wait * min(wait / easy, 1.0)
+            + reading
+            + READ_AGAIN_SECONDS * candidate.uncached_shared_tokens
+        )
+
+    def _measure_failing(self, health: EndpointHealth) -> float:
+        if health.failure_rate <= FAILING_RATE or self._rng.random() < PROBE_SHARE:
+            return 0.0
+        return FAILING_SECONDS * health.failure_rate
 
 
 def choose_subject(call: Call) -> str:
-    """Return what a request's answers depend on most: its longest shared prompt."""
+    """Return what a request's prompt shares with most others: its longest chain."""
     parts = call.terms.prompt
     if len(parts) > 1:
         return parts[-2].id
     return call.terms.session
 
 
-def list_models(beats: Iterable[EndpointBeat], call: Call) -> set[ModelName]:
-    """Return the models that endpoints of a request's service hold."""
-    return {
-        model
-        for beat in beats
-        if beat.service == call.service and beat.state is EndpointState.SERVING
-        for model in beat.models
-    }
-
-
-def _measure_cost(candidate: Candidate, home: DataCentre, rng: Random) -> float:
-    beat = candidate.beat
-    cost = candidate.outstanding / max(beat.slots, 1) * 8.0
-    cost *= 1.0 + candidate.health.seconds
-    if beat.data_centre != home:
-        cost += DISTANCE_COST
-    if beat.warmup_seconds > 0.0:
-        cost += WARMUP_COST
-    failing = candidate.health.failure_rate > FAILING_RATE
-    if failing and rng.random() > PROBE_SHARE:
-        cost += FAILING_COST * candidate.health.failure_rate
-    return cost
+def count_shared_tokens(call: Call) -> int:
+    """Return the tokens of a prompt before the request's own part."""
+    return sum(part.tokens for part in call.terms.prompt[:-1])
 
 
-def _find_subject_home(candidates: list[Candidate], call: Call) -> Candidate | None:
+def find_subject_home(beats: list[EndpointBeat], call: Call) -> EndpointBeat | None:
     """Return the endpoint that all entries prefer for a request's subject.
 
     Rendezvous hashing: each entry comes to the same choice without asking,
@@ -119,14 +223,17 @@
     subject = choose_subject(call)
     if not subject:
         return None
-    mean = sum(item.outstanding for item in candidates) / len(candidates)
-    bound = SUBJECT_BOUND * mean + 1.0
-    free = [item for item in candidates if item.outstanding <= bound]
     key = f"{subject}/{call.model}"
     return max(
-        free, key=lambda item: hash_to_unit(f"{key}/{item.beat.endpoint}"), default=None
+        beats, key=lambda beat: hash_to_unit(f"{key}/{beat.endpoint}"), default=None
     )
 
 
-def _count_shared_tokens(call: Call) -> int:
-    return sum(part.tokens for part in call.terms.prompt[:-1])
+def list_models(beats: Iterable[EndpointBeat], call: Call) -> set[ModelName]:
+    """Return the models that endpoints of a request's service hold."""
+    return {
+        model
+        for beat in beats
+        if beat.service == call.service and beat.state is EndpointState.SERVING
+        for model in beat.models
+    }
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -5,7 +5,6 @@
 
 import h11
 
-from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.call import Call, ForwardTerms
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointBeat
@@ -111,7 +110,8 @@
         write_terms: Callable[[Call, "Attempt"], ForwardTerms],
     ) -> None:
         self.beat = beat
-        self.head_at = Seconds(0.0)
+        self.started_at = entry.clock()
+        self.head_at = self.started_at
         self._entry = entry
         self._call = call
         self._request = request
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -1,6 +1,5 @@
 """An entry of the gateway: holds what its parts share."""
 
-from collections import Counter
 from collections.abc import Callable
 from random import Random
 
@@ -8,15 +7,17 @@
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.endpoints import EndpointBeat
 from bergamotwood_core.gateway.health import HealthTable
+from bergamotwood_core.gateway.load import LoadTable
 from bergamotwood_core.gateway.machine import RolloutOutcome
 from bergamotwood_core.gateway.pace import PaceTable, Timing
+from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.gateway.retries import RetryBudget
 from bergamotwood_core.gateway.rollout import (
     RolloutView,
     SessionMemory,
     is_on_target,
 )
-from bergamotwood_core.ids import DataCentre, EndpointId, Incarnation, SessionId
+from bergamotwood_core.ids import DataCentre, Incarnation, SessionId
 from bergamotwood_daemon.gateway.belief import Belief
 from bergamotwood_daemon.gateway.client import ConnectionPool
 from bergamotwood_daemon.gateway.counters import EntryCounters
@@ -64,6 +65,10 @@
         self.belief = Belief(dialect, clock, bounds.key_lease_seconds)
         self.health = HealthTable()
         self.pool = ConnectionPool(clock)
+        self.loads = LoadTable()
+        self.placement = Placement(
+            settings.data_centre, self.health, self.loads.find, rng
+        )
         self.counters = EntryCounters()
         self.pace = PaceTable()
         self.evidence = EvidenceCounter()
@@ -72,11 +77,15 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
         )
         self.watch = ControlWatch(
-            self.belief, self._describe, lambda: self.settings.seeds, clock, rng
+            self.belief,
+            self._describe,
+            lambda: self.settings.seeds,
+            self.take_reports,
+            clock,
+            rng,
         )
         self._incarnation = incarnation
         self._sequence = 0
-        self._outstanding: Counter[EndpointId] = Counter()
 
     @property
     def is_ready(self) -> bool:
@@ -112,25 +121,13 @@
                 return [old]
         return [new, old] if self._is_on_target(view, call) else [old]
 
-    def count_outstanding(self, endpoint: EndpointId) -> float:
-        """Return requests at an endpoint, those of other entries as reported."""
-        own = self._outstanding[endpoint]
-        others = sum(
-            status.outstanding.get(endpoint, 0)
+    def take_reports(self) -> None:
+        """Take in the loads that other entries report."""
+        self.loads.report(
+            status.loads
             for status in self.belief.entries
             if status.instance != self.settings.instance
         )
-        return own + others
-
-    def note_started(self, endpoint: EndpointId) -> None:
-        """Count a request that is sent to an endpoint."""
-        self._outstanding[endpoint] += 1
-
-    def note_ended(self, endpoint: EndpointId) -> None:
-        """Count a request that is over at an endpoint."""
-        self._outstanding[endpoint] -= 1
-        if self._outstanding[endpoint] <= 0:
-            del self._outstanding[endpoint]
 
     def note_outcome(
         self, call: Call, beat: EndpointBeat, is_bad: bool, timing: Timing | None
@@ -151,6 +148,7 @@
         """Drop what has expired; to be called about each second."""
         self.pool.expire()
         self.health.keep(set(self.belief.beats))
+        self.placement.memory.keep(set(self.belief.beats))
         self.budget.entries = max(len(self.belief.entries), 1)
 
     def list_gauges(self) -> dict[str, float]:
@@ -160,7 +158,7 @@
             "belief_age_seconds": round(self.belief.age, 3),
             "endpoints": len(self.belief.beats),
             "entries": len(self.belief.entries),
-            "outstanding": sum(self._outstanding.values()),
+            "outstanding": self.loads.count(),
             "connections_opened_total": self.pool.opened,
         }
 
@@ -173,7 +171,7 @@
             self._describe_address(),
             self.settings.data_centre,
             self.is_ready,
-            dict(self._outstanding),
+            self.loads.describe(),
             self.evidence.list_counts(),
             self._list_open_sessions(),
         )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -20,8 +20,7 @@
 from bergamotwood_core.gateway.pace import Timing
 from bergamotwood_core.gateway.placement import (
     Candidate,
-    choose_endpoint,
-    find_candidates,
+    choose_subject,
     list_models,
 )
 from bergamotwood_core.gateway.retries import may_send_again
@@ -167,12 +166,7 @@
     ) -> Candidate:
         entry = self._entry
         for beats in entry.list_allowed_beats(call):
-            candidates = find_candidates(
-                beats, call, entry.health, entry.count_outstanding, entry.clock()
-            )
-            chosen = choose_endpoint(
-                candidates, call, entry.settings.data_centre, entry.rng
-            )
+            chosen = entry.placement.choose(beats, call, entry.clock())
             if chosen is not None:
                 return chosen
         if last is not None and not isinstance(last, NotRun):
@@ -204,13 +198,16 @@
         entry = self._entry
         beat = candidate.beat
         started_at = entry.clock()
-        entry.note_started(beat.endpoint)
+        request = call.terms.request
+        reading = entry.placement.estimate_reading(candidate, call)
+        entry.loads.start(beat.endpoint, request, reading)
+        entry.placement.note_sent(candidate, call)
         attempt = Attempt(entry, call, exchange.request, beat, self._write_terms)
         outcome: Outcome | None = None
         try:
-            outcome = self._run(call, attempt, exchange, relay)
+            outcome = self._run(call, candidate, attempt, exchange, relay)
         finally:
-            entry.note_ended(beat.endpoint)
+            entry.loads.end(beat.endpoint, request)
             attempt.close()
             if outcome is not None:
                 timing = self._measure(outcome, attempt, relay, started_at)
@@ -220,6 +217,7 @@
     def _run(
         self,
         call: Call,
+        candidate: Candidate,
         attempt: Attempt,
         exchange: Exchange,
         relay: StreamRelay,
@@ -234,12 +232,27 @@
         outcome = attempt.begin()
         if not isinstance(outcome, h11.Response):
             return outcome
+        self._note_begun(call, candidate, attempt)
         larger = self._find_larger_model(call, outcome, relay)
         if larger is not None:
+            log_event(
+                "attempt",
+                "Answer dropped for a larger model.",
+                **_describe(call),
+                endpoint=attempt.beat.endpoint,
+                confidence=call.confidence,
+                larger=larger,
+            )
             call.model = larger
             return Dropped("low confidence")
         return relay.pass_on(attempt, outcome)
 
+    def _note_begun(self, call: Call, candidate: Candidate, attempt: Attempt) -> None:
+        entry = self._entry
+        entry.loads.begin(candidate.beat.endpoint, call.terms.request)
+        seconds = attempt.head_at - attempt.started_at
+        entry.placement.note_begun(candidate, call, seconds)
+
     def _find_larger_model(
         self, call: Call, head: h11.Response, relay: StreamRelay
     ) -> ModelName | None:
@@ -363,7 +376,9 @@
             endpoints=call.tried,
             confidence=call.confidence,
             session=call.terms.session,
-            prompt=call.terms.prompt_tokens,
+            prompt_tokens=call.terms.prompt_tokens,
+            output_tokens=call.terms.output_tokens,
+            subject=choose_subject(call),
             milliseconds=round(1000 * (self._entry.clock() - call.received_at), 1),
             configuration=self._entry.belief.number,
             age=round(self._entry.belief.age, 2),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
@@ -4,6 +4,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from bergamotwood_core.gateway.endpoints import EndpointBeat
+from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.machine import ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
 from bergamotwood_core.ids import (
@@ -32,8 +33,8 @@
         Where it runs.
     is_ready : bool
         Whether callers should be sent there.
-    outstanding : dict
-        Requests that it has at each endpoint.
+    loads : dict
+        Its load on each endpoint.
     evidence : tuple of VersionEvidence
         What it has seen of versions that are being rolled out.
     open_sessions : tuple of SessionId
@@ -46,7 +47,7 @@
     address: str
     data_centre: DataCentre
     is_ready: bool
-    outstanding: dict[EndpointId, int]
+    loads: dict[EndpointId, EndpointLoad]
     evidence: tuple[VersionEvidence, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -127,8 +127,8 @@
             if beat.service == rollout.service and beat.version != rollout.target
         }
         return sum(
-            count
+            load.requests
             for status in self._entries.list_live()
-            for endpoint, count in status.outstanding.items()
+            for endpoint, load in status.loads.items()
             if endpoint in before
         )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/watch.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/watch.py
@@ -43,6 +43,8 @@
         Returns the entry's status.
     seeds : callable
         Returns the replicas named in the settings.
+    on_news : callable
+        Called when the belief has taken an answer.
     clock : callable
         Gives the time.
     rng : Random
@@ -54,12 +56,14 @@
         belief: Belief,
         describe: Callable[[], EntryStatus],
         seeds: Callable[[], tuple[InstanceId, ...]],
+        on_news: Callable[[], None],
         clock: Callable[[], Seconds],
         rng: Random,
     ) -> None:
         self._belief = belief
         self._describe = describe
         self._seeds = seeds
+        self._on_news = on_news
         self._clock = clock
         self._rng = rng
         self._channels = PeerChannels()
@@ -100,6 +104,7 @@
             self._note_lost(replica, str(error))
             return False
         self._belief.take(reply, asked_at)
+        self._on_news()
         if reply.age_seconds > STALE_SECONDS:
             self._note_lost(replica, f"its state is {reply.age_seconds:.1f} s old")
             return False
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -7,22 +7,26 @@
 from bergamotwood_core.gateway.call import CallTerms, PromptPart
 from bergamotwood_core.gateway.configuration import Destination
 from bergamotwood_core.gateway.health import HealthTable, Result
-from bergamotwood_core.gateway.placement import choose_endpoint, find_candidates
+from bergamotwood_core.gateway.load import NO_LOAD, EndpointLoad
+from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.ids import DataCentre, ModelName, RequestId
 
 NOW = Seconds(0.0)
 HOME = DataCentre("karen")
 
 
-def choose(beats, call, health=None, outstanding=None, seed=1):
-    found = find_candidates(
-        beats,
-        call,
+def make_placement(health=None, loads=None, seed=1):
+    loads = loads or {}
+    return Placement(
+        HOME,
         health or HealthTable(),
-        lambda endpoint: (outstanding or {}).get(endpoint, 0),
-        NOW,
+        lambda endpoint: loads.get(endpoint, NO_LOAD),
+        Random(seed),
     )
-    chosen = choose_endpoint(found, call, HOME, Random(seed))
+
+
+def choose(beats, call, health=None, loads=None, seed=1):
+    chosen = make_placement(health, loads, seed).choose(beats, call, NOW)
     return chosen.beat.endpoint if chosen else None
 
 
@@ -46,7 +50,16 @@
 def test_load_goes_to_the_least_loaded_and_stays_near():
     beats = [make_beat("far", data_centre=DataCentre("x")), make_beat("near")]
     assert choose(beats, make_call()) == "near"
-    assert choose(beats, make_call(), outstanding={"near": 6}) == "far"
+    assert choose(beats, make_call(), loads={"near": EndpointLoad(6)}) == "far"
+
+
+def test_a_slow_endpoint_gets_few_plain_requests():
+    health = HealthTable()
+    beats = [make_beat("slow"), make_beat("quick")]
+    health.note("slow", 1, Result.OK, 0.7, NOW)
+    health.note("quick", 1, Result.OK, 0.09, NOW)
+    chosen = {choose(beats, make_call(), health, seed=s) for s in range(50)}
+    assert chosen == {"quick"}
 
 
 def test_a_failing_endpoint_gets_only_few_requests():
@@ -58,15 +71,19 @@
     assert 0 < counts["bad"] < 20
 
 
-def make_prompt_call(subject):
+def make_prompt_call(subject, model="large"):
     route = make_route(destinations=(Destination(MODELS),))
     parts = (PromptPart(subject, 13_000), PromptPart("own", 3_000))
-    terms = CallTerms(RequestId("q"), prompt=parts)
-    return make_call(route, terms=terms)
+    terms = CallTerms(RequestId("q"), prompt_tokens=16_000, prompt=parts)
+    return make_call(route, terms=terms, model=ModelName(model))
+
+
+def make_engines():
+    return [make_beat(f"e{at}", service=MODELS, slots=64) for at in range(9)]
 
 
-def test_all_entries_send_a_subject_to_one_endpoint_until_it_is_loaded():
-    beats = [make_beat(f"e{at}", service=MODELS, slots=64) for at in range(9)]
+def test_all_entries_send_a_subject_to_one_engine_until_it_is_loaded():
+    beats = make_engines()
     homes = {
         subject: {
             choose(beats, make_prompt_call(subject), seed=entry) for entry in range(9)
@@ -76,5 +93,51 @@
     assert all(len(chosen) == 1 for chosen in homes.values())
     assert len(set.union(*homes.values())) > 3
     home = homes["a"].pop()
-    loaded = choose(beats, make_prompt_call("a"), outstanding={home: 40})
-    assert loaded != home
+    loads = {home: EndpointLoad(4, 3.0)}
+    assert choose(beats, make_prompt_call("a"), loads=loads) != home
+
+
+def test_a_prompt_goes_where_it_was_read_for_the_same_model():
+    beats = make_engines()
+    placement = make_placement()
+    first = placement.choose(beats, make_prompt_call("a"), NOW)
+    placement.note_sent(first, make_prompt_call("a"))
+    again = placement.choose(beats, make_prompt_call("a"), NOW)
+    assert again.beat.endpoint == first.beat.endpoint
+    assert again.uncached_tokens == 3_000
+    other = placement.choose(beats, make_prompt_call("a", "small"), NOW)
+    assert other.is_guess
+    assert other.uncached_tokens > 3_000
+
+
+def play_burst(choose_next, seed):
+    """Send prompts of unlike size to nine engines; return the waits in seconds."""
+    rng = Random(seed)
+    free_at = dict.fromkeys(range(9), 0.0)
+    now = 0.0
+    waits = []
+    for _ in range(400):
+        now += rng.expovariate(20.0)
+        seconds = rng.choice((0.02, 0.1, 0.9))
+        backlog = [max(free_at[at] - now, 0.0) for at in range(9)]
+        chosen = choose_next(backlog, seconds, rng)
+        waits.append(backlog[chosen])
+        free_at[chosen] = now + backlog[chosen] + seconds
+    return sorted(waits)
+
+
+def test_prompts_wait_less_than_with_least_requests_or_random_choice():
+    beats = make_engines()
+
+    def by_placement(backlog, seconds, rng):
+        loads = {f"e{at}": EndpointLoad(1, held) for at, held in enumerate(backlog)}
+        call = make_prompt_call(str(rng.random()))
+        return int(choose(beats, call, loads=loads, seed=rng.random())[1:])
+
+    def by_two_random(backlog, seconds, rng):
+        return min(rng.sample(range(9), 2), key=lambda at: backlog[at] > 0)
+
+    ours = [play_burst(by_placement, seed) for seed in range(3)]
+    theirs = [play_burst(by_two_random, seed) for seed in range(3)]
+    for mine, other in zip(ours, theirs, strict=True):
+        assert mine[int(0.95 * len(mine))] < other[int(0.95 * len(other))]
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -116,7 +116,7 @@
 
         describe.sequence = 0
         watch = ControlWatch(
-            belief, describe, lambda: self.seeds, read_clock, Random(at)
+            belief, describe, lambda: self.seeds, list, read_clock, Random(at)
         )
         watch.start()
         self.watches.append(watch)
