--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -5,7 +5,7 @@
 from hmac import compare_digest
 from random import uniform
 from time import monotonic
-from typing import NewType, Protocol
+from typing import TYPE_CHECKING, NewType, Protocol
 
 import grpc
 from gevent import spawn
@@ -15,7 +15,6 @@
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
-from bergamotwood_daemon.encryption import PeerEncryption
 from bergamotwood_daemon.peer_pb2 import Frame
 from bergamotwood_daemon.peer_pb2_grpc import (
     PeerServicer,
@@ -28,6 +27,10 @@
     ReplicateBatch,
 )
 
+if TYPE_CHECKING:
+    # Loads TLS, which daemons without it need not hold in memory.
+    from bergamotwood_daemon.encryption import PeerEncryption
+
 MAX_MESSAGE_BYTES = 64_000_000
 MAX_WORKERS = 1_024
 MAX_QUEUED_MESSAGES = 1_024
@@ -96,7 +99,7 @@
     """
 
     def __init__(
-        self, handler: PeerHandler, key: str, encryption: PeerEncryption | None = None
+        self, handler: PeerHandler, key: str, encryption: "PeerEncryption | None" = None
     ) -> None:
         self._handler = handler
         self._key = key
@@ -161,7 +164,7 @@
     """Calls to one peer; a call that times out makes the next one dial anew."""
 
     def __init__(
-        self, address: Address, key: str, encryption: PeerEncryption | None = None
+        self, address: Address, key: str, encryption: "PeerEncryption | None" = None
     ) -> None:
         self._address = address
         self._encryption = encryption
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
 from gevent import Timeout
@@ -16,7 +16,9 @@
     SettingsError,
     TicketError,
 )
-from bergamotwood_daemon.settings import Limits
+
+if TYPE_CHECKING:
+    from bergamotwood_daemon.settings import Limits
 
 JSON = "application/json"
 PROBLEM_JSON = "application/problem+json"
@@ -49,7 +51,7 @@
     """
 
     environ: Environ
-    limits: Limits
+    limits: "Limits"
     _body: bytes | None = field(default=None)
 
     @property
