--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -32,14 +32,14 @@
 WARMUP_SECONDS = 0.2
 # Part of the shared prompt that is taken to be cached at a subject's home, where
 # all entries send it.
-HOME_PART = 0.8
+HOME_PART = 0.95
 # Cost of reading a shared token anew, in seconds, beside the time it takes: the
 # time is lost to others, and users pay for it. A shared prompt of 13,000 tokens
-# is worth a wait of a quarter of a second.
-READ_AGAIN_SECONDS = 2e-5
+# is worth a wait of 0.8 s, a fifth of the objective of long prompts.
+READ_AGAIN_SECONDS = 6e-5
 # Part of a route's objective up to which waiting costs less than its time: an
 # answer that begins within the objective is as good as one that begins sooner.
-EASY_WAIT_PART = 0.4
+EASY_WAIT_PART = 0.6
 # Cost of each request that an endpoint has, in seconds: it slows every token a
 # little, by 2 to 3 % of a step.
 REQUEST_SECONDS = 0.003
