Answer requests that wait in the kernel when idle connections are closed

Cause: a process that stops closed connections without a request that it had read; a request whose bytes were still in the kernel was read after that, passed on, and cut. Ruled out: the end of the grace period (3 s after SIGTERM). The socket is now asked first, and what crosses the close on its way is not passed on. Two tests fail without it.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -3,17 +3,16 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from select import POLLIN
 from socket import IPPROTO_TCP, TCP_NODELAY
 
 import h11
 from gevent import Greenlet, spawn
-from gevent.select import poll as make_poll
 from gevent.socket import AF_INET, SOCK_STREAM
 from gevent.socket import socket as Socket
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_daemon.gateway.message import Headers
+from bergamotwood_daemon.gateway.sockets import is_readable
 
 READ_BYTES = 65_536
 # A connection within a region opens within a few milliseconds; a lost opening
@@ -86,9 +85,7 @@
     @property
     def is_quiet(self) -> bool:
         """Whether nothing, also no end, has come while it was idle."""
-        poller = make_poll()
-        poller.register(self._sock, POLLIN)
-        return not poller.poll(0)
+        return not is_readable(self._sock)
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -14,6 +14,7 @@
 from bergamotwood_core.gateway.configuration import CallerLimits
 from bergamotwood_daemon.gateway.message import Headers, HttpRequest, HttpResponse
 from bergamotwood_daemon.gateway.settings import ListenAddress
+from bergamotwood_daemon.gateway.sockets import is_readable
 from bergamotwood_daemon.log import log_event, log_failure
 
 READ_BYTES = 65_536
@@ -170,6 +171,7 @@
         )
         self._first_byte_at = Seconds(0.0)
         self.is_busy = False
+        self._is_ended = False
 
     @property
     def is_last(self) -> bool:
@@ -195,10 +197,16 @@
             self._close()
 
     def close_if_idle(self) -> None:
-        """Close a connection on which no request waits."""
-        if not self.is_busy and not self._inbound.has_bytes:
-            with suppress(OSError):
-                self._sock.shutdown(SHUT_WR)
+        """Close a connection on which no request waits.
+
+        A request that crosses the close on its way is never passed on, so that
+        its caller may send it again.
+        """
+        if self.is_busy or self._inbound.has_bytes or is_readable(self._sock):
+            return
+        self._is_ended = True
+        with suppress(OSError):
+            self._sock.shutdown(SHUT_WR)
 
     def encode(self, event: h11.Event) -> bytes:
         """Return an event as bytes."""
@@ -211,7 +219,7 @@
 
     def _serve_one(self) -> bool:
         request = self._read_request()
-        if request is None:
+        if request is None or self._is_ended:
             return False
         exchange = Exchange(self, request)
         self.is_busy = True
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -133,3 +133,24 @@
     assert idle.sock.recv(10) == b""
     go.append(True)
     assert busy.read().status == 200
+
+
+def test_a_request_that_has_come_but_is_not_read_yet_is_answered(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    assert caller.call().status == 200
+    # Nothing else runs in between: the bytes wait in the kernel.
+    caller.send(id="q-2")
+    desk.server.close_idle()
+    assert caller.read().status == 200
+
+
+def test_a_request_that_crosses_the_close_is_not_passed_on(make_desk):
+    desk = make_desk(configure(), one=answer)
+    caller = desk.connect()
+    assert caller.call().status == 200
+    desk.server.close_idle()
+    caller.send(id="q-2")
+    assert caller.read().status is None
+    sleep(0.05)
+    assert [arrival.headers["id"] for arrival in desk.list_arrivals()] == ["q-1"]
