--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -19,7 +19,7 @@
 )
 from bergamotwood_core.fencing import FencingToken
 from bergamotwood_core.ids import InstanceId, LogIndex, ReplicaId, Term
-from bergamotwood_core.logentries import Entry, EntryKind, Snapshot
+from bergamotwood_core.logentries import Entry, EntryKind, Record, Snapshot
 from bergamotwood_core.logmessages import decode_message, encode_message
 from bergamotwood_core.machine import StateMachine
 from bergamotwood_core.membership import Membership, MembershipChange
@@ -30,10 +30,14 @@
 from bergamotwood_daemon.groupinput import Call, Input, Proposal, Received, Stop, Tick
 from bergamotwood_daemon.groupsettings import GroupSettings, Transport
 from bergamotwood_daemon.journal import Journal
+from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.waiters import Waiters
 
 IDENTITY_BYTES = 8
 SESSION_BITS = 48
+# Pause between two tries to write to a disk that refuses, for instance a full
+# one: short beside an election, so that it is used again at once.
+DISK_RETRY_SECONDS = 0.1
 
 
 class LogGroup:
@@ -362,7 +366,7 @@
     def _carry_out(self, effects: Effects) -> None:
         self._send(effects.eager)
         if effects.records:
-            self._run_blocking(self._journal.save, effects.records)
+            self._save(effects.records)
         self._send(effects.messages)
         for output in effects.outputs:
             match output:
@@ -404,7 +408,31 @@
             self.applied, data, self._settings.kept_entries
         )
         tail = self._replica.get_entries_after(self.applied)
-        self._run_blocking(journal.compact, snapshot, tail)
+        self._insist(journal.compact, snapshot, tail)
+
+    def _save(self, records: list[Record | Snapshot]) -> None:
+        self._insist(self._journal.save, records)
+
+    def _insist(self, function: Callable, *arguments: object) -> None:
+        """Write to the disk until it takes it, as if it were only slow.
+
+        Meanwhile this replica says nothing, so that the others go on without it.
+        """
+        failed_at: Seconds | None = None
+        while True:
+            try:
+                self._run_blocking(function, *arguments)
+                break
+            except OSError as error:
+                if not self._running:
+                    raise
+                if failed_at is None:
+                    failed_at = self._clock()
+                    log_event(self.name, "Disk lost.", reason=str(error))
+                sleep(DISK_RETRY_SECONDS)
+        if failed_at is not None:
+            seconds = round(self._clock() - failed_at, 2)
+            log_event(self.name, "Disk regained.", seconds=seconds)
 
     def _announce_progress(self) -> None:
         self._progressed.set()
--- a/packages/daemon/src/bergamotwood_daemon/journal.py
+++ b/packages/daemon/src/bergamotwood_daemon/journal.py
@@ -103,7 +103,11 @@
         return self._snapshot_bytes
 
     def save(self, records: list[Record | Snapshot]) -> None:
-        """Write records and sync them, in order."""
+        """Write records and sync them, in order.
+
+        After an `OSError` the same records may be saved again: those that were
+        written twice mean the same.
+        """
         batch: list[Record] = []
         for record in records:
             if isinstance(record, Snapshot):
@@ -240,8 +244,13 @@
         if not batch:
             return
         frame = _build_frame(_ENCODER.encode(batch))
-        _write_whole(self._file, frame)
-        fsync(self._file)
+        try:
+            _write_whole(self._file, frame)
+            fsync(self._file)
+        except OSError:
+            # A part of a frame must not stand before the next one.
+            ftruncate(self._file, self._size)
+            raise
         self._size += len(frame)
         for record in batch:
             self._remember(record)
--- a/tests/daemon/test_journal.py
+++ b/tests/daemon/test_journal.py
@@ -16,6 +16,7 @@
     Snapshot,
 )
 from bergamotwood_core.membership import Genesis, Member, Membership
+from bergamotwood_daemon import journal as journal_module
 from bergamotwood_daemon.journal import Journal
 
 MEMBERS = Membership((Member(InstanceId("a"), ReplicaId("r1"), True),))
@@ -224,3 +225,21 @@
                 read_saved(folder)
         else:
             assert read_saved(folder).entries == build_entries(1, 6).entries
+
+
+def test_a_write_that_was_refused_half_way_leaves_no_trace(tmp_path, monkeypatch):
+    journal = open_journal(tmp_path)
+    journal.save([Binding(GENESIS), build_entries(1, 3)])
+    write = journal_module.write_file
+
+    def write_half(file, data):
+        write(file, bytes(data)[: len(data) // 2])
+        raise OSError("no space")
+
+    monkeypatch.setattr(journal_module, "write_file", write_half)
+    with pytest.raises(OSError, match="no space"):
+        journal.save([build_entries(4, 6)])
+    monkeypatch.undo()
+    journal.save([build_entries(4, 6)])
+    journal.close()
+    assert read_saved(tmp_path).entries == build_entries(1, 6).entries
