Suspend requests that crash endpoints, at all entries

Entries report crashes by fingerprint of method, path, caller and body; after three endpoints with no success between, the request is refused for 30 s after the newest crash, with that time as Retry-After.

--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -6,6 +6,7 @@
 from bergamotwood_core.gateway.configuration import KeyHolder, ServiceRoute
 from bergamotwood_core.ids import (
     EndpointId,
+    Fingerprint,
     ModelName,
     RequestId,
     ServiceName,
@@ -132,7 +133,7 @@
         Service chosen for it.
     received_at, deadline : Seconds
         When it came, and when its final answer is due.
-    fingerprint : str
+    fingerprint : Fingerprint
         Equal for the same method, path, workspace and body.
     tried : list of EndpointId
         Endpoints that it was sent to.
@@ -152,7 +153,7 @@
     service: ServiceName
     received_at: Seconds
     deadline: Seconds
-    fingerprint: str
+    fingerprint: Fingerprint
     tried: list[EndpointId] = []
     runs: int = 0
     last_event: str = ""
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -17,6 +17,7 @@
     SessionMemory,
     is_on_target,
 )
+from bergamotwood_core.gateway.suspects import SuspectTable
 from bergamotwood_core.ids import DataCentre, Incarnation, SessionId
 from bergamotwood_daemon.gateway.belief import Belief
 from bergamotwood_daemon.gateway.client import ConnectionPool
@@ -72,6 +73,7 @@
         self.counters = EntryCounters()
         self.pace = PaceTable()
         self.evidence = EvidenceCounter()
+        self.suspects = SuspectTable()
         self.sessions = SessionMemory(bounds.session_seconds)
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
@@ -122,12 +124,15 @@
         return [new, old] if self._is_on_target(view, call) else [old]
 
     def take_reports(self) -> None:
-        """Take in the loads that other entries report."""
-        self.loads.report(
-            status.loads
+        """Take in the loads and crashes that other entries report."""
+        others = [
+            status
             for status in self.belief.entries
             if status.instance != self.settings.instance
-        )
+        ]
+        self.loads.report(status.loads for status in others)
+        crashes = [crash for status in others for crash in status.crashes]
+        self.suspects.take_reports(crashes, self.clock())
 
     def note_outcome(
         self, call: Call, beat: EndpointBeat, is_bad: bool, timing: Timing | None
@@ -174,6 +179,7 @@
             self.loads.describe(),
             self.evidence.list_counts(),
             self._list_open_sessions(),
+            self.suspects.list_own(self.clock()),
         )
 
     def _is_on_target(self, view: RolloutView, call: Call) -> bool:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -25,7 +25,7 @@
 )
 from bergamotwood_core.gateway.retries import may_send_again
 from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
-from bergamotwood_core.ids import ModelName
+from bergamotwood_core.ids import Fingerprint, ModelName
 from bergamotwood_core.states import Run
 from bergamotwood_daemon.gateway.attempt import (
     Answered,
@@ -108,11 +108,23 @@
             last_event=terms.last_event,
             model=terms.model,
         )
+        self._check_suspicion(call)
         entry.budget.note_request(call.service, entry.clock())
         if terms.leaves_model_open:
             call.model = self._choose_model(call)
         return call
 
+    def _check_suspicion(self, call: Call) -> None:
+        """Refuse a request that has crashed endpoints, here or at other entries."""
+        entry = self._entry
+        seconds = entry.suspects.measure_suspension(call.fingerprint, entry.clock())
+        if seconds > 0.0:
+            raise RefusedError(
+                f"suspended for {seconds:.1f} s: it crashed several endpoints",
+                Code.SUSPENDED,
+                retry_after=seconds,
+            )
+
     def _authorize(
         self, routing: RoutingTable, route: ServiceRoute, terms: CallTerms
     ) -> KeyHolder | None:
@@ -291,6 +303,8 @@
         has_run = not isinstance(outcome, NotRun)
         if not may_send_again(call, has_run, now):
             return False
+        if entry.suspects.measure_suspension(call.fingerprint, now) > 0.0:
+            return False
         unsent = isinstance(outcome, NotRun) and not outcome.was_sent
         return unsent or entry.budget.allows(call.service, now)
 
@@ -327,7 +341,12 @@
         if isinstance(outcome, Answered | Delivered | Unclear):
             is_bad = result is not Result.OK
             entry.note_outcome(call, beat, is_bad, None if is_bad else timing)
+        if isinstance(outcome, Unclear) and result is Result.BROKEN:
+            entry.suspects.note_crash(
+                call.fingerprint, beat.endpoint, beat.incarnation, entry.clock()
+            )
         if result is Result.OK:
+            entry.suspects.note_success(call.fingerprint, entry.clock())
             return
         log_event(
             "attempt",
@@ -407,12 +426,12 @@
         exchange.answer(HttpResponse(error.status, headers, encode_problem(error)))
 
 
-def _make_fingerprint(exchange: Exchange, holder: KeyHolder | None) -> str:
+def _make_fingerprint(exchange: Exchange, holder: KeyHolder | None) -> Fingerprint:
     request = exchange.request
     digest = sha256(request.method + b" " + request.target + b"\n")
     digest.update((holder.workspace if holder else "").encode() + b"\n")
     digest.update(request.body)
-    return digest.hexdigest()[:32]
+    return Fingerprint(digest.hexdigest()[:32])
 
 
 def _describe(call: Call | None) -> dict[str, object]:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
@@ -7,6 +7,7 @@
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.machine import ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
+from bergamotwood_core.gateway.suspects import Crash
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -39,6 +40,8 @@
         What it has seen of versions that are being rolled out.
     open_sessions : tuple of SessionId
         Sessions on versions before, of those that are to be moved first.
+    crashes : tuple of Crash
+        Endpoints that broke off while they ran a request.
     """
 
     instance: InstanceId
@@ -50,6 +53,7 @@
     loads: dict[EndpointId, EndpointLoad]
     evidence: tuple[VersionEvidence, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
+    crashes: tuple[Crash, ...] = ()
 
 
 class SyncRequest(Struct, frozen=True, array_like=True, tag=1):
--- /dev/null
+++ b/tests/core/gateway/test_suspects.py
@@ -0,0 +1,51 @@
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.suspects import MEMORY_SECONDS, SuspectTable
+from bergamotwood_core.ids import EndpointId, Fingerprint, Incarnation
+
+BAD = Fingerprint("bad")
+
+
+def crash(table, endpoint, now, incarnation=1):
+    table.note_crash(BAD, EndpointId(endpoint), Incarnation(incarnation), Seconds(now))
+
+
+def test_a_request_is_suspended_after_three_crashes_for_a_while():
+    table = SuspectTable()
+    crash(table, "a", 1.0)
+    crash(table, "b", 2.0)
+    assert table.measure_suspension(BAD, Seconds(2.0)) == 0.0
+    crash(table, "a", 3.0, incarnation=2)
+    assert table.measure_suspension(BAD, Seconds(4.0)) == MEMORY_SECONDS - 1.0
+    assert table.measure_suspension(Fingerprint("other"), Seconds(4.0)) == 0.0
+    assert table.measure_suspension(BAD, Seconds(3.1 + MEMORY_SECONDS)) == 0.0
+
+
+def test_one_endpoint_that_breaks_off_often_suspends_nothing():
+    table = SuspectTable()
+    for at in range(10):
+        crash(table, "a", at)
+    assert table.measure_suspension(BAD, Seconds(10.0)) == 0.0
+
+
+def test_entries_find_a_request_together():
+    tables = [SuspectTable() for _ in range(3)]
+    crash(tables[1], "e1", 10.0)
+    crash(tables[2], "e2", 10.0)
+    # Each has a clock of its own; a report tells how long ago it was.
+    reports = [item for table in tables[1:] for item in table.list_own(Seconds(11.0))]
+    tables[0].take_reports(reports, Seconds(500.0))
+    assert tables[0].measure_suspension(BAD, Seconds(500.0)) == 0.0
+    crash(tables[0], "e0", 500.0)
+    assert tables[0].measure_suspension(BAD, Seconds(500.0)) > 0.0
+
+
+def test_a_success_clears_an_innocent_request():
+    table = SuspectTable()
+    for endpoint in "abc":
+        crash(table, endpoint, 1.0)
+    table.note_success(BAD, Seconds(2.0))
+    assert table.measure_suspension(BAD, Seconds(3.0)) == 0.0
+    assert table.list_own(Seconds(3.0)) == ()
+    for endpoint in "de":
+        crash(table, endpoint, 4.0)
+    assert table.measure_suspension(BAD, Seconds(4.0)) == 0.0
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -407,3 +407,18 @@
     assert "data: large" in reply.body
     assert "data: small" not in reply.body
     assert list_ids(reply.body) == ["1", "2", "3"]
+
+
+def test_a_request_that_crashes_endpoints_is_suspended(make_desk):
+    desk = make_desk(configure(max_attempts=2), one=drop, two=drop, three=drop)
+    replies = [desk.connect().call("PUT", body=b"poison") for _ in range(8)]
+    statuses = [reply.status for reply in replies]
+    assert statuses == sorted(statuses)
+    assert (statuses[0], statuses[-1]) == (502, 503)
+    assert float(replies[-1].headers["retry-after"]) > 5.0
+    assert all(endpoint.arrivals for endpoint in desk.endpoints.values())
+    crashed = len(desk.list_arrivals())
+    assert desk.connect().call("PUT", body=b"poison").status == 503
+    assert len(desk.list_arrivals()) == crashed
+    # Another body is another request.
+    assert desk.connect().call("PUT", body=b"sound").status == 502
