Leave endpoints that have gone dark, and name a true time to return after a restart

An engine that is only cut off from the control group still answers, and is used. Cause 2: after all processes were killed, callers were told to return in 0.5 s, when the control group had no leader yet, and were refused twice.

--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -120,6 +120,10 @@
         """Return the newest beat of each endpoint."""
         return tuple(self._beats.values())
 
+    def list_silent(self, now: Seconds, seconds: float) -> tuple[EndpointId, ...]:
+        """Return the endpoints whose newest beat is older than some seconds."""
+        return tuple(key for key, at in self._heard.items() if at < now - seconds)
+
     def find(self, endpoint: EndpointId) -> EndpointBeat | None:
         """Return the newest beat of an endpoint."""
         return self._beats.get(endpoint)
--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -15,6 +15,9 @@
 FULL_PAUSE_SECONDS = 0.1
 # Weight of the newest result in the moving averages: about the last ten count.
 SMOOTHING = 0.1
+# Time without a byte from an endpoint after which the absence of its beats
+# counts: it may only be cut off from the control group.
+UNHEARD_SECONDS = 1.5
 # Failure rate from which an endpoint counts as failing. Sound services fail up
 # to one request in seven by themselves.
 FAILING_RATE = 0.3
@@ -49,6 +52,8 @@
         Moving average of the time to an answer; 0 before the first.
     is_replaced : bool
         Whether another endpoint has its address.
+    heard_at : Seconds
+        When it last sent anything.
     """
 
     incarnation: Incarnation
@@ -57,6 +62,7 @@
     failure_rate: float = 0.0
     seconds: float = 0.0
     is_replaced: bool = False
+    heard_at: Seconds = Seconds(float("-inf"))
 
 
 class HealthTable:
@@ -72,6 +78,19 @@
             held = self._entries[endpoint] = EndpointHealth(incarnation)
         return held
 
+    def note_heard(
+        self, endpoint: EndpointId, incarnation: Incarnation, now: Seconds
+    ) -> None:
+        """Note that an endpoint has sent something."""
+        self.find(endpoint, incarnation).heard_at = now
+
+    def is_dark(
+        self, endpoint: EndpointId, incarnation: Incarnation, now: Seconds
+    ) -> bool:
+        """Whether an endpoint whose beats are missing is silent here too."""
+        heard_at = self.find(endpoint, incarnation).heard_at
+        return now - heard_at > UNHEARD_SECONDS
+
     def keep(self, endpoints: set[EndpointId]) -> None:
         """Forget all other endpoints."""
         for endpoint in set(self._entries) - endpoints:
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -28,6 +28,9 @@
 PROBE_SHARE = 0.02
 # Cost of leaving the data centre, in seconds: a round trip and its price.
 DISTANCE_SECONDS = 0.01
+# Cost of an endpoint that is silent to the control group and here, in seconds:
+# about the objective of long prompts.
+DARK_SECONDS = 4.0
 # Cost of an endpoint that is still warming up, in seconds.
 WARMUP_SECONDS = 0.2
 # Part of the shared prompt that is taken to be cached at a subject's home, where
@@ -90,6 +93,11 @@
         Returns an endpoint's load.
     rng : Random
         Source of random choices.
+
+    Attributes
+    ----------
+    silent : frozenset of EndpointId
+        Endpoints whose beats are missing.
     """
 
     def __init__(
@@ -102,6 +110,7 @@
         self.pace = ReadingPace()
         self.memory = PromptMemory()
         self._home = home
+        self.silent: frozenset[EndpointId] = frozenset()
         self._health = health
         self._find_load = find_load
         self._rng = rng
@@ -116,7 +125,15 @@
             self._describe(beat, seen, call, beat is home) for beat, seen in usable
         ]
         return min(
-            candidates, key=lambda item: self._measure_cost(item, call), default=None
+            candidates,
+            key=lambda item: self._measure_cost(item, call, now),
+            default=None,
+        )
+
+    def is_dark(self, beat: EndpointBeat, now: Seconds) -> bool:
+        """Whether an endpoint is silent to the control group and here."""
+        return beat.endpoint in self.silent and self._health.is_dark(
+            beat.endpoint, beat.incarnation, now
         )
 
     def estimate_reading(self, candidate: Candidate, call: Call) -> float:
@@ -169,7 +186,7 @@
             is_guess=guess > cached,
         )
 
-    def _measure_cost(self, candidate: Candidate, call: Call) -> float:
+    def _measure_cost(self, candidate: Candidate, call: Call, now: Seconds) -> float:
         beat = candidate.beat
         load = candidate.load
         if call.terms.prompt_tokens:
@@ -181,6 +198,8 @@
             cost += DISTANCE_SECONDS
         if beat.warmup_seconds > 0.0:
             cost += WARMUP_SECONDS
+        if self.is_dark(beat, now):
+            cost += DARK_SECONDS
         cost *= 1.0 + BLUR * self._rng.random()
         return cost + self._measure_failing(candidate.health)
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.call import Call, ForwardTerms
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointBeat
@@ -26,6 +27,8 @@
 # repeated is tried at another endpoint.
 SILENT_OBJECTIVES = 1.5
 LEAST_SILENCE_SECONDS = 0.4
+# Time between two questions whether an endpoint that is waited for has gone dark.
+DARK_CHECK_SECONDS = 0.5
 # Longest answer that is kept until it is complete.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -152,9 +155,9 @@
             self._call.runs += 1
             return Unclear(str(error), Result.BROKEN)
         try:
-            head = self.receive(self._measure_patience())
+            head = self._receive_head()
             while isinstance(head, h11.InformationalResponse):
-                head = self.receive(self._measure_patience())
+                head = self._receive_head()
         except BrokenError as error:
             self._call.runs += 1
             return Unclear(str(error), Result.BROKEN)
@@ -166,7 +169,11 @@
 
     def receive(self, seconds: float) -> h11.Event:
         """Return the next event of the response."""
-        return self._connection.receive(max(seconds, 0.0))
+        event = self._connection.receive(max(seconds, 0.0))
+        self._entry.health.note_heard(
+            self.beat.endpoint, self.beat.incarnation, self._entry.clock()
+        )
+        return event
 
     def keep_connection(self) -> None:
         """Keep the connection for another request."""
@@ -191,6 +198,26 @@
             headers.append((b"content-length", str(len(request.body)).encode()))
         self._connection.send(request.method, request.target, headers, request.body)
 
+    def _receive_head(self) -> h11.Event:
+        """Return the head, or give up early at an endpoint that has gone dark."""
+        limit = self._entry.clock() + self._measure_patience()
+        while True:
+            now = self._entry.clock()
+            try:
+                return self.receive(min(limit - now, DARK_CHECK_SECONDS))
+            except SilentError:
+                now = self._entry.clock()
+                if now >= limit or self._should_leave(now):
+                    raise
+
+    def _should_leave(self, now: Seconds) -> bool:
+        route = self._call.route
+        if not route.is_repeatable or self._call.runs + 1 >= route.max_attempts:
+            return False
+        if now - self.started_at < DARK_CHECK_SECONDS:
+            return False
+        return self._entry.placement.is_dark(self.beat, now)
+
     def _check(self, head: h11.Response) -> h11.Response | Outcome:
         terms = self._entry.dialect.read_answer(list(head.headers))
         if terms.is_not_run or head.status_code == MISDIRECTED:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/belief.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/belief.py
@@ -15,9 +15,9 @@
 from bergamotwood_daemon.gateway.peering import EntryStatus, SyncReply
 from bergamotwood_daemon.log import log_event
 
-# Time after which a caller may find an entry that knows the configuration: a
-# new process learns it within about this time.
-STALE_RETRY_SECONDS = 0.5
+# Time after which a caller finds an entry that knows the configuration: when all
+# processes have started anew, the control group needs an election first.
+STALE_RETRY_SECONDS = 1.3
 NO_LIMITS = CallerLimits()
 
 
@@ -44,6 +44,7 @@
         self.beats: dict[EndpointId, EndpointBeat] = {}
         self.entries: tuple[EntryStatus, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
+        self.silent: frozenset[EndpointId] = frozenset()
         self.open_sessions: frozenset[SessionId] = frozenset()
         self.replicas: tuple[InstanceId, ...] = ()
         self.boot = ""
@@ -114,6 +115,7 @@
         self.entries = reply.entries
         self._take_rollouts(reply)
         self.replicas = reply.replicas
+        self.silent = frozenset(reply.silent)
         if reply.number == self.number:
             confirmed_at = Seconds(asked_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -124,7 +124,8 @@
         return [new, old] if self._is_on_target(view, call) else [old]
 
     def take_reports(self) -> None:
-        """Take in the loads and crashes that other entries report."""
+        """Take in what the control group and other entries report."""
+        self.placement.silent = self.belief.silent
         others = [
             status
             for status in self.belief.entries
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peering.py
@@ -101,6 +101,8 @@
         All endpoints, when the entry holds another version.
     entries : tuple of EntryStatus
         All live entries.
+    silent : tuple of EndpointId
+        Endpoints whose beats are missing.
     """
 
     age_seconds: float
@@ -112,6 +114,7 @@
     version: int
     beats: tuple[EndpointBeat, ...] | None
     entries: tuple[EntryStatus, ...]
+    silent: tuple[EndpointId, ...] = ()
 
 
 class Relay(Struct, frozen=True, array_like=True, tag=2):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -80,6 +80,8 @@
 # Beats come each second or so; traffic finds dead endpoints long before this.
 ENDPOINT_SILENCE_SECONDS = 30.0
 MAX_HOLD_SECONDS = 2.0
+# Periods of its beats after which an endpoint counts as silent: one may be lost.
+SILENT_BEATS = 2.2
 
 
 class GatewayReplica:
@@ -348,6 +350,9 @@
             version=self._version,
             beats=None if known else self.directory.list_beats(),
             entries=self.entries.list_live(),
+            silent=self.directory.list_silent(
+                self._clock(), SILENT_BEATS * self._settings.bounds.heartbeat_seconds
+            ),
         )
 
     def _wait_for_news(self, request: SyncRequest) -> None:
--- a/tests/core/gateway/test_endpoints.py
+++ b/tests/core/gateway/test_endpoints.py
@@ -78,3 +78,9 @@
     assert list_ids(directory) == ["e-1"]
     directory.expire(Seconds(NOW + 31.0))
     assert list_ids(directory) == []
+
+
+def test_endpoints_without_beats_are_named():
+    directory = make_directory(make_beat("a"), make_beat("b"))
+    directory.take_beat(make_beat("b", sequence=Sequence(2)), Seconds(NOW + 2.0))
+    assert directory.list_silent(Seconds(NOW + 3.0), 2.5) == ("a",)
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -141,3 +141,15 @@
     theirs = [play_burst(by_two_random, seed) for seed in range(3)]
     for mine, other in zip(ours, theirs, strict=True):
         assert mine[int(0.95 * len(mine))] < other[int(0.95 * len(other))]
+
+
+def test_a_dark_endpoint_is_avoided_but_not_one_that_is_only_cut_off():
+    health = HealthTable()
+    beats = [make_beat("dark"), make_beat("cut")]
+    placement = make_placement(health)
+    placement.silent = frozenset(("dark", "cut"))
+    now = Seconds(50.0)
+    health.note_heard("cut", 1, Seconds(49.5))
+    chosen = {placement.choose(beats, make_call(), now).beat.endpoint for _ in range(9)}
+    assert chosen == {"cut"}
+    assert placement.choose(beats[:1], make_call(), now).beat.endpoint == "dark"
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -422,3 +422,22 @@
     assert len(desk.list_arrivals()) == crashed
     # Another body is another request.
     assert desk.connect().call("PUT", body=b"sound").status == 502
+
+
+def test_a_stream_does_not_wait_for_an_endpoint_that_has_gone_dark(make_desk):
+    seen = []
+
+    def act(arrival):
+        seen.append(arrival)
+        return hang(arrival) if len(seen) == 1 else stream(arrival)
+
+    desk = make_desk(configure(**STREAM), one=act, two=act)
+    desk.entry.placement.silent = frozenset(desk.endpoints)
+    reply = desk.connect().call(patience="20")
+    assert list_ids(reply.body) == ["1", "2", "3", "4", "5", "6"]
+    assert len(seen) == 2
+    # With its beats coming, an engine may take long to read a prompt.
+    waiting = make_desk(configure(**STREAM, objective_seconds=0.1), one=hang, two=hang)
+    waiting.connect().send(patience="20")
+    sleep(1.2)
+    assert len(waiting.list_arrivals()) == 1
