--- a/packages/daemon/src/bergamotwood_daemon/command.py
+++ b/packages/daemon/src/bergamotwood_daemon/command.py
@@ -10,7 +10,7 @@
 
 from bergamotwood_core.errors import SettingsError
 from bergamotwood_daemon.daemon import Daemon
-from bergamotwood_daemon.log import open_log
+from bergamotwood_daemon.log import close_log, open_log
 from bergamotwood_daemon.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
@@ -43,6 +43,7 @@
     watch_signal(SIGINT, _stop, daemon)
     daemon.start()
     daemon.wait()
+    close_log()
 
 
 def _load(file: Path) -> Settings:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
@@ -31,9 +31,7 @@
 
     def render(self, gauges: dict[str, float]) -> str:
         """Return everything in the text format of Prometheus."""
-        lines = []
-        for name, value in gauges.items():
-            lines.append(f"bergamotwood_{name} {value}")
+        lines = render_gauges(gauges)
         for (name, labels), count in sorted(self._counts.items()):
             lines.append(f"bergamotwood_{name}{{{labels}}} {count}")
         for kind, buckets in sorted(self._buckets.items()):
@@ -53,3 +51,8 @@
 
     def _count(self, name: str, labels: str) -> None:
         self._counts[name, labels] = self._counts.get((name, labels), 0) + 1
+
+
+def render_gauges(gauges: dict[str, float]) -> list[str]:
+    """Return present values as lines of the text format of Prometheus."""
+    return [f"bergamotwood_{name} {value}" for name, value in gauges.items()]
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -4,7 +4,7 @@
 from random import Random, SystemRandom
 from time import time_ns
 
-from gevent import sleep, spawn
+from gevent import Timeout, sleep, spawn
 from gevent.event import Event
 
 from bergamotwood_core.gateway.configuration import CallerLimits
@@ -24,8 +24,9 @@
 MAINTAIN_SECONDS = 1.0
 # Callers keep a list of entries up to three times its time to live.
 LEAVE_LIVES = 3.0
-# Time kept at the end of the grace period for closing.
-END_SECONDS = 0.3
+# Time kept at the end of the grace period for closing; leadership is handed
+# over within a few heartbeats.
+END_SECONDS = 0.5
 POLL_SECONDS = 0.05
 
 
@@ -129,7 +130,9 @@
         if self.entry is not None:
             self._lead_callers_away(limit)
         if self.replica is not None:
-            self.replica.stop()
+            # A disk that hangs must not hold up the end of the process.
+            with Timeout(END_SECONDS, False):
+                self.replica.stop()
         log_event("daemon", "Stopped.")
         self._stopped.set()
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -27,6 +27,7 @@
 from bergamotwood_daemon.gateway.peering import EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.gateway.watch import ControlWatch
+from bergamotwood_daemon.log import count_dropped_lines
 
 # Entries named in one answer to callers.
 MAX_ADDRESSES = 64
@@ -166,6 +167,8 @@
             "entries": len(self.belief.entries),
             "outstanding": self.loads.count(),
             "connections_opened_total": self.pool.opened,
+            "log_lines_dropped_total": count_dropped_lines(),
+            "silent_endpoints": len(self.belief.silent),
         }
 
     def _describe(self) -> EntryStatus:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -51,7 +51,7 @@
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.groupsettings import GroupSettings
-from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.log import count_dropped_lines, log_event
 from bergamotwood_daemon.peer import POLL as POLL_METHOD
 from bergamotwood_daemon.peer import PROPOSE, QUERY, GroupTransport
 from bergamotwood_daemon.wire import (
@@ -268,6 +268,24 @@
         if outcome.changed:
             log_event("directory", "Endpoint leaves.", endpoint=endpoint, state=state)
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return the present values for the metrics address."""
+        group = self.group
+        now = self._clock()
+        return {
+            "leads": int(group.is_leader),
+            "votes": int(group.is_voter),
+            "term": group.term,
+            "applied_index": group.applied,
+            "log_bytes": group.log_bytes,
+            "state_age_seconds": round(group.confirmed_age(now), 3),
+            "members": len(group.membership.members),
+            "configuration_number": self._machine.state.number,
+            "endpoints": len(self.directory),
+            "entries": len(self.entries.list_live()),
+            "log_lines_dropped_total": count_dropped_lines(),
+        }
+
     def handle_replicate(self, body: bytes) -> bytes:
         """Take replication messages."""
         for envelope in REPLICATE_BATCH.decode(body).envelopes:
--- a/packages/daemon/src/bergamotwood_daemon/log.py
+++ b/packages/daemon/src/bergamotwood_daemon/log.py
@@ -2,12 +2,27 @@
 
 from sys import stdout
 
-from eliot import log_message, to_file, write_traceback
+from eliot import add_destinations, log_message, write_traceback
+
+from bergamotwood_daemon.logwriter import LogWriter
+
+_WRITER = LogWriter(stdout.buffer)
 
 
 def open_log() -> None:
     """Write logs as JSON lines to standard output."""
-    to_file(stdout)
+    _WRITER.start()
+    add_destinations(_WRITER)
+
+
+def close_log() -> None:
+    """Write the last lines before the process ends."""
+    _WRITER.close()
+
+
+def count_dropped_lines() -> int:
+    """Return how many lines were dropped as the reader was too slow."""
+    return _WRITER.dropped
 
 
 def log_event(part: str, sentence: str, **fields: object) -> None:
