--- a/packages/ctl/src/bergamotctl/command.py
+++ b/packages/ctl/src/bergamotctl/command.py
@@ -9,6 +9,7 @@
 from bergamotctl.client import ENTRIES_VARIABLE, KEY_VARIABLE, Client
 from bergamotctl.instances import drain, endpoints, entries, status
 from bergamotctl.rollouts import rollout
+from bergamotctl.story import explain, timeline
 from bergamotctl.tickets import ticket
 
 
@@ -37,5 +38,18 @@
     context.obj = Client(entries_given, key.strip(), operator or "", ca_file)
 
 
-for _command in (ticket, status, endpoints, entries, rollout, bill, claim, drain):
+_COMMANDS = (
+    ticket,
+    status,
+    endpoints,
+    entries,
+    rollout,
+    bill,
+    claim,
+    drain,
+    explain,
+    timeline,
+)
+
+for _command in _COMMANDS:
     main.add_command(_command)
--- /dev/null
+++ b/tests/daemon/gateway/test_explanation.py
@@ -0,0 +1,75 @@
+"""The three walk-throughs of docs/OPERATIONS.md, followed step by step."""
+
+import pytest
+from click.testing import CliRunner
+from core.gateway.samples import make_configuration, make_route
+from eliot import add_destinations, remove_destination
+from msgspec import json
+
+from bergamotctl.command import main
+from bergamotwood_core.gateway.configuration import KeyHolder, RouteKind
+from bergamotwood_core.ids import WorkspaceId
+
+
+@pytest.fixture
+def logged():
+    lines = []
+    add_destinations(lines.append)
+    yield lines
+    remove_destination(lines.append)
+
+
+def explain(lines, request, tmp_path):
+    path = tmp_path / "edge-1.log"
+    path.write_bytes(b"\n".join(json.encode(line, enc_hook=str) for line in lines))
+    result = CliRunner().invoke(main, ["explain", request, str(path)])
+    assert result.exit_code == 0
+    return result.output.splitlines()
+
+
+def configure(**changes):
+    return make_configuration(routes=(make_route(**changes),))
+
+
+def test_a_refusal_under_overload(make_desk, logged, tmp_path):
+    def refuse(arrival):
+        arrival.answer("", 503, not_run="1")
+
+    desk = make_desk(configure(), one=refuse, two=refuse)
+    assert desk.connect().call(id="q-full").status == 503
+    story = explain(logged, "q-full", tmp_path)
+    attempts = [line for line in story if "attempt: Attempt failed." in line]
+    assert len(attempts) == 2
+    assert all("result=full" in line for line in attempts)
+    assert "request: Refused." in story[-1]
+    assert "run=not_run" in story[-1]
+    assert "retry_after=" in story[-1]
+
+
+def test_an_outcome_that_is_unknown_after_an_endpoint_died(make_desk, logged, tmp_path):
+    route = configure(kind=RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    desk = make_desk(route, one=lambda arrival: False)
+    assert desk.connect().call("POST", id="q-lost", body=b"pay").status == 502
+    story = explain(logged, "q-lost", tmp_path)
+    assert "result=broken" in story[0]
+    assert "endpoint=one" in story[0]
+    assert "run=may_have_run" in story[-1]
+
+
+def test_a_key_refused_right_after_a_change(make_desk, logged, tmp_path):
+    desk = make_desk(one=lambda arrival: arrival.answer())
+    assert desk.connect().call(id="q-before").status == 200
+    desk.configuration = make_configuration(
+        number=9, holders=(KeyHolder(WorkspaceId("circle"), ("key-2",)),)
+    )
+    desk.entry.dialect.configuration = desk.configuration
+    desk.learn()
+    assert desk.connect().call(id="q-after").status == 401
+    before = explain(logged, "q-before", tmp_path)[-1]
+    after = explain(logged, "q-after", tmp_path)[-1]
+    assert "configuration=3" in before
+    assert "configuration=9" in after
+    assert "reason=unknown key" in after
+    path = str(tmp_path / "edge-1.log")
+    changes = CliRunner().invoke(main, ["timeline", path]).output
+    assert "entry: Configuration in force. number=9 previous=3" in changes
