Take no request that a stopping entry cannot finish

Ruled out: the time at which callers are led away, as the connection was a kept one. The connection now ends with the answer, and what still comes is refused unrun, to be sent elsewhere at once. Two tests fail without it.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -142,6 +142,7 @@
         self.entry.watch.report_now()
         self._callers.is_closing = True
         sleep(LEAVE_LIVES * self.settings.bounds.address_seconds)
+        self.entry.is_closed = True
         self._callers.stop_listening()
         self._callers.close_idle()
         self._wait_until(lambda: not self._callers.busy, limit)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -48,6 +48,13 @@
         Source of random choices.
     incarnation : Incarnation
         Start of this process.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether callers are led away.
+    is_closed : bool
+        Whether new requests are refused: they could not be finished any more.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         self.clock = clock
         self.rng = rng
         self.is_leaving = False
+        self.is_closed = False
         self.belief = Belief(dialect, clock, bounds.key_lease_seconds)
         self.health = HealthTable()
         self.pool = ConnectionPool(clock)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -50,6 +50,8 @@
 # Time after which a service without endpoints may have some again: about one
 # beat of an endpoint that starts.
 ABSENT_RETRY_SECONDS = 0.6
+# Other entries have room at once; the caller only has to connect anew.
+ELSEWHERE_SECONDS = 0.02
 # Endpoints count from 0 to 9, the most urgent first; routes seldom exceed 3.
 MAX_URGENCY = 9
 
@@ -86,6 +88,10 @@
     def _admit(self, exchange: Exchange) -> Call:
         entry = self._entry
         request = exchange.request
+        if entry.is_closed:
+            raise RefusedError(
+                "this entry stops", Code.DRAINING, retry_after=ELSEWHERE_SECONDS
+            )
         routing = entry.belief.require_routing()
         terms = entry.dialect.read_call(request.headers)
         route = routing.find_route(request.host, request.path)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -230,11 +230,21 @@
         finally:
             self._inbound.watch(None)
             self.is_busy = False
-        if not exchange.is_finished:
+        if not exchange.is_finished or self._may_end_now():
             return False
         states = self._http.states
         return states[h11.SERVER] is h11.DONE and states[h11.CLIENT] is h11.DONE
 
+    def _may_end_now(self) -> bool:
+        """Whether a process that stops can close between two requests.
+
+        The head of an answer that began before the stop did not announce it.
+        """
+        if not self._server.is_closing:
+            return False
+        unread = self._inbound.has_bytes or self._http.trailing_data[0]
+        return not unread and not is_readable(self._sock)
+
     def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
         body: list[bytes] = []
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -1,7 +1,7 @@
 from core.gateway.samples import make_configuration, make_route
 from gevent import sleep
 
-from bergamotwood_core.gateway.configuration import CallerLimits
+from bergamotwood_core.gateway.configuration import CallerLimits, RouteKind
 
 
 def answer(arrival):
@@ -154,3 +154,37 @@
     assert caller.read().status is None
     sleep(0.05)
     assert [arrival.headers["id"] for arrival in desk.list_arrivals()] == ["q-1"]
+
+
+def test_a_connection_whose_answer_began_before_the_stop_ends_with_it(make_desk):
+    go = []
+
+    def act(arrival):
+        arrival.begin_events()
+        arrival.send_events(1, 1)
+        while not go:
+            sleep(0.01)
+        arrival.send_events(2, 2)
+        arrival.end_events()
+
+    routes = (
+        make_route(requires_key=False, kind=RouteKind.STREAMING, timeout_seconds=20.0),
+    )
+    desk = make_desk(make_configuration(routes=routes), one=act)
+    caller = desk.connect()
+    caller.send(patience="20")
+    caller.read_events(1)
+    desk.server.is_closing = True
+    desk.server.close_idle()
+    go.append(True)
+    assert caller.read().is_whole
+    assert caller.sock.recv(10) == b""
+
+
+def test_a_request_that_comes_too_late_for_a_stop_is_refused_unrun(make_desk):
+    desk = make_desk(configure(), one=answer)
+    desk.entry.is_closed = True
+    reply = desk.connect().call()
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) < 0.1
+    assert desk.list_arrivals() == []
