Use the one type for an address in the gateway too

Cause: ListenAddress repeated core's Address, field for field. No behaviour changes; no assertion of a test was touched, only the type's name where it stands.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from bergamotwood_core.gateway.configuration import CallerLimits
 from bergamotwood_core.ids import Incarnation
+from bergamotwood_core.messages import Address
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway.channels import NO_KEY, parse_instance
 from bergamotwood_daemon.gateway.dialect import Dialect
@@ -16,7 +17,7 @@
 from bergamotwood_daemon.gateway.forwarder import Forwarder
 from bergamotwood_daemon.gateway.replica import GatewayReplica
 from bergamotwood_daemon.gateway.server import Handler, HttpServer
-from bergamotwood_daemon.gateway.settings import GatewaySettings, ListenAddress
+from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.peer import PeerServer
 
@@ -56,7 +57,7 @@
         if settings.control is not None:
             self._make_replica(dialect)
 
-    def serve(self, listen: ListenAddress | None, handler: Handler) -> None:
+    def serve(self, listen: Address | None, handler: Handler) -> None:
         """Answer requests at another address, where the settings name one."""
         if listen is not None:
             server = HttpServer(listen, handler, CallerLimits, read_clock)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -12,8 +12,8 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.configuration import CallerLimits
+from bergamotwood_core.messages import Address
 from bergamotwood_daemon.gateway.message import Headers, HttpRequest, HttpResponse
-from bergamotwood_daemon.gateway.settings import ListenAddress
 from bergamotwood_daemon.gateway.sockets import is_readable
 from bergamotwood_daemon.log import log_event, log_failure
 
@@ -324,7 +324,7 @@
 
     Parameters
     ----------
-    listen : ListenAddress
+    listen : Address
         Where to listen.
     handler : callable
         Answers an `Exchange`; an exception closes the connection.
@@ -336,7 +336,7 @@
 
     def __init__(
         self,
-        listen: ListenAddress,
+        listen: Address,
         handler: Handler,
         limits: Callable[[], CallerLimits],
         clock: Callable[[], Seconds],
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -5,16 +5,7 @@
 from msgspec import Struct
 
 from bergamotwood_core.ids import DataCentre, InstanceId
-
-
-class ListenAddress(Struct, frozen=True):
-    """A host and port to listen on."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+from bergamotwood_core.messages import Address
 
 
 class GatewayBounds(Struct, frozen=True):
@@ -64,11 +55,11 @@
         Control replicas to begin with.
     bounds : GatewayBounds
         Times and ratios.
-    callers : ListenAddress or None
+    callers : Address or None
         Where an entry takes requests; None without the role.
-    readiness : ListenAddress or None
+    readiness : Address or None
         Where an entry answers readiness checks and metrics.
-    control : ListenAddress or None
+    control : Address or None
         Where operators and endpoints call; None without the role.
     data_folder : Path or None
         Disk of a control replica.
@@ -81,8 +72,8 @@
     data_centre: DataCentre
     seeds: tuple[InstanceId, ...]
     bounds: GatewayBounds = GatewayBounds()
-    callers: ListenAddress | None = None
-    readiness: ListenAddress | None = None
-    control: ListenAddress | None = None
+    callers: Address | None = None
+    readiness: Address | None = None
+    control: Address | None = None
     data_folder: Path | None = None
     forms_group: bool = False
--- a/tests/daemon/gateway/desk.py
+++ b/tests/daemon/gateway/desk.py
@@ -19,13 +19,14 @@
     RequestId,
     SessionId,
 )
+from bergamotwood_core.messages import Address
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
 from bergamotwood_daemon.gateway.message import find_field
 from bergamotwood_daemon.gateway.peering import SyncReply
 from bergamotwood_daemon.gateway.server import HttpServer
-from bergamotwood_daemon.gateway.settings import GatewaySettings, ListenAddress
+from bergamotwood_daemon.gateway.settings import GatewaySettings
 
 WAIT_SECONDS = 5.0
 
@@ -266,7 +267,7 @@
             "entry",
             "karen",
             (),
-            callers=ListenAddress("127.0.0.1", 0),
+            callers=Address("127.0.0.1", 0),
         )
         self.entry = GatewayEntry(
             settings,
@@ -287,7 +288,7 @@
             for name, endpoint in self.endpoints.items()
         ]
         self.server = HttpServer(
-            ListenAddress("127.0.0.1", 0),
+            Address("127.0.0.1", 0),
             Forwarder(self.entry).handle,
             lambda: self.entry.belief.limits,
             read_clock,
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -15,13 +15,14 @@
 )
 from bergamotwood_core.gateway.machine import RolloutOutcome
 from bergamotwood_core.ids import EndpointId, Incarnation, InstanceId, Sequence
+from bergamotwood_core.messages import Address
 from bergamotwood_core.states import EndpointState, Run
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway import channels
 from bergamotwood_daemon.gateway.belief import Belief
 from bergamotwood_daemon.gateway.peering import EntryStatus
 from bergamotwood_daemon.gateway.replica import GatewayReplica
-from bergamotwood_daemon.gateway.settings import GatewaySettings, ListenAddress
+from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.gateway.watch import ControlWatch
 from bergamotwood_daemon.peer import POLL, PROPOSE, QUERY, REPLICATE
 
@@ -83,7 +84,7 @@
             str(seed),
             "karen",
             self.seeds,
-            control=ListenAddress("127.0.0.1", 0),
+            control=Address("127.0.0.1", 0),
             data_folder=self.folder / seed.replace(":", "-"),
             forms_group=forms_group,
         )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bergamotwood_core.errors import SettingsError
-from bergamotwood_daemon.gateway.settings import ListenAddress
+from bergamotwood_core.messages import Address
 from bergamotwood_platform.settings import find_settings_file, load_settings
 
 ENTRY = """
@@ -44,14 +44,14 @@
     settings = loaded.gateway
     assert settings.instance == "10.1.0.40:7340"
     assert settings.seeds == ("10.1.0.42:7340", "10.2.0.31:7340")
-    assert settings.callers == ListenAddress("10.1.0.40", 8227)
+    assert settings.callers == Address("10.1.0.40", 8227)
     assert settings.control is None
     assert settings.data_centre == "karen"
     assert settings.bounds.key_lease_seconds == 4.0
     assert settings.bounds.grace_seconds == 8.0
     assert settings.bounds.address_seconds == 0.8
     assert settings.forms_group
-    assert loaded.addresses == ListenAddress("10.1.0.40", 8224)
+    assert loaded.addresses == Address("10.1.0.40", 8224)
 
 
 @pytest.mark.parametrize(
