Keep a key billed when its first bill is voided after a resend

Cause: a bill that isn't confirmed in time is voided in the background. Change: the key's record keeps the bills of up to four duplicates; the first one not voided itself takes the place of the voided bill. The scenario that showed it wasn't rerun under load.

--- a/packages/core/src/bergamotwood_core/key_table.py
+++ b/packages/core/src/bergamotwood_core/key_table.py
@@ -15,6 +15,7 @@
 )
 from bergamotwood_core.ledger_command import (
     MAX_FIELD_CHARACTERS,
+    Bill,
     Claim,
     ClaimAnswer,
     Conflict,
@@ -44,6 +45,8 @@
 MAX_TOTAL_ANSWER_BYTES = 16_777_216
 # Released tokens that are remembered, so that a late claim with one is refused.
 MAX_RELEASED_TOKENS = 4_096
+# Bills of repeats that are kept for one key.
+MAX_REPEATS = 4
 KEY_HASH_BYTES = 8
 
 # A caller's key, scoped to its workspace.
@@ -69,6 +72,9 @@
         The stored answer, if it is kept.
     billed : RequestId or None
         Request whose bill is recorded for the key.
+    repeats : list of Bill
+        Newest bills that were answered as duplicates of the recorded one. When that
+        one is voided, the first of them takes its place.
     """
 
     digest: str
@@ -78,6 +84,7 @@
     at: float
     answer: StoredAnswer | None = None
     billed: RequestId | None = None
+    repeats: list[Bill] = []
 
 
 class KeyTable:
--- a/packages/core/src/bergamotwood_core/ledger.py
+++ b/packages/core/src/bergamotwood_core/ledger.py
@@ -13,7 +13,13 @@
     RequestId,
     WorkspaceId,
 )
-from bergamotwood_core.key_table import KeyRecord, KeyTable, Scope, hash_scope
+from bergamotwood_core.key_table import (
+    MAX_REPEATS,
+    KeyRecord,
+    KeyTable,
+    Scope,
+    hash_scope,
+)
 from bergamotwood_core.ledger_command import (
     Abandon,
     Applied,
@@ -294,6 +300,8 @@
 
     def _bill_key(self, record: KeyRecord, bill: Bill) -> BillAnswer:
         if record.billed is not None:
+            if record.billed != bill.request:
+                record.repeats = [*record.repeats, bill][-MAX_REPEATS:]
             return BillAnswer(BillOutcome.DUPLICATE, record.billed)
         answer = self._bill_request(bill)
         if answer.outcome is BillOutcome.RECORDED:
@@ -301,19 +309,33 @@
         return answer
 
     def _void_bill(self, bill: Bill) -> LedgerAnswer:
-        """Remove a bill; one that is not recorded yet is refused when it arrives."""
+        """Remove a bill; one that is not recorded yet is refused when it arrives.
+
+        A repeat with the same key may have been answered meanwhile, because the key
+        was billed: its bill is recorded instead.
+        """
         if not is_valid(bill):
             return BillAnswer(BillOutcome.INVALID, bill.request)
         origin = parse_request_id(bill.request)
         recorded = self.bills.bills.get(bill.request)
+        record = self.keys.records.get((bill.workspace, bill.key))
+        if record is not None:
+            record.repeats = [
+                repeat for repeat in record.repeats if repeat.request != bill.request
+            ]
         if self.windows.mark(origin) is not SequenceStatus.SEEN or recorded is None:
             return Applied(0)
         self.bills.remove(recorded)
-        record = self.keys.records.get((bill.workspace, bill.key))
         if record is not None and record.billed == bill.request:
             record.billed = None
+            self._bill_repeat(record)
         return Applied(1)
 
+    def _bill_repeat(self, record: KeyRecord) -> None:
+        if record.repeats:
+            repeat = record.repeats.pop(0)
+            self._bill_key(record, repeat)
+
     def _bill_request(self, bill: Bill) -> BillAnswer:
         origin = parse_request_id(bill.request)
         if origin is None:
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -366,6 +366,33 @@
     assert driver.machine.total("karen").cost == 0.1
 
 
+def test_a_resend_answered_before_the_first_bill_is_voided_stays_billed(driver):
+    driver.bill("a-1-1", key="k")
+    assert driver.bill("b-1-1", key="k").outcome is BillOutcome.DUPLICATE
+    driver.run(VoidBill(make_bill("a-1-1", "k")))
+    assert driver.machine.find_bill_of_key("karen", "k").request == "b-1-1"
+    assert driver.machine.total("karen").bills == 1
+    assert driver.machine.find_bill("a-1-1") is None
+
+
+def test_a_voided_resend_does_not_replace_a_voided_first_bill(driver):
+    driver.bill("a-1-1", key="k")
+    driver.bill("b-1-1", key="k")
+    driver.run(VoidBill(make_bill("b-1-1", "k")))
+    assert driver.machine.find_bill_of_key("karen", "k").request == "a-1-1"
+    driver.run(VoidBill(make_bill("a-1-1", "k")))
+    assert driver.machine.find_bill_of_key("karen", "k") is None
+    assert driver.machine.total("karen").bills == 0
+
+
+def test_the_bill_of_a_resend_survives_a_snapshot(driver):
+    driver.bill("a-1-1", key="k")
+    driver.bill("b-1-1", key="k")
+    driver.machine.restore(driver.machine.snapshot())
+    driver.run(VoidBill(make_bill("a-1-1", "k")))
+    assert driver.machine.find_bill_of_key("karen", "k").request == "b-1-1"
+
+
 def test_key_of_a_voided_bill_can_be_billed_by_its_resend(driver):
     driver.bill("a-1-1", key="k")
     driver.run(VoidBill(make_bill("a-1-1", "k")))
