Wait for callers that are silent while they wait, and accept what is in flight

Closing the listener reset connections that waited to be accepted, and a request still in the kernel did not count as open at a stop. Change: a time-out while reading ahead is no end; a request framed twice is answered once and its connection closed; waiting connections are accepted before the listener closes; open_requests also counts unread requests. The test of conflicting framing sent a half-close, which dropped the request, and checked nothing; it is replaced by one that counts arrivals and answers and sees the close.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -5,7 +5,7 @@
 from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
 
 import h11
-from gevent import Greenlet, GreenletExit, Timeout, getcurrent, spawn
+from gevent import Greenlet, GreenletExit, Timeout, getcurrent, sleep, spawn
 from gevent.event import Event
 from gevent.server import StreamServer
 from gevent.socket import socket as Socket
@@ -25,6 +25,8 @@
 # Time for the caller to read an error response before its connection is closed.
 LINGER_SECONDS = 0.5
 BACKLOG = 1_024
+# Limit on accepting waiting connections when the server stops listening.
+ACCEPT_TIMEOUT_SECONDS = 0.2
 
 
 class CallerDisconnectedError(Exception):
@@ -86,6 +88,9 @@
         while True:
             try:
                 data = self._sock.recv(READ_BYTES)
+            except TimeoutError:
+                # The socket's timeout limits sending; a caller may wait for longer.
+                continue
             except OSError:
                 data = b""
             if not data:
@@ -171,11 +176,12 @@
         self._first_byte_at = Seconds(0.0)
         self.is_busy = False
         self._is_shut_down = False
+        self._is_framed_twice = False
 
     @property
     def closes_after_response(self) -> bool:
         """Whether the connection closes after the current response."""
-        return self._server.is_closing
+        return self._server.is_closing or self._is_framed_twice
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -195,13 +201,20 @@
         finally:
             self._close()
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is running or has arrived, even if it is still unread."""
+        if self.is_busy or self._inbound.has_bytes or self._http.trailing_data[0]:
+            return True
+        return not self._inbound.is_closed and is_readable(self._sock)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is running or has arrived.
 
         A request that arrives after the close is never forwarded, so that its
         caller may safely send it again.
         """
-        if self.is_busy or self._inbound.has_bytes or is_readable(self._sock):
+        if self.has_request:
             return
         self._is_shut_down = True
         with suppress(OSError):
@@ -229,7 +242,7 @@
         finally:
             self._inbound.set_close_callback(None)
             self.is_busy = False
-        if not exchange.is_finished or self._can_close_now():
+        if not exchange.is_finished or self._is_framed_twice or self._can_close_now():
             return False
         states = self._http.states
         return states[h11.SERVER] is h11.DONE and states[h11.CLIENT] is h11.DONE
@@ -260,6 +273,7 @@
             match event:
                 case h11.Request():
                     head = event
+                    self._is_framed_twice = _is_framed_twice(event)
                 case h11.Data():
                     size += len(event.data)
                     if size > self._server.limits().body_bytes:
@@ -319,6 +333,16 @@
             self._sock.close()
 
 
+def _is_framed_twice(head: h11.Request) -> bool:
+    """Whether a request has a length and is chunked (RFC 9112, 6.1).
+
+    Another recipient may see a different end of its body, so that the bytes after it
+    must not be taken for the next request.
+    """
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
 def _interrupt(worker: Greenlet) -> None:
     worker.kill(CallerDisconnectedError, block=False)
 
@@ -366,6 +390,11 @@
         """Number of requests being served."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that are running or have arrived."""
+        return sum(connection.has_request for connection in self._connections)
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -381,7 +410,13 @@
             connection.close_if_idle()
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
+        """Accept the connections that callers have opened, and no further ones.
+
+        Closing the socket would reset those that wait to be accepted.
+        """
+        with Timeout(ACCEPT_TIMEOUT_SECONDS, False):
+            while self._server.started and is_readable(self._server.socket):
+                sleep(0.0)
         self._server.close()
 
     def handler(self, exchange: Exchange) -> None:
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -2,6 +2,7 @@
 from gevent import sleep
 
 from bergamotwood_core.gateway.configuration import CallerLimits, RouteKind
+from bergamotwood_daemon.gateway import server
 
 
 def answer(arrival):
@@ -53,17 +54,45 @@
     assert harness.list_arrivals()[0].body == inner
 
 
-def test_conflicting_framing_is_not_forwarded(make_harness):
+def test_a_request_framed_twice_runs_once_and_closes_the_connection(make_harness):
     harness = make_harness(configure(), one=answer)
     caller = harness.connect()
     extra = "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
     inner = make_head("smuggled", "content-length: 0\r\n\r\n")
     caller.send_raw((make_head("outer", extra) + "0\r\n\r\n" + inner).encode())
-    caller.finish_sending()
-    read_all(caller)
-    for arrival in harness.list_arrivals():
-        assert arrival.body == b""
-        assert "transfer-encoding" not in arrival.headers
+    data = read_all(caller)
+    assert data.count(b"HTTP/1.1 ") == 1
+    assert b"connection: close" in data.lower()
+    (arrival,) = harness.list_arrivals()
+    assert arrival.headers["id"] == "outer"
+    assert arrival.body == b""
+    assert "transfer-encoding" not in arrival.headers
+
+
+def test_a_caller_that_only_waits_is_not_taken_to_have_left(make_harness, monkeypatch):
+    def act(arrival):
+        sleep(0.4)
+        arrival.answer()
+
+    monkeypatch.setattr(server, "SEND_TIMEOUT_SECONDS", 0.1)
+    harness = make_harness(configure(), one=act)
+    assert harness.connect().call().status == 200
+
+
+def test_a_stream_outlasts_the_send_timeout(make_harness, monkeypatch):
+    def act(arrival):
+        arrival.begin_events()
+        for at in range(1, 9):
+            sleep(0.1)
+            arrival.send_events(at, at)
+        arrival.end_events()
+
+    monkeypatch.setattr(server, "SEND_TIMEOUT_SECONDS", 0.2)
+    routes = (make_route(requires_key=False, kind=RouteKind.STREAMING),)
+    harness = make_harness(make_configuration(routes=routes), one=act)
+    reply = harness.connect().call()
+    assert reply.is_whole
+    assert reply.body.count("\n\n") == 8
 
 
 def test_two_content_lengths_are_refused(make_harness):
