Finish a stop when the replica fails to stop, and serve no peer afterwards

A stop ended while a request was still unread in the kernel. Change: the failure is logged, the peer server is stopped, and the stop waits for open_requests.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -18,7 +18,7 @@
 from bergamotwood_daemon.gateway.replica import GatewayReplica
 from bergamotwood_daemon.gateway.server import Handler, HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
-from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.peer import PeerServer
 
 NANOSECONDS_PER_MICROSECOND = 1_000
@@ -28,6 +28,8 @@
 # Part of the grace period that is reserved for stopping the replica: leadership is
 # handed over within a few heartbeats.
 SHUTDOWN_RESERVE_SECONDS = 0.5
+# Limit on closing the server for other daemons.
+PEER_STOP_SECONDS = 0.2
 POLL_INTERVAL_SECONDS = 0.05
 
 
@@ -132,14 +134,25 @@
             + self.settings.bounds.grace_period_seconds
             - SHUTDOWN_RESERVE_SECONDS
         )
-        if self.entry is not None:
-            self._drain_callers(deadline)
-        if self.replica is not None:
-            # A disk that hangs must not delay the exit of the process.
-            with Timeout(SHUTDOWN_RESERVE_SECONDS, False):
+        try:
+            if self.entry is not None:
+                self._drain_callers(deadline)
+            if self.replica is not None:
+                self._stop_replica()
+        finally:
+            log_event("daemon", "Stopped.")
+            self._stopped.set()
+
+    def _stop_replica(self) -> None:
+        # A disk that hangs must not delay the exit of the process.
+        with Timeout(SHUTDOWN_RESERVE_SECONDS, False):
+            try:
                 self.replica.stop()
-        log_event("daemon", "Stopped.")
-        self._stopped.set()
+            except Exception as error:
+                log_failure("daemon", "Replica not stopped.", reason=str(error))
+        if self._peer_server is not None:
+            with Timeout(PEER_STOP_SECONDS, False):
+                self._peer_server.stop(0.0)
 
     def _drain_callers(self, deadline: float) -> None:
         """Serve until callers' address lists expire, then finish open requests."""
@@ -150,7 +163,7 @@
         self.entry.rejects_requests = True
         self._caller_server.stop_listening()
         self._caller_server.close_idle()
-        self._wait_until(lambda: not self._caller_server.active_requests, deadline)
+        self._wait_until(lambda: not self._caller_server.open_requests, deadline)
         self.entry.poller.stop()
 
     def _wait_until(self, is_met: Callable[[], bool], deadline: float) -> None:
