Time roll-outs on the replica's clock, not on the time of day

Cause: a roll-out's elapsed time was the wall clock less the wall clock of its order, on another machine; a step of the clock moves traffic to the new version early, or past the deadline. Detectors of ended roll-outs were kept for ever. Change: RolloutTimer notes when a replica first sees a roll-out; the time of day only serves one that began before the replica looked. Detectors are pruned. Other reads of the time of day: incarnations of entries and daemons (an order between runs of one process), and 'created' in answers.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -14,6 +14,7 @@
     choose_share,
     merge_evidence,
 )
+from bergamotwood_core.gateway.rollouttimer import RolloutTimer
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
     RolloutOutcome,
@@ -55,6 +56,7 @@
         self._directory = directory
         self._entries = entries
         self._clock = clock
+        self._timer = RolloutTimer()
         self._detectors: dict[LogIndex, RegressionDetector] = {}
         self._views: tuple[RolloutView, ...] = ()
         self._views_made_at = Seconds(float("-inf"))
@@ -82,12 +84,18 @@
         To be called on the leader only.
         """
         settlements = []
-        for rollout in self._list_rollouts():
-            if rollout.outcome is RolloutOutcome.IN_PROGRESS:
-                outcome = self._decide_outcome(rollout)
-                if outcome is not RolloutOutcome.IN_PROGRESS:
-                    command = SettleRollout(rollout.service, rollout.target, outcome)
-                    settlements.append(command)
+        running = [
+            rollout
+            for rollout in self._list_rollouts()
+            if rollout.outcome is RolloutOutcome.IN_PROGRESS
+        ]
+        for index in set(self._detectors) - {rollout.index for rollout in running}:
+            del self._detectors[index]
+        for rollout in running:
+            outcome = self._decide_outcome(rollout)
+            if outcome is not RolloutOutcome.IN_PROGRESS:
+                command = SettleRollout(rollout.service, rollout.target, outcome)
+                settlements.append(command)
         return settlements
 
     def _decide_outcome(self, rollout: ServiceRollout) -> RolloutOutcome:
@@ -122,15 +130,21 @@
     def _make_view(
         self, rollout: ServiceRollout, evidence: list[VersionEvidence]
     ) -> RolloutView:
-        elapsed = max(time() - rollout.ordered_at, 0.0)
+        elapsed = self._timer.measure(rollout, self._clock())
         if rollout.outcome is not RolloutOutcome.IN_PROGRESS:
             share = 1.0 if rollout.outcome is RolloutOutcome.COMPLETED else 0.0
             return RolloutView(rollout, elapsed, share)
         share = choose_share(rollout, elapsed, evidence, self._has_capacity(rollout))
         return RolloutView(rollout, elapsed, share)
 
+    def observe(self) -> None:
+        """Note which roll-outs exist; to be called several times a second."""
+        self._list_rollouts()
+
     def _list_rollouts(self) -> list[ServiceRollout]:
-        return list(self._machine.state.rollouts.values())
+        rollouts = list(self._machine.state.rollouts.values())
+        self._timer.observe(rollouts, time(), self._clock())
+        return rollouts
 
     def _merge_evidence(self) -> list[VersionEvidence]:
         return merge_evidence(status.evidence for status in self._entries.list_live())
--- a/tests/daemon/gateway/test_rollouts.py
+++ b/tests/daemon/gateway/test_rollouts.py
@@ -11,6 +11,7 @@
     ServiceRollout,
 )
 from bergamotwood_core.ids import LogIndex
+from bergamotwood_daemon.gateway import rollouts
 from bergamotwood_daemon.gateway.entries import EntryTable
 from bergamotwood_daemon.gateway.rollouts import VIEW_CACHE_SECONDS, RolloutController
 
@@ -59,3 +60,15 @@
     assert (view.rollout, view.share) == (ended, 0.0)
     del machine.state.rollouts[MODELS]
     assert controller.list_views() == ()
+
+
+def test_a_step_of_the_time_of_day_changes_no_share(monkeypatch):
+    controller, machine, _, now = make_controller()
+    times = [RUNNING.ordered_at]
+    monkeypatch.setattr(rollouts, "time", lambda: times[0])
+    (view,) = controller.list_views()
+    elapsed = view.elapsed_seconds
+    times[0] += 100.0
+    now[0] += 1.0
+    (view,) = controller.list_views()
+    assert view.elapsed_seconds == elapsed + 1.0
