Split events at every line end of the standard, within a size limit

Change: a pattern of HTML 9.2; 1 MiB an event; the idle time of a stream counts from its last event with data; ids sent are remembered where they have no order.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -3,7 +3,11 @@
 import h11
 
 from bergamotwood_core.gateway.call import Call
-from bergamotwood_core.gateway.events import EventSplitter, StreamEvent
+from bergamotwood_core.gateway.events import (
+    EventSplitter,
+    EventTooLargeError,
+    StreamEvent,
+)
 from bergamotwood_core.gateway.health import AttemptResult
 from bergamotwood_daemon.gateway.attempt import (
     Answered,
@@ -24,6 +28,8 @@
 # route's longest desired gap between events. Callers give up after eight.
 IDLE_TIMEOUT_GAPS = 3.0
 MIN_IDLE_TIMEOUT_SECONDS = 2.0
+# Largest event that is buffered until it is complete.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class StreamRelay:
@@ -52,19 +58,27 @@
         self._entry = entry
         self._call = call
         self._exchange = exchange
+        self._last_event_at = entry.clock()
+        # Only decimal ids are ordered; of the others, those sent are remembered.
+        self._sent_ids: set[str] = set()
 
     def forward(self, attempt: Attempt, head: h11.Response) -> Outcome:
         """Forward an endpoint's response until it ends or fails."""
         if not 200 <= head.status_code < 300:
             return self._read_error(attempt, head)
-        splitter = EventSplitter()
+        splitter = EventSplitter(MAX_EVENT_BYTES)
         self.events = 0
+        self._last_event_at = self._entry.clock()
         try:
             while True:
                 event = attempt.receive(self._compute_read_timeout())
+                attempt.check_deadline()
                 if isinstance(event, h11.EndOfMessage):
                     break
                 self._send(splitter.feed(bytes(event.data)), head)
+            self._send(splitter.finish(), head)
+        except EventTooLargeError as error:
+            return MayHaveRun(str(error), AttemptResult.BROKEN)
         except ConnectionBrokenError as error:
             return MayHaveRun(str(error), AttemptResult.BROKEN)
         except ResponseTimeoutError as error:
@@ -84,6 +98,8 @@
 
     def _send(self, events: list[StreamEvent], head: h11.Response) -> None:
         self.events += len(events)
+        if any(event.has_data for event in events):
+            self._last_event_at = self._entry.clock()
         new_events = [event for event in events if self._mark_if_new(event)]
         if not new_events:
             return
@@ -94,10 +110,14 @@
         """Return whether the caller lacks an event, and mark it as sent."""
         if event.id is None:
             return True
-        if _is_after(event.id, self._call.last_event_id):
-            self._call.last_event_id = event.id
-            return True
-        return False
+        if event.id in self._sent_ids or not _is_after(
+            event.id, self._call.last_event_id
+        ):
+            return False
+        if not event.id.isdecimal():
+            self._sent_ids.add(event.id)
+        self._call.last_event_id = event.id
+        return True
 
     def _start_response(self, head: h11.Response) -> None:
         if self.has_started:
@@ -110,8 +130,12 @@
         left = self._call.deadline - self._entry.clock()
         if not self._call.route.resumable:
             return left
-        timeout = IDLE_TIMEOUT_GAPS * self._call.route.event_gap_seconds
-        return min(left, max(timeout, MIN_IDLE_TIMEOUT_SECONDS))
+        timeout = max(
+            IDLE_TIMEOUT_GAPS * self._call.route.event_gap_seconds,
+            MIN_IDLE_TIMEOUT_SECONDS,
+        )
+        # Bytes that complete no event do not keep a stalled stream alive.
+        return min(left, self._last_event_at + timeout - self._entry.clock())
 
 
 def _is_after(event: str, last: str) -> bool:
