Keep to what endpoints ask for in answers, and end bytes without end

Cause: new rules of the platform (a leaving server says so in its answers; a 503 with Retry-After wants a pause), and faults found by tests: interim responses, bodies and streams without end outlasted the deadline; a large body was cut off after the connect time-out of 0.6 s; a request without an id could be given an older answer on a kept connection; OverflowError after 1,024 failed connections; IPv6 hosts were cut.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -21,6 +21,7 @@
 from bergamotwood_core.gateway.latency import LatencyTable, Timing
 from bergamotwood_core.gateway.load import LoadSum, LoadTable
 from bergamotwood_core.gateway.models import can_finish_in_time, choose_next_model
+from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Candidate, Placement
 from bergamotwood_core.ids import (
     DataCentre,
@@ -70,7 +71,9 @@
         self.health = HealthTable()
         self.latencies = LatencyTable()
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        self.placement = Placement(self.data_centre, self.health, self.loads.find, rng)
+        self.placement = Placement(
+            self.data_centre, self.health, NoticeTable(rng), self.loads.find, rng
+        )
         self.rng = rng
 
 
--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -111,12 +111,15 @@
         Whether the endpoint states that it did not execute the request.
     confidence : float or None
         The model's confidence in its answer, from 0 to 1.
+    is_leaving : bool
+        Whether the endpoint announces that it leaves.
     """
 
     request: RequestId
     is_signed: bool
     is_not_executed: bool
     confidence: float | None = None
+    is_leaving: bool = False
 
 
 class Call(Struct):
--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -128,6 +128,11 @@
         """Return the latest heartbeat of an endpoint; None if it is unknown."""
         return self._heartbeats.get(endpoint)
 
+    def is_serving(self, endpoint: EndpointId, incarnation: Incarnation) -> bool:
+        """Whether an incarnation is in the directory, so that it gets requests."""
+        known = self._heartbeats.get(endpoint)
+        return known is not None and known.incarnation == incarnation
+
     def _claim_address(self, heartbeat: EndpointHeartbeat) -> bool:
         """Remove older endpoints at the address; return False if a newer one has it."""
         for other in list(self._heartbeats.values()):
--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -11,6 +11,7 @@
 # to the maximum. A restarted process is back within seconds.
 FIRST_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 4.0
+MAX_PAUSE_DOUBLINGS = 16
 # Pause after a refusal for lack of capacity: a full queue has room again after
 # about one short request.
 FULL_PAUSE_SECONDS = 0.1
@@ -150,14 +151,18 @@
             case AttemptResult.BROKEN | AttemptResult.SILENT:
                 _update_failure_rate(health, 1.0)
             case AttemptResult.FULL:
-                health.paused_until = Seconds(now + FULL_PAUSE_SECONDS)
+                _pause(health, now, FULL_PAUSE_SECONDS)
             case AttemptResult.REPLACED:
                 health.is_replaced = True
             case AttemptResult.UNREACHABLE:
-                pause = FIRST_PAUSE_SECONDS * 2**health.failures
+                doublings = min(health.failures, MAX_PAUSE_DOUBLINGS)
                 health.failures += 1
-                pause = min(pause, MAX_PAUSE_SECONDS)
-                health.paused_until = Seconds(now + pause)
+                pause = FIRST_PAUSE_SECONDS * 2**doublings
+                _pause(health, now, min(pause, MAX_PAUSE_SECONDS))
+
+
+def _pause(health: EndpointHealth, now: Seconds, seconds: float) -> None:
+    health.paused_until = max(Seconds(now + seconds), health.paused_until)
 
 
 def _update_failure_rate(health: EndpointHealth, value: float) -> None:
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -16,6 +16,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import FAILING_RATE, EndpointHealth, HealthTable
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.prefill import PrefillRate, PrefixCacheIndex
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
 from bergamotwood_core.ids import DataCentre, EndpointId, ModelName
@@ -93,6 +94,8 @@
         Data centre of the entry.
     health : HealthTable
         Health of the endpoints.
+    notices : NoticeTable
+        Notices in the answers of the endpoints.
     find_load : callable
         Returns the load on an endpoint.
     rng : Random
@@ -108,6 +111,7 @@
         self,
         data_centre: DataCentre,
         health: HealthTable,
+        notices: NoticeTable,
         find_load: Callable[[EndpointId], EndpointLoad],
         rng: Random,
     ) -> None:
@@ -116,6 +120,7 @@
         self._data_centre = data_centre
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self._health = health
+        self._notices = notices
         self._find_load = find_load
         self._rng = rng
 
@@ -141,6 +146,27 @@
             default=None,
         )
 
+    def measure_pause(
+        self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
+    ) -> float | None:
+        """Return the seconds until an endpoint may get a request.
+
+        None if there is no endpoint that could serve it, even after a pause.
+        """
+        return min(
+            (
+                max(
+                    0.0,
+                    health.paused_until - now,
+                    self._notices.measure_pause(
+                        heartbeat.endpoint, heartbeat.incarnation, now
+                    ),
+                )
+                for heartbeat, health in self._find_usable(heartbeats, call)
+            ),
+            default=None,
+        )
+
     def is_unresponsive(self, heartbeat: EndpointHeartbeat, now: Seconds) -> bool:
         """Whether an endpoint sends neither heartbeats nor answers to this entry."""
         return (
@@ -171,6 +197,20 @@
     def _find_eligible(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
     ) -> list[tuple[EndpointHeartbeat, EndpointHealth]]:
+        return [
+            (heartbeat, health)
+            for heartbeat, health in self._find_usable(heartbeats, call)
+            if heartbeat.endpoint not in call.tried_endpoints
+            and health.paused_until <= now
+            and not self._notices.measure_pause(
+                heartbeat.endpoint, heartbeat.incarnation, now
+            )
+        ]
+
+    def _find_usable(
+        self, heartbeats: Iterable[EndpointHeartbeat], call: Call
+    ) -> list[tuple[EndpointHeartbeat, EndpointHealth]]:
+        """Return the endpoints that may serve a request, now or after a pause."""
         found = []
         for heartbeat in heartbeats:
             if (
@@ -180,10 +220,10 @@
                 continue
             if call.model and heartbeat.models and call.model not in heartbeat.models:
                 continue
-            health = self._health.find(heartbeat.endpoint, heartbeat.incarnation)
-            if health.is_replaced or health.paused_until > now:
+            if self._notices.is_leaving(heartbeat.endpoint, heartbeat.incarnation):
                 continue
-            if heartbeat.endpoint not in call.tried_endpoints:
+            health = self._health.find(heartbeat.endpoint, heartbeat.incarnation)
+            if not health.is_replaced:
                 found.append((heartbeat, health))
         return found
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -6,7 +6,7 @@
 import h11
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.gateway.call import Call, ForwardMetadata
+from bergamotwood_core.gateway.call import Call, ForwardMetadata, ResponseMetadata
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import AttemptResult
@@ -20,10 +20,15 @@
 from bergamotwood_daemon.gateway.message import (
     HttpRequest,
     HttpResponse,
+    read_retry_after,
     strip_connection_fields,
 )
+from bergamotwood_daemon.log import log_event
 
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
+# Interim responses accepted before the final one.
+MAX_INFORMATIONAL_RESPONSES = 8
 # Time without a response head after which a retryable request is retried at another
 # endpoint, in multiples of the route's latency objective.
 HEAD_TIMEOUT_OBJECTIVES = 1.5
@@ -31,7 +36,7 @@
 # Interval of the check whether the endpoint has stopped sending heartbeats.
 SILENCE_CHECK_SECONDS = 0.5
 # Largest response that is buffered until it is complete.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +151,7 @@
         try:
             while True:
                 event = self.receive(compute_timeout())
+                self.check_deadline()
                 if isinstance(event, h11.EndOfMessage):
                     break
                 pieces.append(bytes(event.data))
@@ -174,8 +180,6 @@
             return MayHaveRun(str(error), AttemptResult.BROKEN)
         try:
             head = self._receive_head()
-            while isinstance(head, h11.InformationalResponse):
-                head = self._receive_head()
         except ConnectionBrokenError as error:
             self._call.possible_executions += 1
             return MayHaveRun(str(error), AttemptResult.BROKEN)
@@ -199,6 +203,19 @@
         )
         return event
 
+    def check_deadline(self) -> None:
+        """Check that the caller still waits.
+
+        An endpoint that sends bytes without end would otherwise never time out.
+
+        Raises
+        ------
+        ResponseTimeoutError
+            When the request's deadline has passed.
+        """
+        if self._compute_time_left() < 0.0:
+            raise ResponseTimeoutError(f"{self.heartbeat.address}: past the deadline")
+
     def release_connection(self) -> None:
         """Return the connection to the pool for another request."""
         self._entry.pool.release(self._connection)
@@ -212,7 +229,11 @@
 
     def _send(self) -> None:
         request = self._request
-        must_be_new = not self._call.route.is_retryable
+        # Without an id, a late copy of an earlier response could not be told from the
+        # response to this request.
+        must_be_new = (
+            not self._call.route.is_retryable or not self._call.metadata.request
+        )
         self._connection = self._entry.pool.acquire(self.heartbeat.address, must_be_new)
         metadata = self._make_metadata(self._call, self)
         headers = self._entry.dialect.write_forward(
@@ -225,6 +246,13 @@
     def _receive_head(self) -> h11.Event:
         """Return the head, or give up early if the endpoint has gone silent."""
         head_deadline = self._entry.clock() + self._compute_head_timeout()
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
+            head = self._receive_any_head(head_deadline)
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise ConnectionBrokenError("too many informational responses")
+
+    def _receive_any_head(self, head_deadline: Seconds) -> h11.Event:
         while True:
             now = self._entry.clock()
             try:
@@ -246,7 +274,9 @@
         return self._entry.placement.is_unresponsive(self.heartbeat, now)
 
     def _check_head(self, head: h11.Response) -> h11.Response | Outcome:
-        metadata = self._entry.dialect.read_answer(list(head.headers))
+        headers = list(head.headers)
+        metadata = self._entry.dialect.read_answer(headers)
+        self._record_notices(head.status_code, metadata, read_retry_after(headers))
         if metadata.is_not_executed or head.status_code == MISDIRECTED_REQUEST:
             self.close()
             result = AttemptResult.FULL
@@ -264,6 +294,30 @@
             return MayHaveRun("response with an encoding", AttemptResult.BROKEN)
         return head
 
+    def _record_notices(
+        self, status: int, metadata: ResponseMetadata, retry_after: float | None
+    ) -> None:
+        if status == MISDIRECTED_REQUEST:
+            # Another endpoint has answered at this address.
+            return
+        heartbeat = self.heartbeat
+        now = self._entry.clock()
+        notices = self._entry.notices
+        if metadata.is_leaving and notices.record_leaving(
+            heartbeat.endpoint, heartbeat.incarnation, now
+        ):
+            log_event("attempt", "Endpoint leaves.", endpoint=heartbeat.endpoint)
+        if status == SERVICE_UNAVAILABLE and retry_after is not None:
+            notices.record_pause(
+                heartbeat.endpoint, heartbeat.incarnation, retry_after, now
+            )
+            log_event(
+                "attempt",
+                "Endpoint paused.",
+                endpoint=heartbeat.endpoint,
+                seconds=retry_after,
+            )
+
     def _compute_head_timeout(self) -> float:
         """Return the seconds to wait for the head of the response.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -31,6 +31,8 @@
 # much.
 MAX_INLINE_SEND_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
+# Shortest timeout of a socket; 0 would make it non-blocking.
+MIN_RECEIVE_SECONDS = 0.001
 
 
 class NotConnectedError(Exception):
@@ -111,7 +113,7 @@
             raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
     def receive(self, seconds: float) -> h11.Event:
-        """Return the next event of the response, waiting at most `seconds` for bytes.
+        """Return the next event of the response, waiting at most `seconds` for it.
 
         Raises
         ------
@@ -121,13 +123,19 @@
             When nothing arrives in time.
         """
         deadline = self._clock() + seconds
+        has_received = False
         try:
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return self._check_event(event)
-                self._sock.settimeout(max(deadline - self._clock(), 0.001))
+                left = deadline - self._clock()
+                if left < 0.0 and has_received:
+                    # Bytes without an event must not keep the wait alive.
+                    raise TimeoutError
+                self._sock.settimeout(max(left, MIN_RECEIVE_SECONDS))
                 self._http.receive_data(self._sock.recv(READ_BYTES))
+                has_received = True
         except TimeoutError as error:
             raise ResponseTimeoutError(
                 f"{self.address}: nothing within {seconds:.3f} s"
@@ -156,6 +164,7 @@
     def _send_all(self, data: bytes) -> None:
         # The greenlet that reads the response sees the same failure and reports it.
         with suppress(OSError):
+            self._sock.settimeout(None)
             self._sock.sendall(data)
 
     def _check_event(self, event: h11.Event) -> h11.Event:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -9,6 +9,7 @@
 from bergamotwood_core.gateway.health import HealthTable
 from bergamotwood_core.gateway.latency import LatencyTable, Timing
 from bergamotwood_core.gateway.load import LoadTable
+from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.gateway.retries import RetryBudget
 from bergamotwood_core.gateway.rollout import (
@@ -76,10 +77,11 @@
         self.rejects_requests = False
         self.control_state = ControlState(dialect, clock, bounds.key_lease_seconds)
         self.health = HealthTable()
+        self.notices = NoticeTable(rng)
         self.pool = ConnectionPool(clock)
         self.loads = LoadTable()
         self.placement = Placement(
-            settings.data_centre, self.health, self.loads.find, rng
+            settings.data_centre, self.health, self.notices, self.loads.find, rng
         )
         self.counters = EntryCounters()
         self.latencies = LatencyTable()
@@ -184,6 +186,7 @@
         """Drop expired connections and state; to be called about every second."""
         self.pool.expire()
         self.health.retain(set(self.control_state.heartbeats))
+        self.notices.expire(self.clock())
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
         self.budget.entry_count = max(len(self.control_state.entries), 1)
 
@@ -216,6 +219,7 @@
             self._list_open_sessions(),
             self.suspects.list_own_crashes(self.clock()),
             self.suspects.list_successes(self.clock()),
+            self.notices.list_leaving(self.clock()),
         )
 
     def _routes_to_target(self, view: RolloutView, call: Call) -> bool:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -26,6 +26,7 @@
     choose_first_model,
     choose_next_model,
 )
+from bergamotwood_core.gateway.notices import compute_return
 from bergamotwood_core.gateway.placement import (
     Candidate,
     find_affinity_key,
@@ -207,11 +208,21 @@
         raise RefusedError(
             f"{call.service}: no endpoint takes requests",
             Code.NO_ENDPOINT,
-            retry_after=OVERLOADED_RETRY_SECONDS
-            if call.tried_endpoints
-            else NO_ENDPOINT_RETRY_SECONDS,
+            retry_after=self._choose_retry_after(call),
         )
 
+    def _choose_retry_after(self, call: Call) -> float:
+        """Return the seconds until a refused request is likely to find an endpoint."""
+        entry = self._entry
+        groups = entry.list_eligible_endpoints(call)
+        heartbeats = [heartbeat for group in groups for heartbeat in group]
+        pause = entry.placement.measure_pause(heartbeats, call, entry.clock())
+        if pause is None:
+            seconds = NO_ENDPOINT_RETRY_SECONDS
+        else:
+            seconds = max(pause, OVERLOADED_RETRY_SECONDS)
+        return compute_return(seconds, call.priority, entry.rng)
+
     def _record_session(self, call: Call, candidate: Candidate) -> None:
         if call.metadata.session:
             self._entry.sessions.record(
@@ -436,7 +447,9 @@
                 if relay.has_started:
                     raise EndpointError(reason, Code.STREAM_BROKEN)
                 raise RefusedError(
-                    reason, Code.OVERLOADED, retry_after=OVERLOADED_RETRY_SECONDS
+                    reason,
+                    Code.OVERLOADED,
+                    retry_after=self._choose_retry_after(call),
                 )
             case _:
                 self._raise_failure(last_outcome)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/message.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/message.py
@@ -1,5 +1,7 @@
 """HTTP requests and responses that the gateway forwards."""
 
+from email.utils import parsedate_to_datetime
+
 from msgspec import Struct
 
 Headers = list[tuple[bytes, bytes]]
@@ -56,8 +58,10 @@
     @property
     def host(self) -> str:
         """Requested host in lower case, without the port."""
-        value = find_field(self.headers, b"host") or ""
-        return value.strip().lower().partition(":")[0]
+        value = (find_field(self.headers, b"host") or "").strip().lower()
+        if value.startswith("["):
+            return value.partition("]")[0] + "]"
+        return value.partition(":")[0]
 
 
 class HttpResponse(Struct):
@@ -86,6 +90,28 @@
     return None
 
 
+def read_retry_after(headers: Headers) -> float | None:
+    """Return the seconds in a `Retry-After` field; None if it is absent or invalid.
+
+    A date is taken relative to the `Date` field of the same response (RFC 9110,
+    10.2.3), so that the clocks of the two sides need not agree.
+    """
+    value = (find_field(headers, b"retry-after") or "").strip()
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = _subtract_dates(value, find_field(headers, b"date") or "")
+    return seconds if seconds is not None and seconds > 0.0 else None
+
+
+def _subtract_dates(later: str, earlier: str) -> float | None:
+    try:
+        span = parsedate_to_datetime(later) - parsedate_to_datetime(earlier)
+    except (ValueError, TypeError):
+        return None
+    return span.total_seconds()
+
+
 def strip_connection_fields(headers: Headers) -> Headers:
     """Return the header fields without hop-by-hop and framing fields."""
     connection_options = {
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -5,6 +5,7 @@
 
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
 from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.gateway.suspects import Crash, Success
@@ -60,6 +61,8 @@
         Endpoints that broke the connection while they ran a request.
     successes : tuple of Success
         Requests that were suspected of crashing endpoints and then got an answer.
+    leaving : tuple of LeavingEndpoint
+        Endpoints that have recently announced in an answer that they leave.
     """
 
     entry: EntryAddress
@@ -70,6 +73,7 @@
     open_sessions: tuple[SessionId, ...] = ()
     crashes: tuple[Crash, ...] = ()
     successes: tuple[Success, ...] = ()
+    leaving: tuple[LeavingEndpoint, ...] = ()
 
 
 class SyncRequest(Struct, frozen=True, array_like=True, tag=1):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -19,6 +19,7 @@
 )
 from bergamotwood_core.gateway.configuration import find_configuration_errors
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
+from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.state_machine import (
     OUTCOME_DECODER,
     BeginRollout,
@@ -127,6 +128,7 @@
         self._state_changed = Event()
         self._pending_heartbeats: list[EndpointHeartbeat] = []
         self._pending_statuses: list[EntryStatus] = []
+        self._reported_departures: set[tuple[EndpointId, Incarnation]] = set()
         self._applied_number = -1
         self._notified_version = -1
         self.group = LogGroup(
@@ -369,6 +371,8 @@
         if self.entries.update(request.status):
             self._pending_statuses.append(request.status)
             self._notify_if_changed()
+        for leaving in request.status.leaving:
+            self._record_leave_notice(leaving)
         self._wait_for_change(request)
         instance = request.status.entry.instance
         state = self._machine.state
@@ -396,6 +400,24 @@
             ),
         )
 
+    def _record_leave_notice(self, leaving: LeavingEndpoint) -> None:
+        """Commit a departure that an endpoint has announced to an entry only."""
+        run = (leaving.endpoint, leaving.incarnation)
+        if run in self._reported_departures or not self.directory.is_serving(*run):
+            return
+        self._reported_departures.add(run)
+        spawn(self._commit_departure, leaving)
+
+    def _commit_departure(self, leaving: LeavingEndpoint) -> None:
+        run = (leaving.endpoint, leaving.incarnation)
+        try:
+            self.record_departure(*run, EndpointState.LEAVING)
+        except ReplicationError as error:
+            # The entry reports the endpoint again with its next polls.
+            log_event("directory", "Departure not committed.", reason=error.detail)
+        finally:
+            self._reported_departures.discard(run)
+
     def _wait_for_change(self, request: SyncRequest) -> None:
         deadline = self._clock() + min(request.hold_seconds, MAX_LONG_POLL_SECONDS)
         while not self._has_change(request):
@@ -532,5 +554,6 @@
             self.directory.expire(self._clock())
             self.entries.expire()
             self._notify_if_changed()
+            self.rollouts.observe()
             if self.group.is_leader:
                 self._settle_rollouts()
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -8,6 +8,7 @@
 from bergamotwood_core.gateway.configuration import Destination
 from bergamotwood_core.gateway.health import AttemptResult, HealthTable
 from bergamotwood_core.gateway.load import NO_LOAD, EndpointLoad
+from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.gateway.prefill import INITIAL_SECONDS_PER_TOKEN
 from bergamotwood_core.ids import DataCentre, ModelName, RequestId
@@ -16,11 +17,12 @@
 LOCAL = DataCentre("karen")
 
 
-def make_placement(health=None, loads=None, seed=1):
+def make_placement(health=None, loads=None, seed=1, notices=None):
     loads = loads or {}
     return Placement(
         LOCAL,
         health or HealthTable(),
+        notices or NoticeTable(Random(seed)),
         lambda endpoint: loads.get(endpoint, NO_LOAD),
         Random(seed),
     )
@@ -230,3 +232,27 @@
         placement.choose(heartbeats[:1], make_call(), now).heartbeat.endpoint
         == "unresponsive"
     )
+
+
+def test_a_leaving_endpoint_gets_nothing_and_its_next_incarnation_does():
+    notices = NoticeTable(Random(1))
+    first = make_heartbeat("e-1")
+    notices.record_leaving(first.endpoint, first.incarnation, NOW)
+    placement = make_placement(notices=notices)
+    assert placement.choose([first], make_call(), NOW) is None
+    assert placement.measure_pause([first], make_call(), NOW) is None
+    second = make_heartbeat("e-1", incarnation=first.incarnation + 1)
+    assert placement.choose([second], make_call(), NOW).heartbeat is second
+
+
+def test_paused_endpoints_get_nothing_until_the_first_pause_ends():
+    notices = NoticeTable(Random(1))
+    heartbeats = [make_heartbeat("e-1"), make_heartbeat("e-2")]
+    for heartbeat, seconds in zip(heartbeats, (5.0, 2.0), strict=True):
+        notices.record_pause(heartbeat.endpoint, heartbeat.incarnation, seconds, NOW)
+    placement = make_placement(notices=notices)
+    assert placement.choose(heartbeats, make_call(), NOW) is None
+    pause = placement.measure_pause(heartbeats, make_call(), NOW)
+    assert 2.0 <= pause <= 2.2
+    chosen = placement.choose(heartbeats, make_call(), Seconds(NOW + pause + 0.01))
+    assert chosen.heartbeat.endpoint == "e-2"
--- a/tests/daemon/gateway/harness.py
+++ b/tests/daemon/gateway/harness.py
@@ -73,6 +73,7 @@
             is_signed=find_field(headers, b"signed") is not None,
             is_not_executed=find_field(headers, b"not-executed") is not None,
             confidence=float(confidence) if confidence else None,
+            is_leaving=find_field(headers, b"leaving") is not None,
         )
 
     def decode_configuration(self, document):
@@ -292,7 +293,7 @@
             Address("127.0.0.1", 0),
             Forwarder(self.entry).handle,
             lambda: self.entry.control_state.limits,
-            read_clock,
+            self.read_time,
         )
         self.server.start()
         self.callers = []
