Check a silent endpoint directly before its running work is given up

Cause: a request waiting at an endpoint whose heartbeats were missing, and that had sent this entry nothing for 1.5 s, was started elsewhere, although the endpoint may only have lost its way to the control group or report late. Change: LivenessChecker asks the endpoint itself, once for all requests that wait there, at most every 1.5 s; only one that doesn't answer is left.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -271,7 +271,9 @@
             return False
         if now - self.started_at < SILENCE_CHECK_SECONDS:
             return False
-        return self._entry.placement.is_unresponsive(self.heartbeat, now)
+        if not self._entry.placement.is_unresponsive(self.heartbeat, now):
+            return False
+        return not self._entry.liveness.check(self.heartbeat)
 
     def _check_head(self, head: h11.Response) -> h11.Response | Outcome:
         headers = list(head.headers)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/dialect.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/dialect.py
@@ -13,7 +13,15 @@
 
 
 class Dialect(Protocol):
-    """Translates a platform's header fields and documents to the gateway's types."""
+    """Translates a platform's header fields and documents to the gateway's types.
+
+    Attributes
+    ----------
+    liveness_target : bytes
+        Request target that an endpoint answers without a free slot.
+    """
+
+    liveness_target: bytes
 
     def read_call(self, headers: Headers) -> RequestMetadata:
         """Parse the header fields of a caller's request.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -26,6 +26,7 @@
 from bergamotwood_daemon.gateway.counters import EntryCounters
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.evidence import EvidenceCounter
+from bergamotwood_daemon.gateway.liveness import LivenessChecker
 from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import count_dropped_lines
@@ -78,6 +79,7 @@
         self.control_state = ControlState(dialect, clock, bounds.key_lease_seconds)
         self.health = HealthTable()
         self.notices = NoticeTable(rng)
+        self.liveness = LivenessChecker(dialect.liveness_target, clock)
         self.pool = ConnectionPool(clock)
         self.loads = LoadTable()
         self.placement = Placement(
@@ -187,6 +189,7 @@
         self.pool.expire()
         self.health.retain(set(self.control_state.heartbeats))
         self.notices.expire(self.clock())
+        self.liveness.expire()
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
         self.budget.entry_count = max(len(self.control_state.entries), 1)
 
@@ -200,6 +203,7 @@
             "outstanding": self.loads.count_requests(),
             "connections_opened_total": self.pool.opened_connections,
             "log_lines_dropped_total": count_dropped_lines(),
+            "liveness_checks_total": self.liveness.checks,
             "silent_endpoints": len(self.control_state.silent_endpoints),
         }
 
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -459,6 +459,8 @@
 
     harness = make_harness(configure(**STREAM), one=act, two=act)
     harness.entry.placement.silent_endpoints = frozenset(harness.endpoints)
+    for endpoint in harness.endpoints.values():
+        endpoint.is_dark = True
     reply = harness.connect().call(timeout="20")
     assert list_ids(reply.body) == ["1", "2", "3", "4", "5", "6"]
     assert len(seen) == 2
@@ -471,6 +473,23 @@
     assert len(waiting.list_arrivals()) == 1
 
 
+def test_running_work_of_an_endpoint_that_only_stopped_reporting_goes_on(make_harness):
+    def act(arrival):
+        sleep(3.0)
+        return stream(arrival)
+
+    harness = make_harness(configure(**STREAM), one=act, two=act)
+    harness.entry.placement.silent_endpoints = frozenset(harness.endpoints)
+    callers = [harness.connect() for _ in range(4)]
+    for at, caller in enumerate(callers):
+        caller.send(id=f"q-{at}", timeout="20")
+    for caller in callers:
+        assert list_ids(caller.read().body) == ["1", "2", "3", "4", "5", "6"]
+    assert len(harness.list_arrivals()) == len(callers)
+    # Requests at one endpoint share its checks.
+    assert harness.entry.liveness.checks <= 6
+
+
 def test_a_key_is_checked_again_before_a_retry(make_harness):
     def disconnect_and_revoke(arrival):
         harness.configuration = make_configuration(
