--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random, SystemRandom
 from time import time_ns
+from typing import TYPE_CHECKING
 
 from gevent import Timeout, sleep, spawn
 from gevent.event import Event
@@ -15,12 +16,14 @@
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
-from bergamotwood_daemon.gateway.replica import GatewayReplica
 from bergamotwood_daemon.gateway.server import Handler, HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.peer import PeerServer
 
+if TYPE_CHECKING:
+    from bergamotwood_daemon.gateway.replica import GatewayReplica
+
 NANOSECONDS_PER_MICROSECOND = 1_000
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 # Callers may use a list of entries up to three times its time to live.
@@ -120,6 +123,9 @@
         )
 
     def _make_replica(self, dialect: Dialect) -> None:
+        # Entries, of which there are many, start without the modules of the log.
+        from bergamotwood_daemon.gateway.replica import GatewayReplica
+
         rng = Random(self.rng.getrandbits(64))
         self.replica = GatewayReplica(self.settings, dialect, read_clock, rng)
 
