--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.changefeed import ChangeFeed
 from bergamotwood_core.gateway.state_machine import Departure
 from bergamotwood_core.ids import (
     DataCentre,
@@ -70,12 +71,12 @@
 
     Attributes
     ----------
-    version : int
-        Increases with each change that entries need to know.
+    feed : ChangeFeed
+        Heartbeats with changes that entries need to know.
     """
 
     def __init__(self, expiry_seconds: float) -> None:
-        self.version = 0
+        self.feed: ChangeFeed[EndpointId, EndpointHeartbeat] = ChangeFeed()
         self._expiry = expiry_seconds
         self._heartbeats: dict[EndpointId, EndpointHeartbeat] = {}
         self._last_heard: dict[EndpointId, Seconds] = {}
@@ -96,7 +97,7 @@
         self._heartbeats[heartbeat.endpoint] = heartbeat
         self._last_heard[heartbeat.endpoint] = now
         if known is None or _has_changed(heartbeat, known):
-            self.version += 1
+            self.feed.put(heartbeat.endpoint, heartbeat)
         return True
 
     def apply_departures(self, departures: Iterable[Departure]) -> None:
@@ -149,7 +150,7 @@
     def _drop(self, endpoint: EndpointId) -> None:
         del self._heartbeats[endpoint]
         del self._last_heard[endpoint]
-        self.version += 1
+        self.feed.remove(endpoint)
 
 
 def _is_newer(heartbeat: EndpointHeartbeat, known: EndpointHeartbeat) -> bool:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -8,7 +8,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import ReplicationError
-from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_daemon.gateway.channels import PeerChannels
 from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.peermessages import (
@@ -30,6 +30,11 @@
 # A replica with older state is partitioned from the others, or they have no leader.
 MAX_STATE_AGE_SECONDS = 0.9
 RETRY_DELAY_SECONDS = 0.1
+# Shortest time for which a replica that failed is avoided. The time varies, so that
+# entries return one by one.
+AVOID_SECONDS = 2.0
+# The time doubles with each failure in a row, up to this many times.
+MAX_AVOID_DOUBLINGS = 1
 
 
 class ControlPoller:
@@ -43,6 +48,8 @@
         Returns the entry's current status.
     seeds : callable
         Returns the control replicas named in the settings.
+    data_centre : DataCentre
+        Data centre of the entry; its replica is preferred.
     on_update : callable
         Called after each update of the control state.
     clock : callable
@@ -56,6 +63,7 @@
         control_state: ControlState,
         make_status: Callable[[], EntryStatus],
         seeds: Callable[[], tuple[InstanceId, ...]],
+        data_centre: DataCentre,
         on_update: Callable[[], None],
         clock: Callable[[], Seconds],
         rng: Random,
@@ -63,12 +71,14 @@
         self._control_state = control_state
         self._make_status = make_status
         self._seeds = seeds
+        self._data_centre = data_centre
         self._on_update = on_update
         self._clock = clock
         self._rng = rng
         self._channels = PeerChannels()
         self._replica: InstanceId | None = None
-        self._failed: set[InstanceId] = set()
+        self._avoided_until: dict[InstanceId, Seconds] = {}
+        self._failures: dict[InstanceId, int] = {}
         self._is_disconnected = False
         self._greenlet: Greenlet | None = None
 
@@ -82,19 +92,20 @@
         self._channels.close()
 
     def report_now(self) -> None:
-        """Report to every known replica at once, and ignore their replies."""
-        status = self._make_status()
-        for replica in self._list_replicas():
-            spawn(self._report, replica, status)
+        """Report to the replica at once, or to the next one if it does not answer."""
+        spawn(self._report, self._make_status())
 
     def _run(self) -> None:
         while True:
             if self._replica is None:
                 self._replica = self._choose_replica()
-            if not self._poll(self._replica):
-                self._failed.add(self._replica)
-                self._replica = None
-                sleep(RETRY_DELAY_SECONDS * self._rng.uniform(0.5, 1.0))
+            replica = self._replica
+            if self._poll(replica):
+                self._move_home()
+                continue
+            self._avoid(replica)
+            self._replica = None
+            sleep(RETRY_DELAY_SECONDS * self._rng.uniform(0.5, 1.0))
 
     def _poll(self, replica: InstanceId) -> bool:
         requested_at = self._clock()
@@ -110,33 +121,74 @@
                 replica, f"replica state is {reply.age_seconds:.1f} s old"
             )
             return False
+        if reply.document is not None and self._control_state.number < reply.number:
+            self._handle_failure(replica, "its configuration is unreadable")
+            return False
         self._handle_success(replica)
         return True
 
     def _call(self, replica: InstanceId, hold_seconds: float) -> SyncReply:
-        state = self._control_state
-        request = SyncRequest(
-            self._make_status(), state.number, state.boot, state.version, hold_seconds
-        )
-        body = ENCODER.encode(request)
+        body = self._encode_request(self._make_status(), hold_seconds)
         return SYNC_REPLY.decode(
             self._channels.get(replica).call(POLL, body, CALL_TIMEOUT_SECONDS)
         )
 
-    def _report(self, replica: InstanceId, status: EntryStatus) -> None:
-        body = ENCODER.encode(SyncRequest(status, -1, "", -1, 0.0))
-        try:
-            self._channels.get(replica).call(POLL, body, CALL_TIMEOUT_SECONDS)
-        except ReplicationError as error:
-            log_event("entry", "Report failed.", replica=replica, reason=error.detail)
+    def _encode_request(self, status: EntryStatus, hold_seconds: float) -> bytes:
+        state = self._control_state
+        return ENCODER.encode(
+            SyncRequest(status, state.number, state.boot, state.cursors, hold_seconds)
+        )
+
+    def _report(self, status: EntryStatus) -> None:
+        body = self._encode_request(status, 0.0)
+        replicas = self._list_replicas()
+        current = self._replica
+        replicas.sort(key=lambda replica: (replica != current, self._rng.random()))
+        for replica in replicas:
+            try:
+                self._channels.get(replica).call(POLL, body, CALL_TIMEOUT_SECONDS)
+                return
+            except ReplicationError as error:
+                log_event(
+                    "entry", "Report failed.", replica=replica, reason=error.detail
+                )
 
     def _choose_replica(self) -> InstanceId:
+        """Choose a replica of the own data centre, or else any, at random."""
         known = self._list_replicas()
-        candidates = [replica for replica in known if replica not in self._failed]
-        if not candidates:
-            self._failed.clear()
-            candidates = known
-        return self._rng.choice(candidates)
+        now = self._clock()
+        usable = [
+            replica for replica in known if self._avoided_until.get(replica, now) <= now
+        ]
+        if not usable:
+            self._avoided_until.clear()
+            usable = known
+        return self._rng.choice(self._list_local(usable) or usable)
+
+    def _move_home(self) -> None:
+        """Return to a replica of the own data centre, where polls cost least."""
+        now = self._clock()
+        local = [
+            replica
+            for replica in self._list_local(self._list_replicas())
+            if self._avoided_until.get(replica, now) <= now
+        ]
+        if local and self._replica not in local:
+            self._replica = self._rng.choice(local)
+
+    def _avoid(self, replica: InstanceId) -> None:
+        failures = self._failures.get(replica, 0)
+        self._failures[replica] = min(failures + 1, MAX_AVOID_DOUBLINGS)
+        seconds = AVOID_SECONDS * 2**failures * self._rng.uniform(1.0, 2.0)
+        self._avoided_until[replica] = Seconds(self._clock() + seconds)
+
+    def _list_local(self, replicas: list[InstanceId]) -> list[InstanceId]:
+        data_centres = self._control_state.replicas
+        return [
+            replica
+            for replica in replicas
+            if data_centres.get(replica) == self._data_centre
+        ]
 
     def _list_replicas(self) -> list[InstanceId]:
         return sorted({*self._control_state.replicas, *self._seeds()})
@@ -147,7 +199,7 @@
             log_event("entry", "Control lost.", replica=replica, reason=reason)
 
     def _handle_success(self, replica: InstanceId) -> None:
-        self._failed.clear()
+        self._failures.pop(replica, None)
         if self._is_disconnected:
             self._is_disconnected = False
             log_event("entry", "Control regained.", replica=replica)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from zlib import error as ZlibError
 
+from msgspec.structs import replace
+
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import Code, RefusedError, RequestError
 from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
@@ -12,9 +14,15 @@
 from bergamotwood_core.gateway.routing import RoutingTable
 from bergamotwood_core.gateway.state_machine import decompress_document
 from bergamotwood_core.gateway.suspects import Crash, Success
-from bergamotwood_core.ids import EndpointId, InstanceId, ServiceName, SessionId
+from bergamotwood_core.ids import (
+    DataCentre,
+    EndpointId,
+    InstanceId,
+    ServiceName,
+    SessionId,
+)
 from bergamotwood_daemon.gateway.dialect import Dialect
-from bergamotwood_daemon.gateway.peermessages import EntryAddress, SyncReply
+from bergamotwood_daemon.gateway.peermessages import Cursors, EntryAddress, SyncReply
 from bergamotwood_daemon.log import log_event
 
 # Retry delay sent to callers of an entry without a current configuration. After a
@@ -45,16 +53,16 @@
     ) -> None:
         self.routing: RoutingTable | None = None
         self.heartbeats: dict[EndpointId, EndpointHeartbeat] = {}
-        self.entries: tuple[EntryAddress, ...] = ()
+        self.entries: dict[InstanceId, EntryAddress] = {}
         self.loads: dict[EndpointId, EndpointLoad] = {}
         self.crashes: tuple[Crash, ...] = ()
         self.successes: tuple[Success, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.open_sessions: frozenset[SessionId] = frozenset()
-        self.replicas: tuple[InstanceId, ...] = ()
+        self.replicas: dict[InstanceId, DataCentre] = {}
         self.boot = ""
-        self.version = -1
+        self.cursors = Cursors()
         self.confirmed_at = Seconds(float("-inf"))
         self._dialect = dialect
         self._clock = clock
@@ -115,24 +123,31 @@
         """
         if reply.document is not None and reply.number > self.number:
             self._load_document(reply.document)
-        if reply.heartbeats is not None:
-            self.heartbeats = {
-                heartbeat.endpoint: heartbeat for heartbeat in reply.heartbeats
-            }
-        self.boot = reply.boot
-        self.version = reply.version
-        if reply.entries is not None:
-            self.entries = reply.entries
+        self._apply_changes(reply)
         self.loads = reply.loads
         self.crashes = reply.crashes
         self.successes = reply.successes
         self._update_rollouts(reply)
-        self.replicas = reply.replicas
         self.silent_endpoints = frozenset(reply.silent)
         if reply.number == self.number:
             confirmed_at = Seconds(requested_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def _apply_changes(self, reply: SyncReply) -> None:
+        if reply.boot != self.boot:
+            self.boot = reply.boot
+            self.cursors = Cursors()
+        endpoints, entries, replicas = reply.endpoints, reply.entries, reply.replicas
+        if endpoints is not None:
+            self.heartbeats = endpoints.apply(self.heartbeats)
+            self.cursors = replace(self.cursors, endpoints=endpoints.cursor)
+        if entries is not None:
+            self.entries = entries.apply(self.entries)
+            self.cursors = replace(self.cursors, entries=entries.cursor)
+        if replicas is not None:
+            self.replicas = replicas.apply(self.replicas)
+            self.cursors = replace(self.cursors, replicas=replicas.cursor)
+
     def _update_rollouts(self, reply: SyncReply) -> None:
         for view in reply.rollouts:
             service = view.rollout.service
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -1,103 +1,263 @@
-"""Table of the entries that report to the control group."""
+"""Table of the entries that report to the control group.
 
-from collections.abc import Callable
+A replica keeps the reports of the entries that poll it. Of the other entries it only
+knows who they are, and the sums that their replicas relay, so that what the replicas
+exchange does not grow with the number of reports.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import chain
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
+from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
 from bergamotwood_core.gateway.suspects import Crash, Success
 from bergamotwood_core.ids import EndpointId, InstanceId, SessionId
-from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
+from bergamotwood_daemon.gateway.peermessages import (
+    EntryAddress,
+    EntryMember,
+    EntryStatus,
+    ReplicaSummary,
+    SummaryCursor,
+)
 
 # Entries report at least every half second. One that has missed two reports is
 # dropped, so that callers are no longer directed to it.
 ENTRY_EXPIRY_SECONDS = 1.5
+# Time without a summary after which a replica's entries are dropped. They have moved to
+# another replica by then.
+SUMMARY_EXPIRY_SECONDS = 2.0
+
+
+@dataclass
+class RelayedEntries:
+    """What another replica has relayed of its entries."""
+
+    summary: ReplicaSummary
+    received_at: Seconds
+    cursor: int = NO_CURSOR
+    members: dict[InstanceId, EntryMember] = field(default_factory=dict)
 
 
 class EntryTable:
-    """Newest status of each live entry.
+    """Newest status of each entry that polls this replica, and summaries of others.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the current time.
 
     Attributes
     ----------
-    version : int
-        Increases when an entry joins, expires or changes its readiness.
+    members : ChangeFeed
+        Entries that poll this replica.
+    addresses : ChangeFeed
+        Addresses of all entries, for callers.
     """
 
     def __init__(self, clock: Callable[[], Seconds]) -> None:
-        self.version = 0
+        self.members: ChangeFeed[InstanceId, EntryMember] = ChangeFeed()
+        self.addresses: ChangeFeed[InstanceId, EntryAddress] = ChangeFeed()
         self._clock = clock
         self._statuses: dict[InstanceId, EntryStatus] = {}
         self._received_at: dict[InstanceId, Seconds] = {}
+        self._relayed: dict[InstanceId, RelayedEntries] = {}
         self._loads = LoadSum()
 
     def update(self, status: EntryStatus) -> bool:
-        """Store a status; return whether it is newer than the stored one."""
+        """Store a status; return whether it is newer than what is known."""
         instance = status.entry.instance
         previous = self._statuses.get(instance)
-        if previous is not None and _make_order_key(previous) >= _make_order_key(
-            status
-        ):
+        if previous is not None and _order(previous) >= _order(status):
+            return False
+        if self._find_newest_relayed(instance) > _order(status):
             return False
         if previous is not None:
             self._loads.subtract(previous.loads)
         self._loads.add(status.loads)
         self._statuses[instance] = status
         self._received_at[instance] = self._clock()
-        if previous is None or previous.entry.is_ready != status.entry.is_ready:
-            self.version += 1
+        known = self.members.find(instance)
+        if known is None or (known.entry, known.incarnation) != (
+            status.entry,
+            status.incarnation,
+        ):
+            self._publish_member(status)
         return True
 
+    def summarize(
+        self, replica: InstanceId, boot: str, sequence: int
+    ) -> ReplicaSummary:
+        """Return the summary for other replicas, without changes of the members."""
+        statuses = self._statuses.values()
+        loads = LoadSum()
+        for status in statuses:
+            loads.add(status.loads)
+        return ReplicaSummary(
+            replica,
+            boot,
+            sequence,
+            None,
+            loads.list_without({}),
+            tuple(merge_evidence(status.evidence for status in statuses)),
+            _collect(status.open_sessions for status in statuses),
+            _collect(status.crashes for status in statuses),
+            _collect(status.successes for status in statuses),
+        )
+
+    def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
+        """Store the summary of another replica; return what is known of it then."""
+        relayed = self._relayed.get(summary.replica)
+        if relayed is not None and relayed.summary.boot == summary.boot:
+            if summary.sequence <= relayed.summary.sequence:
+                return SummaryCursor(summary.boot, relayed.cursor)
+            self._loads.subtract(relayed.summary.loads)
+            relayed.summary = summary
+            relayed.received_at = self._clock()
+        else:
+            if relayed is not None:
+                self._drop_relayed(summary.replica)
+            relayed = RelayedEntries(summary, self._clock())
+            self._relayed[summary.replica] = relayed
+        self._loads.add(summary.loads)
+        self._apply_member_changes(relayed)
+        return SummaryCursor(summary.boot, relayed.cursor)
+
     def expire(self) -> None:
-        """Remove entries that have stopped reporting."""
-        cutoff = self._clock() - ENTRY_EXPIRY_SECONDS
-        for instance in [
+        """Remove entries, and summaries of replicas, that have stopped reporting."""
+        now = self._clock()
+        cutoff = now - ENTRY_EXPIRY_SECONDS
+        for instance in [key for key, at in self._received_at.items() if at < cutoff]:
+            self._drop(instance)
+        cutoff = now - SUMMARY_EXPIRY_SECONDS
+        for replica in [
             key
-            for key, received_at in self._received_at.items()
-            if received_at < cutoff
+            for key, relayed in self._relayed.items()
+            if relayed.received_at < cutoff
         ]:
-            self._loads.subtract(self._statuses.pop(instance).loads)
-            del self._received_at[instance]
-            self.version += 1
-
-    def list_live(self) -> tuple[EntryStatus, ...]:
-        """Return the newest status of each live entry."""
-        return tuple(self._statuses.values())
+            self._drop_relayed(replica)
 
     def list_addresses(self) -> tuple[EntryAddress, ...]:
         """Return the addresses of the live entries for callers."""
-        return tuple(status.entry for status in self._statuses.values())
+        return self.addresses.list_values()
 
-    def list_loads(self, instance: InstanceId) -> dict[EndpointId, EndpointLoad]:
+    def list_loads(self, instance: InstanceId | None) -> dict[EndpointId, EndpointLoad]:
         """Return the load that all entries except `instance` put on each endpoint."""
         own_status = self._statuses.get(instance)
         return self._loads.list_without(own_status.loads if own_status else {})
 
+    def list_evidence(self) -> list[VersionEvidence]:
+        """Return the evidence of all entries on versions that are rolled out."""
+        return merge_evidence(
+            chain(
+                (status.evidence for status in self._statuses.values()),
+                (relayed.summary.evidence for relayed in self._relayed.values()),
+            )
+        )
+
     def list_crashes(self, instance: InstanceId) -> tuple[Crash, ...]:
         """Return the crashes that all entries except `instance` report."""
-        return tuple(
-            crash
-            for status in self._statuses.values()
-            if status.entry.instance != instance
-            for crash in status.crashes
+        return _collect(
+            chain(
+                (status.crashes for status in self._list_others(instance)),
+                (relayed.summary.crashes for relayed in self._relayed.values()),
+            )
         )
 
     def list_successes(self, instance: InstanceId) -> tuple[Success, ...]:
         """Return the successes that all entries except `instance` report."""
-        return tuple(
-            success
-            for status in self._statuses.values()
-            if status.entry.instance != instance
-            for success in status.successes
+        return _collect(
+            chain(
+                (status.successes for status in self._list_others(instance)),
+                (relayed.summary.successes for relayed in self._relayed.values()),
+            )
         )
 
     def list_open_sessions(self) -> tuple[SessionId, ...]:
         """Return the open sessions of all entries without duplicates."""
-        sessions = [
-            session
-            for status in self._statuses.values()
-            for session in status.open_sessions
+        sessions = chain(
+            (status.open_sessions for status in self._statuses.values()),
+            (relayed.summary.open_sessions for relayed in self._relayed.values()),
+        )
+        return tuple(dict.fromkeys(chain.from_iterable(sessions)))
+
+    def _list_others(self, instance: InstanceId) -> Iterable[EntryStatus]:
+        return (status for key, status in self._statuses.items() if key != instance)
+
+    def _apply_member_changes(self, relayed: RelayedEntries) -> None:
+        changes = relayed.summary.members
+        if changes is None or not (
+            changes.is_complete or changes.since <= relayed.cursor
+        ):
+            # Changes since a later cursor are sent again from the one returned.
+            return
+        before = relayed.members
+        relayed.members = changes.apply(before)
+        relayed.cursor = changes.cursor
+        for instance, member in changes.values.items():
+            self._resolve_move(instance, member)
+        for instance in before.keys() | changes.values.keys():
+            self._refresh_address(instance)
+
+    def _resolve_move(self, instance: InstanceId, member: EntryMember) -> None:
+        """Keep an entry at the replica that it polls now."""
+        own_status = self._statuses.get(instance)
+        if own_status is None:
+            return
+        if _order(own_status) < _order(member):
+            self._drop(instance)
+        elif _order(self.members.find(instance)) < _order(member):
+            # It went to the other replica and came back: tell that one.
+            self._publish_member(own_status)
+
+    def _publish_member(self, status: EntryStatus) -> None:
+        member = EntryMember(status.entry, status.incarnation, status.sequence)
+        self.members.put(status.entry.instance, member)
+        self._refresh_address(status.entry.instance)
+
+    def _find_newest_relayed(self, instance: InstanceId) -> tuple[int, int]:
+        return max(
+            (
+                _order(relayed.members[instance])
+                for relayed in self._relayed.values()
+                if instance in relayed.members
+            ),
+            default=(0, 0),
+        )
+
+    def _refresh_address(self, instance: InstanceId) -> None:
+        """Publish the newest address of an entry that any replica has."""
+        members = [
+            relayed.members[instance]
+            for relayed in self._relayed.values()
+            if instance in relayed.members
         ]
-        return tuple(dict.fromkeys(sessions))
+        own_member = self.members.find(instance)
+        if own_member is not None:
+            members.append(own_member)
+        if members:
+            self.addresses.put(instance, max(members, key=_order).entry)
+        else:
+            self.addresses.remove(instance)
+
+    def _drop(self, instance: InstanceId) -> None:
+        self._loads.subtract(self._statuses.pop(instance).loads)
+        del self._received_at[instance]
+        self.members.remove(instance)
+        self._refresh_address(instance)
+
+    def _drop_relayed(self, replica: InstanceId) -> None:
+        relayed = self._relayed.pop(replica)
+        self._loads.subtract(relayed.summary.loads)
+        for instance in relayed.members:
+            self._refresh_address(instance)
+
+
+def _order(report: EntryStatus | EntryMember) -> tuple[int, int]:
+    return report.incarnation, report.sequence
 
 
-def _make_order_key(status: EntryStatus) -> tuple[int, int]:
-    return status.incarnation, status.sequence
+def _collect(reports: Iterable[tuple]) -> tuple:
+    return tuple(chain.from_iterable(reports))
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -97,6 +97,7 @@
             self.control_state,
             self._make_status,
             lambda: self.settings.seeds,
+            settings.data_centre,
             self.apply_reports,
             clock,
             rng,
@@ -114,7 +115,9 @@
 
         Entries of other data centres are listed only if this one has no ready entry.
         """
-        entries = [entry for entry in self.control_state.entries if entry.is_ready]
+        entries = [
+            entry for entry in self.control_state.entries.values() if entry.is_ready
+        ]
         own_address = self._format_address()
         addresses = {entry.address: entry.data_centre for entry in entries}
         addresses.pop(own_address, None)
@@ -125,7 +128,10 @@
             for address, location in addresses.items()
             if location == data_centre
         ]
-        return (near or list(addresses))[:MAX_ADDRESSES]
+        listed = near or list(addresses)
+        if len(listed) <= MAX_ADDRESSES:
+            return listed
+        return self.rng.sample(listed, MAX_ADDRESSES)
 
     def list_eligible_endpoints(self, call: Call) -> list[list[EndpointHeartbeat]]:
         """Return endpoints whose version may get a request, preferred group first."""
@@ -150,6 +156,7 @@
     def apply_reports(self) -> None:
         """Apply the newest reports of the control group and of other entries."""
         self.placement.silent_endpoints = self.control_state.silent_endpoints
+        self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.loads.set_others(self.control_state.loads)
         self.suspects.apply_reports(
             self.control_state.crashes, self.control_state.successes, self.clock()
@@ -191,7 +198,6 @@
         self.notices.expire(self.clock())
         self.liveness.expire()
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
-        self.budget.entry_count = max(len(self.control_state.entries), 1)
 
     def list_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges for metrics."""
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 from msgspec.msgpack import Decoder, Encoder
 
+from bergamotwood_core.gateway.changefeed import NO_CURSOR, Changes
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import LeavingEndpoint
@@ -76,6 +77,30 @@
     leaving: tuple[LeavingEndpoint, ...] = ()
 
 
+class EntryMember(Struct, frozen=True, array_like=True):
+    """An entry that polls a replica.
+
+    Parameters
+    ----------
+    entry : EntryAddress
+        Its address for callers.
+    incarnation, sequence : Incarnation, int
+        Order of the status in which it came to the replica or changed.
+    """
+
+    entry: EntryAddress
+    incarnation: Incarnation
+    sequence: int
+
+
+class Cursors(Struct, frozen=True, array_like=True):
+    """Cursors of an entry in the feeds of its replica."""
+
+    endpoints: int = NO_CURSOR
+    entries: int = NO_CURSOR
+    replicas: int = NO_CURSOR
+
+
 class SyncRequest(Struct, frozen=True, array_like=True, tag=1):
     """Status report of an entry, and its request for changes since its last poll.
 
@@ -86,9 +111,9 @@
     number : int
         Number of the configuration that it has.
     boot : str
-        Id of the run of the replica's process that `version` refers to.
-    version : int
-        Version of the directory that it has.
+        Id of the run of the replica's process that `cursors` refer to.
+    cursors : Cursors
+        What it has of the replica's feeds.
     hold_seconds : float
         How long the replica may wait for a change before it answers.
     """
@@ -96,7 +121,7 @@
     status: EntryStatus
     number: int
     boot: str
-    version: int
+    cursors: Cursors
     hold_seconds: float
 
 
@@ -107,20 +132,20 @@
     ----------
     age_seconds : float
         Age of the state: it has everything committed that many seconds ago.
-    replicas : tuple of InstanceId
-        Members of the control group.
     number : int
         Number of the configuration in force.
     document : bytes or None
         Its compressed document; None if the entry has that configuration.
+    boot : str
+        Run of the replica's process.
+    endpoints : Changes or None
+        Newest heartbeats of endpoints that have changed.
+    entries : Changes or None
+        Changes of the live entries.
+    replicas : Changes or None
+        Changes of the control group's members and their data centres.
     rollouts : tuple of RolloutView
         Newest roll-out of each service.
-    boot, version : str, int
-        Run of the replica's process, and version of its directory.
-    heartbeats : tuple of EndpointHeartbeat or None
-        Newest heartbeat of each endpoint; None if the entry has this version.
-    entries : tuple of EntryAddress or None
-        All live entries; None if the entry has this version.
     loads : dict
         Load that all other entries put on each endpoint.
     crashes : tuple of Crash
@@ -135,14 +160,13 @@
     """
 
     age_seconds: float
-    replicas: tuple[InstanceId, ...]
     number: int
     document: bytes | None
-    rollouts: tuple[RolloutView, ...]
     boot: str
-    version: int
-    heartbeats: tuple[EndpointHeartbeat, ...] | None
-    entries: tuple[EntryAddress, ...] | None
+    endpoints: Changes[EndpointId, EndpointHeartbeat] | None = None
+    entries: Changes[InstanceId, EntryAddress] | None = None
+    replicas: Changes[InstanceId, DataCentre] | None = None
+    rollouts: tuple[RolloutView, ...] = ()
     loads: dict[EndpointId, EndpointLoad] = {}
     crashes: tuple[Crash, ...] = ()
     successes: tuple[Success, ...] = ()
@@ -150,15 +174,59 @@
     silent: tuple[EndpointId, ...] = ()
 
 
+class ReplicaSummary(Struct, frozen=True, array_like=True):
+    """What a replica tells the others of the entries that poll it.
+
+    Parameters
+    ----------
+    replica : InstanceId
+        The replica.
+    boot : str
+        Run of its process.
+    sequence : int
+        Increases with each summary of a run.
+    members : Changes or None
+        Changes of the entries that poll it.
+    loads, evidence, open_sessions, crashes, successes
+        Sums of what these entries report, as in `EntryStatus`.
+    """
+
+    replica: InstanceId
+    boot: str
+    sequence: int
+    members: Changes[InstanceId, EntryMember] | None = None
+    loads: dict[EndpointId, EndpointLoad] = {}
+    evidence: tuple[VersionEvidence, ...] = ()
+    open_sessions: tuple[SessionId, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+    successes: tuple[Success, ...] = ()
+
+
+class SummaryCursor(Struct, frozen=True, array_like=True):
+    """What a replica knows of the members of another one; answers a `Relay`."""
+
+    boot: str = ""
+    cursor: int = NO_CURSOR
+
+
 class Relay(Struct, frozen=True, array_like=True, tag=2):
-    """Heartbeats and entry statuses that a replica forwards to the other replicas.
+    """Soft state that a replica forwards to the other replicas.
 
-    They are soft state: not replicated through the log, and refreshed by the next
-    report.
+    It is not replicated through the log, and refreshed by the next relay.
+
+    Parameters
+    ----------
+    summary : ReplicaSummary
+        The replica's entries.
+    data_centre : DataCentre
+        Data centre of the replica.
+    heartbeats : tuple of EndpointHeartbeat
+        Heartbeats that it has received.
     """
 
-    heartbeats: tuple[EndpointHeartbeat, ...]
-    statuses: tuple[EntryStatus, ...]
+    summary: ReplicaSummary
+    data_centre: DataCentre
+    heartbeats: tuple[EndpointHeartbeat, ...] = ()
 
 
 class StateReply(Struct, frozen=True, array_like=True):
@@ -173,3 +241,4 @@
 POLL = Decoder(SyncRequest | Relay)
 SYNC_REPLY = Decoder(SyncReply)
 STATE_REPLY = Decoder(StateReply)
+SUMMARY_CURSOR = Decoder(SummaryCursor)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -6,8 +6,10 @@
 from time import time
 from typing import TypeVar
 
-from gevent import sleep, spawn
+from gevent import Greenlet, sleep, spawn, spawn_later
 from gevent.event import Event
+from msgspec import MsgspecError
+from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import (
@@ -17,6 +19,7 @@
     ReplicationError,
     RequestError,
 )
+from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.configuration import find_configuration_errors
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
 from bergamotwood_core.gateway.notices import LeavingEndpoint
@@ -34,7 +37,13 @@
     decompress_document,
     encode_command,
 )
-from bergamotwood_core.ids import EndpointId, Incarnation, InstanceId, ServiceName
+from bergamotwood_core.ids import (
+    DataCentre,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.gateway.channels import PeerChannels, ReplicationSenders
 from bergamotwood_daemon.gateway.dialect import Dialect
@@ -43,8 +52,10 @@
     ENCODER,
     POLL,
     STATE_REPLY,
-    EntryStatus,
+    SUMMARY_CURSOR,
+    Cursors,
     Relay,
+    ReplicaSummary,
     StateReply,
     SyncReply,
     SyncRequest,
@@ -79,15 +90,22 @@
 LEASE_SECONDS = 0.45
 # Delay between two attempts to reach the leader; elections take about a second.
 LEADER_RETRY_SECONDS = 0.05
-# Soft state is batched into one call to each replica, at an interval well below that
-# of heartbeats.
-RELAY_INTERVAL_SECONDS = 0.05
+# Soft state is batched into one call to each replica, at an interval well below those
+# of heartbeats and of entries' polls.
+RELAY_INTERVAL_SECONDS = 0.1
+# Longest time without a relay: well below the expiry of a replica's summary.
+MAX_RELAY_INTERVAL_SECONDS = 0.5
 RELAY_TIMEOUT_SECONDS = 0.5
 EXPIRY_INTERVAL_SECONDS = 0.25
 # Heartbeats arrive about every second. Requests detect failed endpoints long before an
 # endpoint expires.
 ENDPOINT_EXPIRY_SECONDS = 30.0
 MAX_LONG_POLL_SECONDS = 2.0
+# Delay from a change to the answers of the polls that wait for it, so that changes in
+# quick succession wake them once.
+WAKE_DELAY_SECONDS = 0.1
+# Data centre of a replica that has not relayed anything yet.
+UNKNOWN_DATA_CENTRE = DataCentre("")
 # Heartbeat intervals without a heartbeat after which an endpoint is silent: one
 # heartbeat may be lost.
 SILENT_AFTER_HEARTBEATS = 2.2
@@ -126,11 +144,18 @@
         self.directory = EndpointDirectory(ENDPOINT_EXPIRY_SECONDS)
         self.entries = EntryTable(clock)
         self._state_changed = Event()
+        self._replica_feed: ChangeFeed[InstanceId, DataCentre] = ChangeFeed()
+        self._data_centres = {settings.instance: settings.data_centre}
         self._pending_heartbeats: list[EndpointHeartbeat] = []
-        self._pending_statuses: list[EntryStatus] = []
+        self._summary_sequence = 0
+        self._summary_cursors: dict[InstanceId, int] = {}
+        self._has_new_reports = False
         self._reported_departures: set[tuple[EndpointId, Incarnation]] = set()
+        self._greenlets: list[Greenlet] = []
+        self._polls = 0
         self._applied_number = -1
-        self._notified_version = -1
+        self._notified_cursor = NO_CURSOR
+        self._has_waking = False
         self.group = LogGroup(
             GROUP,
             GroupSettings(
@@ -158,12 +183,13 @@
         """Join the group and start the background tasks."""
         self.group.start()
         self._handle_applied()
-        spawn(self._run_relay)
-        spawn(self._run_expiry)
+        self._greenlets = [spawn(self._run_relay), spawn(self._run_expiry)]
 
-    def stop(self) -> None:
-        """Hand leadership over and stop."""
-        self.group.stop(handover=True)
+    def stop(self, handover: bool = True) -> None:
+        """Hand leadership over, unless told otherwise, and stop."""
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        self.group.stop(handover=handover)
         self._senders.stop()
         self._channels.close()
         self._relay_channels.close()
@@ -246,11 +272,11 @@
                 heartbeat.endpoint, heartbeat.incarnation, heartbeat.state
             )
             return
-        version = self.directory.version
+        cursor = self.directory.feed.cursor
         if not self.directory.apply_heartbeat(heartbeat, self._clock()):
             return
         self._pending_heartbeats.append(heartbeat)
-        if self.directory.version != version:
+        if self.directory.feed.cursor != cursor:
             self._log_endpoint(heartbeat)
         self._notify_if_changed()
 
@@ -299,7 +325,11 @@
             "members": len(group.membership.members),
             "configuration_number": self._machine.state.number,
             "endpoints": len(self.directory),
-            "entries": len(self.entries.list_live()),
+            "entries": len(self.entries.addresses),
+            "polling_entries": len(self.entries.members),
+            "polls_total": self._polls,
+            "endpoint_changes_total": self.directory.feed.cursor,
+            "entry_changes_total": self.entries.addresses.cursor,
             "log_lines_dropped_total": count_dropped_lines(),
         }
 
@@ -330,14 +360,13 @@
         match POLL.decode(body):
             case SyncRequest() as request:
                 return ENCODER.encode(self._answer_sync(request))
-            case Relay(heartbeats, statuses):
+            case Relay(summary, data_centre, heartbeats):
                 now = self._clock()
                 for heartbeat in heartbeats:
                     self.directory.apply_heartbeat(heartbeat, now)
-                for status in statuses:
-                    self.entries.update(status)
+                self._data_centres[summary.replica] = data_centre
                 self._notify_if_changed()
-                return b""
+                return ENCODER.encode(self.entries.merge_summary(summary))
 
     def _settle_rollouts(self) -> None:
         for command in self.rollouts.list_settlements():
@@ -363,33 +392,26 @@
             models=heartbeat.models,
         )
 
-    @property
-    def _directory_version(self) -> int:
-        return self.directory.version + self.entries.version
-
     def _answer_sync(self, request: SyncRequest) -> SyncReply:
+        self._polls += 1
         if self.entries.update(request.status):
-            self._pending_statuses.append(request.status)
-            self._notify_if_changed()
+            self._has_new_reports = True
         for leaving in request.status.leaving:
             self._record_leave_notice(leaving)
         self._wait_for_change(request)
         instance = request.status.entry.instance
         state = self._machine.state
-        age = self.group.measure_age(self._clock())
-        is_current = (
-            request.boot == self._boot and request.version == self._directory_version
-        )
+        cursors = request.cursors if request.boot == self._boot else Cursors()
+        self._refresh_replicas()
         return SyncReply(
-            age_seconds=age,
-            replicas=self._list_replicas(),
+            age_seconds=self.group.measure_age(self._clock()),
             number=state.number,
             document=state.document if state.number > request.number else None,
-            rollouts=self.rollouts.list_views(),
             boot=self._boot,
-            version=self._directory_version,
-            heartbeats=None if is_current else self.directory.list_heartbeats(),
-            entries=None if is_current else self.entries.list_addresses(),
+            endpoints=self.directory.feed.list_changes(cursors.endpoints),
+            entries=self.entries.addresses.list_changes(cursors.entries),
+            replicas=self._replica_feed.list_changes(cursors.replicas),
+            rollouts=self.rollouts.list_views(),
             loads=self.entries.list_loads(instance),
             crashes=self.entries.list_crashes(instance),
             successes=self.entries.list_successes(instance),
@@ -400,6 +422,14 @@
             ),
         )
 
+    def _refresh_replicas(self) -> None:
+        replicas = self._list_replicas()
+        for replica in replicas:
+            data_centre = self._data_centres.get(replica, UNKNOWN_DATA_CENTRE)
+            self._replica_feed.put(replica, data_centre)
+        for replica in set(self._replica_feed).difference(replicas):
+            self._replica_feed.remove(replica)
+
     def _record_leave_notice(self, leaving: LeavingEndpoint) -> None:
         """Commit a departure that an endpoint has announced to an entry only."""
         run = (leaving.endpoint, leaving.incarnation)
@@ -427,9 +457,15 @@
             self._state_changed.wait(remaining)
 
     def _has_change(self, request: SyncRequest) -> bool:
+        """Whether there is a change that an entry needs at once.
+
+        Changes of other entries wait for the next poll: callers use lists of entries
+        for longer than that.
+        """
         if self._machine.state.number > request.number:
             return True
-        return request.boot != self._boot or request.version != self._directory_version
+        cursor = self.directory.feed.cursor
+        return request.boot != self._boot or request.cursors.endpoints != cursor
 
     def _list_replicas(self) -> tuple[InstanceId, ...]:
         members = tuple(member.instance for member in self.group.membership.members)
@@ -517,36 +553,63 @@
         self._notify_waiters()
 
     def _notify_if_changed(self) -> None:
-        version = self._directory_version
-        if version != self._notified_version:
-            self._notified_version = version
+        cursor = self.directory.feed.cursor
+        if cursor != self._notified_cursor:
+            self._notified_cursor = cursor
             self._notify_waiters()
 
     def _notify_waiters(self) -> None:
+        """Wake the waiting polls soon; changes until then are answered together."""
+        if not self._has_waking:
+            self._has_waking = True
+            spawn_later(WAKE_DELAY_SECONDS, self._wake_waiters)
+
+    def _wake_waiters(self) -> None:
+        self._has_waking = False
         self._state_changed.set()
         self._state_changed.clear()
 
     def _run_relay(self) -> None:
+        relayed_at = self._clock()
         while True:
             sleep(RELAY_INTERVAL_SECONDS)
-            if not self._pending_heartbeats and not self._pending_statuses:
+            is_due = self._clock() - relayed_at >= MAX_RELAY_INTERVAL_SECONDS
+            if not (self._pending_heartbeats or self._has_new_reports or is_due):
                 continue
-            body = ENCODER.encode(
-                Relay(tuple(self._pending_heartbeats), tuple(self._pending_statuses))
-            )
+            relayed_at = self._clock()
+            self._has_new_reports = False
+            heartbeats = tuple(self._pending_heartbeats)
             self._pending_heartbeats.clear()
-            self._pending_statuses.clear()
+            self._summary_sequence += 1
+            summary = self.entries.summarize(
+                self._settings.instance, self._boot, self._summary_sequence
+            )
             for instance in self._list_replicas():
                 if instance != self._settings.instance:
-                    spawn(self._send_relay, instance, body)
+                    spawn(self._send_relay, instance, summary, heartbeats)
 
-    def _send_relay(self, instance: InstanceId, body: bytes) -> None:
+    def _send_relay(
+        self,
+        instance: InstanceId,
+        summary: ReplicaSummary,
+        heartbeats: tuple[EndpointHeartbeat, ...],
+    ) -> None:
+        cursor = self._summary_cursors.get(instance, NO_CURSOR)
+        relay = Relay(
+            replace(summary, members=self.entries.members.list_changes(cursor)),
+            self._settings.data_centre,
+            heartbeats,
+        )
         try:
-            self._relay_channels.get(instance).call(
-                POLL_METHOD, body, RELAY_TIMEOUT_SECONDS
+            reply = self._relay_channels.get(instance).call(
+                POLL_METHOD, ENCODER.encode(relay), RELAY_TIMEOUT_SECONDS
             )
-        except ReplicationError as error:
-            log_event("control", "Relay failed.", replica=instance, reason=error.detail)
+            known = SUMMARY_CURSOR.decode(reply)
+        except (ReplicationError, MsgspecError) as error:
+            log_event("control", "Relay failed.", replica=instance, reason=str(error))
+            return
+        is_current = known.boot == self._boot
+        self._summary_cursors[instance] = known.cursor if is_current else NO_CURSOR
 
     def _run_expiry(self) -> None:
         while True:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -12,7 +12,6 @@
     VersionEvidence,
     choose_outcome,
     choose_share,
-    merge_evidence,
 )
 from bergamotwood_core.gateway.rollouttimer import RolloutTimer
 from bergamotwood_core.gateway.state_machine import (
@@ -147,7 +146,7 @@
         return rollouts
 
     def _merge_evidence(self) -> list[VersionEvidence]:
-        return merge_evidence(status.evidence for status in self._entries.list_live())
+        return self._entries.list_evidence()
 
     def _has_capacity(self, rollout: ServiceRollout) -> bool:
         versions = [
@@ -169,7 +168,6 @@
         }
         return sum(
             load.requests
-            for status in self._entries.list_live()
-            for endpoint, load in status.loads.items()
+            for endpoint, load in self._entries.list_loads(None).items()
             if endpoint in old_endpoints
         )
--- a/tests/core/gateway/test_endpoints.py
+++ b/tests/core/gateway/test_endpoints.py
@@ -42,9 +42,9 @@
 
 def test_heartbeat_without_changes_keeps_the_directory_version():
     directory = make_directory(make_heartbeat())
-    version = directory.version
+    cursor = directory.feed.cursor
     assert directory.apply_heartbeat(make_heartbeat(sequence=Sequence(2)), NOW)
-    assert directory.version == version
+    assert directory.feed.cursor == cursor
 
 
 def test_address_belongs_to_the_endpoint_that_started_last():
--- a/tests/daemon/gateway/harness.py
+++ b/tests/daemon/gateway/harness.py
@@ -11,6 +11,7 @@
 from gevent.socket import create_connection
 
 from bergamotwood_core.gateway.call import RequestMetadata, ResponseMetadata
+from bergamotwood_core.gateway.changefeed import Changes
 from bergamotwood_core.gateway.state_machine import compress_document
 from bergamotwood_core.ids import (
     EndpointId,
@@ -32,6 +33,12 @@
 WAIT_SECONDS = 5.0
 
 
+def make_complete(heartbeats):
+    """Return changes that replace the whole table of endpoints."""
+    values = {heartbeat.endpoint: heartbeat for heartbeat in heartbeats}
+    return Changes(0, 1, True, values)
+
+
 class PlainDialect:
     """Maps short header names to metadata; every document is `configuration`."""
 
@@ -321,14 +328,10 @@
         """Give the entry a reply of the control group."""
         values = {
             "age_seconds": 0.0,
-            "replicas": (),
             "number": self.configuration.number if number is None else number,
             "document": compress_document(b"sample"),
-            "rollouts": (),
             "boot": "b",
-            "version": 1,
-            "heartbeats": tuple(self.heartbeats),
-            "entries": (),
+            "endpoints": make_complete(self.heartbeats),
         }
         self.entry.control_state.update(
             SyncReply(**{**values, **changes}), self.read_time()
--- a/tests/daemon/gateway/test_controlstate.py
+++ b/tests/daemon/gateway/test_controlstate.py
@@ -1,8 +1,9 @@
-from core.gateway.samples import make_configuration
+from core.gateway.samples import make_configuration, make_heartbeat
 from daemon.gateway.harness import PlainDialect
 from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.state_machine import (
     RolloutOutcome,
@@ -32,14 +33,9 @@
 def make_reply(number=5, document=b"x", **changes):
     reply = SyncReply(
         age_seconds=0.2,
-        replicas=("c:1",),
         number=number,
         document=compress_document(document) if document else None,
-        rollouts=(),
         boot="b",
-        version=1,
-        heartbeats=(),
-        entries=(),
     )
     return replace(reply, **changes)
 
@@ -87,3 +83,27 @@
     ended = replace(rollout, outcome=RolloutOutcome.ROLLED_BACK)
     control_state.update(make_reply(rollouts=(RolloutView(ended, 4.0, 0.0),)), clock())
     assert control_state.rollouts[SERVICE].share == 0.0
+
+
+def test_changes_are_applied_and_those_of_another_run_replace_everything():
+    control_state, _, clock = make_control_state()
+    feed = ChangeFeed()
+    feed.put("e-1", make_heartbeat("e-1"))
+    feed.put("e-2", make_heartbeat("e-2"))
+
+    def update(boot="b"):
+        cursor = control_state.cursors.endpoints if boot == "b" else NO_CURSOR
+        changes = feed.list_changes(cursor)
+        control_state.update(make_reply(endpoints=changes, boot=boot), clock())
+
+    update()
+    feed.remove("e-1")
+    feed.put("e-3", make_heartbeat("e-3"))
+    update()
+    assert set(control_state.heartbeats) == {"e-2", "e-3"}
+    update()
+    assert set(control_state.heartbeats) == {"e-2", "e-3"}
+    feed.remove("e-2")
+    update(boot="c")
+    assert set(control_state.heartbeats) == {"e-3"}
+    assert control_state.cursors.entries == NO_CURSOR
--- a/tests/daemon/gateway/test_endpoint_trouble.py
+++ b/tests/daemon/gateway/test_endpoint_trouble.py
@@ -4,6 +4,7 @@
 
 import pytest
 from core.gateway.samples import make_configuration, make_route
+from daemon.gateway.harness import make_complete
 from gevent import sleep
 
 from bergamotwood_core.gateway.configuration import RouteKind
@@ -52,9 +53,9 @@
     assert replies == [200, 200, 503, 503]
     assert len(harness.list_arrivals()) == 2
     # The directory may lose and regain the endpoint meanwhile.
-    harness.sync(heartbeats=(), version=2)
+    harness.sync(endpoints=make_complete(()))
     harness.entry.maintain()
-    harness.sync(version=3)
+    harness.sync()
     assert caller.call(id="q-5").status == 503
 
 
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -1,4 +1,10 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.suspects import Crash
 from bergamotwood_core.ids import (
@@ -9,7 +15,11 @@
     InstanceId,
     SessionId,
 )
-from bergamotwood_daemon.gateway.entries import ENTRY_EXPIRY_SECONDS, EntryTable
+from bergamotwood_daemon.gateway.entries import (
+    ENTRY_EXPIRY_SECONDS,
+    SUMMARY_EXPIRY_SECONDS,
+    EntryTable,
+)
 from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
 
 ENDPOINT = EndpointId("e-1")
@@ -74,3 +84,128 @@
     assert table.list_crashes(InstanceId("i1")) == ()
     assert table.list_crashes(InstanceId("i2")) == (crash,)
     assert table.list_open_sessions() == sessions
+
+
+class Replica:
+    """A replica's table, and what it has been told of the other one."""
+
+    def __init__(self, name, clock):
+        self.name = InstanceId(name)
+        self.table = EntryTable(clock)
+        self.sequence = 0
+        self.acknowledged = NO_CURSOR
+
+    def summarize(self):
+        self.sequence += 1
+        changes = self.table.members.list_changes(self.acknowledged)
+        summary = self.table.summarize(self.name, "boot", self.sequence)
+        return replace(summary, members=changes)
+
+    def relay_to(self, other):
+        self.acknowledged = other.table.merge_summary(self.summarize()).cursor
+
+
+@pytest.fixture
+def replicas():
+    clock = Clock()
+    return Replica("c1", clock), Replica("c2", clock), clock
+
+
+def list_names(replica):
+    return sorted(entry.instance for entry in replica.table.list_addresses())
+
+
+def test_a_summary_adds_the_entries_and_loads_of_another_replica(replicas):
+    one, two, _ = replicas
+    one.table.update(make_status(1, load=EndpointLoad(2, 0.5)))
+    two.table.update(make_status(2, load=EndpointLoad(1, 0.25)))
+    one.relay_to(two)
+    assert list_names(two) == ["i1", "i2"]
+    assert two.table.list_loads(InstanceId("i2")) == {ENDPOINT: EndpointLoad(2, 0.5)}
+    one.table.update(make_status(1, 2))
+    one.relay_to(two)
+    assert two.table.list_loads(InstanceId("i2")) == {}
+
+
+def test_an_entry_that_moves_is_counted_at_one_replica(replicas):
+    one, two, _ = replicas
+    one.table.update(make_status(1, 1, load=EndpointLoad(2, 0.5)))
+    one.relay_to(two)
+    two.relay_to(one)
+    two.table.update(make_status(1, 2, load=EndpointLoad(3, 0.5)))
+    two.relay_to(one)
+    one.relay_to(two)
+    for replica in (one, two):
+        assert list_names(replica) == ["i1"]
+        assert replica.table.list_loads(None) == {ENDPOINT: EndpointLoad(3, 0.5)}
+    # A poll that was under way meanwhile is older.
+    assert not one.table.update(make_status(1, 1, load=EndpointLoad(9, 9.0)))
+
+
+def test_a_lost_relay_is_made_up_for_by_the_next(replicas):
+    one, two, _ = replicas
+    one.table.update(make_status(1))
+    one.relay_to(two)
+    one.table.update(make_status(2))
+    one.summarize()
+    one.table.update(make_status(3))
+    one.relay_to(two)
+    assert list_names(two) == ["i1", "i2", "i3"]
+
+
+def test_a_restarted_replica_gets_all_members_again(replicas):
+    one, two, clock = replicas
+    one.table.update(make_status(1))
+    one.relay_to(two)
+    two.table = EntryTable(clock)
+    one.table.update(make_status(2))
+    one.relay_to(two)
+    one.relay_to(two)
+    assert list_names(two) == ["i1", "i2"]
+
+
+def test_the_entries_of_a_lost_replica_expire(replicas):
+    one, two, clock = replicas
+    one.table.update(make_status(1, load=EndpointLoad(2, 0.5)))
+    one.relay_to(two)
+    clock.now += SUMMARY_EXPIRY_SECONDS + 0.1
+    two.table.expire()
+    assert list_names(two) == []
+    assert two.table.list_loads(None) == {}
+
+
+REPORTS = st.lists(
+    st.tuples(
+        st.sampled_from(["report", "relay", "relay", "lose"]),
+        st.integers(0, 1),
+        st.integers(1, 4),
+        st.integers(0, 3),
+    ),
+    max_size=60,
+)
+
+
+@given(REPORTS)
+def test_replicas_agree_once_their_relays_arrive(steps):
+    clock = Clock()
+    pair = Replica("c1", clock), Replica("c2", clock)
+    newest = {}
+    sequence = 0
+    for action, at, number, requests in steps:
+        if action == "report":
+            sequence += 1
+            load = EndpointLoad(requests, 0.0) if requests else None
+            pair[at].table.update(make_status(number, sequence, load=load))
+            newest[f"i{number}"] = requests
+        elif action == "relay":
+            pair[at].relay_to(pair[1 - at])
+        else:
+            pair[at].summarize()
+    for _ in range(3):
+        pair[0].relay_to(pair[1])
+        pair[1].relay_to(pair[0])
+    expected = sum(newest.values())
+    for replica in pair:
+        assert list_names(replica) == sorted(newest)
+        loads = replica.table.list_loads(None)
+        assert sum(load.requests for load in loads.values()) == expected
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -3,7 +3,7 @@
 import pytest
 from core.gateway.samples import PLAIN, make_configuration, make_heartbeat, make_route
 from daemon.gateway.harness import PlainDialect
-from gevent import Timeout, sleep
+from gevent import Timeout, sleep, spawn
 from msgspec.structs import replace
 
 from bergamotwood_core.errors import (
@@ -15,7 +15,13 @@
 )
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.state_machine import RolloutOutcome
-from bergamotwood_core.ids import EndpointId, Incarnation, InstanceId, Sequence
+from bergamotwood_core.ids import (
+    DataCentre,
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    Sequence,
+)
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import EndpointState, Run
 from bergamotwood_daemon.clock import read_clock
@@ -25,6 +31,7 @@
 from bergamotwood_daemon.gateway.peermessages import (
     ENCODER,
     SYNC_REPLY,
+    Cursors,
     EntryAddress,
     EntryStatus,
     SyncRequest,
@@ -75,10 +82,11 @@
 class Fleet:
     """Three control replicas in this process, and entries that poll them."""
 
-    def __init__(self, tmp_path):
+    def __init__(self, tmp_path, data_centres):
         self.dialect = NumberDialect(make_configuration())
         self.seeds = tuple(InstanceId(f"c{at}:1") for at in range(3))
         self.replicas = {}
+        self.data_centres = dict(zip(self.seeds, data_centres, strict=True))
         self.pollers = []
         self.folder = tmp_path
         for seed in self.seeds:
@@ -89,7 +97,7 @@
         settings = GatewaySettings(
             seed,
             str(seed),
-            "karen",
+            self.data_centres[seed],
             self.seeds,
             control_address=Address("127.0.0.1", 0),
             data_folder=self.folder / seed.replace(":", "-"),
@@ -102,7 +110,7 @@
 
     def kill(self, seed):
         del DirectChannel.running[seed]
-        self.replicas.pop(seed).group.stop(handover=False)
+        self.replicas.pop(seed).stop(handover=False)
 
     def find(self, leads):
         for seed, replica in self.replicas.items():
@@ -110,7 +118,7 @@
                 return seed, replica
         return None, None
 
-    def add_entry(self):
+    def add_entry(self, data_centre="karen"):
         control_state = ControlState(self.dialect, read_clock, 4.0)
         at = len(self.pollers)
         name = InstanceId(f"127.0.0.1:{at + 1}")
@@ -122,7 +130,13 @@
 
         make_status.sequence = 0
         poller = ControlPoller(
-            control_state, make_status, lambda: self.seeds, list, read_clock, Random(at)
+            control_state,
+            make_status,
+            lambda: self.seeds,
+            data_centre,
+            list,
+            read_clock,
+            Random(at),
         )
         poller.start()
         self.pollers.append(poller)
@@ -150,9 +164,14 @@
 
 
 @pytest.fixture
-def fleet(tmp_path, monkeypatch):
+def data_centres():
+    return ("karen", "karen", "karen")
+
+
+@pytest.fixture
+def fleet(tmp_path, monkeypatch, data_centres):
     monkeypatch.setattr(channels, "PeerChannel", DirectChannel)
-    fleet = Fleet(tmp_path)
+    fleet = Fleet(tmp_path, data_centres)
     yield fleet
     fleet.stop()
 
@@ -217,8 +236,8 @@
     fleet.wait_for(lambda: len(first.entries) == 1)
 
 
-def send_report(replica, number, hold_seconds=0.0, version=-1, boot=""):
-    """Report as entry `number`, and return the encoded reply."""
+def send_report(replica, number, hold_seconds=0.0, reply=None):
+    """Report as entry `number` that has an earlier reply; return the encoded one."""
     status = EntryStatus(
         EntryAddress(InstanceId(f"127.0.0.1:{number}"), f"e{number}:80", "karen", True),
         Incarnation(1),
@@ -226,7 +245,13 @@
         {EndpointId(f"e-{at}"): EndpointLoad(2, 0.125) for at in range(10)},
     )
     send_report.sequence += 1
-    request = SyncRequest(status, -1, boot, version, hold_seconds)
+    cursors = Cursors()
+    if reply is not None:
+        cursors = Cursors(
+            reply.endpoints.cursor, reply.entries.cursor, reply.replicas.cursor
+        )
+    boot = reply.boot if reply is not None else ""
+    request = SyncRequest(status, -1, boot, cursors, hold_seconds)
     return replica.handle_poll(ENCODER.encode(request))
 
 
@@ -239,20 +264,72 @@
     for number in range(1, 3):
         send_report(leader, number)
     reply = SYNC_REPLY.decode(send_report(leader, 1))
-    small_fleet_bytes = len(
-        send_report(leader, 1, version=reply.version, boot=reply.boot)
-    )
+    small_fleet_bytes = len(send_report(leader, 1, reply=reply))
     for number in range(3, 100):
         send_report(leader, number)
     reply = SYNC_REPLY.decode(send_report(leader, 1))
-    assert len(reply.entries) == 99
-    answer = send_report(leader, 1, version=reply.version, boot=reply.boot)
+    assert len(reply.entries.values) == 99
+    answer = send_report(leader, 1, reply=reply)
     assert SYNC_REPLY.decode(answer).entries is None
     assert SYNC_REPLY.decode(answer).loads["e-1"].requests == 2 * 98
     # Larger numbers take a few more bytes.
     assert len(answer) < 1.5 * small_fleet_bytes
 
 
+def test_an_entry_that_joins_costs_the_others_a_constant(fleet):
+    _, leader = fleet.find(leads=True)
+    sizes = []
+    for number in range(1, 200):
+        reply = SYNC_REPLY.decode(send_report(leader, 1))
+        send_report(leader, number + 1)
+        if number in (10, 190):
+            sizes.append(len(send_report(leader, 1, reply=reply)))
+    assert sizes[1] < 1.2 * sizes[0]
+
+
+def test_entries_that_join_wake_no_waiting_poll(fleet):
+    _, leader = fleet.find(leads=True)
+    reply = SYNC_REPLY.decode(send_report(leader, 1))
+    started_at = read_clock()
+    waiting = spawn(send_report, leader, 1, 0.6, reply)
+    for number in range(2, 10):
+        sleep(0.02)
+        send_report(leader, number)
+    assert len(SYNC_REPLY.decode(waiting.get()).entries.values) == 8
+    assert read_clock() - started_at >= 0.6
+
+
+def test_endpoint_changes_in_quick_succession_wake_a_poll_once(fleet):
+    _, leader = fleet.find(leads=True)
+    reply = SYNC_REPLY.decode(send_report(leader, 1))
+    waiting = spawn(send_report, leader, 1, 2.0, reply)
+    sleep(0.05)
+    started_at = read_clock()
+    for number in range(20):
+        leader.record_heartbeat(make_heartbeat(f"e-{number}", address=f"a:{number}"))
+    assert len(SYNC_REPLY.decode(waiting.get()).endpoints.values) == 20
+    assert read_clock() - started_at < 0.5
+
+
+@pytest.mark.parametrize("data_centres", [("karen", "embakasi", "kilimani")])
+def test_entries_poll_the_replica_of_their_data_centre(fleet):
+    states = [fleet.add_entry(DataCentre("embakasi")) for _ in range(6)]
+    home, away = fleet.seeds[1], (fleet.seeds[0], fleet.seeds[2])
+    fleet.wait_for(lambda: len(fleet.replicas[home].entries.members) == 6)
+    fleet.wait_for(
+        lambda: not any(len(fleet.replicas[seed].entries.members) for seed in away)
+    )
+    for seed in fleet.seeds:
+        fleet.wait_for(
+            lambda seed=seed: len(fleet.replicas[seed].entries.addresses) == 6
+        )
+    fleet.kill(home)
+    fleet.wait_for(
+        lambda: sum(len(fleet.replicas[seed].entries.members) for seed in away) == 6
+    )
+    fleet.wait_for(lambda: all(state.age < 1.0 for state in states))
+
+
 def test_committed_state_survives_losing_the_leader_and_its_disk(fleet):
     control_state = fleet.add_entry()
     leader, replica = fleet.find(leads=True)
--- a/tests/daemon/gateway/test_rollouts.py
+++ b/tests/daemon/gateway/test_rollouts.py
@@ -25,9 +25,9 @@
 
     collected = 0
 
-    def list_live(self):
+    def list_evidence(self):
         self.collected += 1
-        return super().list_live()
+        return super().list_evidence()
 
 
 def make_controller():
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -3,9 +3,11 @@
 from msgspec import json
 
 from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.gateway.changefeed import Changes
 from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import InstanceId, LogIndex
 from bergamotwood_core.states import EndpointState
+from bergamotwood_daemon.gateway.entry import MAX_ADDRESSES
 from bergamotwood_daemon.gateway.message import HttpRequest
 from bergamotwood_daemon.gateway.peermessages import EntryAddress
 from bergamotwood_platform.api import ControlApi, EntryApi
@@ -128,13 +130,13 @@
     harness = GatewayHarness()
     router = EntryApi(harness.entry).make_address_router()
     path = "/bergamotwood/resolution?name=h.example&region=r&zone="
-    harness.sync(
-        entries=(
-            make_entry_address("near:1", "karen"),
-            make_entry_address("leaving:1", "karen", is_ready=False),
-            make_entry_address("far:1", "embakasi"),
-        )
+    entries = (
+        make_entry_address("near:1", "karen"),
+        make_entry_address("leaving:1", "karen", is_ready=False),
+        make_entry_address("far:1", "embakasi"),
     )
+    values = {entry.instance: entry for entry in entries}
+    harness.sync(entries=Changes(0, 1, True, values))
     document = json.decode(call(router, "GET", path + "karen").body)
     assert document["addresses"] == ["near:1", "127.0.0.1:0"]
     assert 0.0 < document["ttl_s"] <= 5.0
@@ -143,6 +145,22 @@
     harness.stop()
 
 
+def test_resolution_spreads_callers_over_more_entries_than_it_lists():
+    harness = GatewayHarness()
+    names = [f"e{at}:1" for at in range(3 * MAX_ADDRESSES)]
+    values = {name: make_entry_address(name, "embakasi") for name in names}
+    harness.sync(entries=Changes(0, 1, True, values))
+    router = EntryApi(harness.entry).make_address_router()
+    path = "/bergamotwood/resolution?zone=embakasi"
+    listed = set()
+    for _ in range(20):
+        addresses = json.decode(call(router, "GET", path).body)["addresses"]
+        assert len(addresses) == MAX_ADDRESSES
+        listed.update(addresses)
+    assert listed == set(names)
+    harness.stop()
+
+
 def test_entry_is_ready_from_its_first_configuration_until_it_drains():
     harness = GatewayHarness()
     router = EntryApi(harness.entry).make_readiness_router()
