Pool prefill times over all entries

Cause: each of 195 entries sees one prompt in 1.3 s; its first samples include queues, so that its time per token is several times too long, and it leaves the endpoints that have a prompt cached. Change: entries report a histogram of their times per token by model, replicas add them up, and every entry uses the lower quartile of the sum.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -23,6 +23,7 @@
 from bergamotwood_core.gateway.models import can_finish_in_time, choose_next_model
 from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Candidate, Placement
+from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -97,6 +98,8 @@
         share.
     restarted_at : float
         Second at which all entries restart and lose their state; 0 for never.
+    pools_rates : bool
+        Whether entries pool their prefill times.
     """
 
     def __init__(
@@ -109,8 +112,10 @@
         replaced_at: float = 20.0,
         replaced_share: float = 0.35,
         restarted_at: float = 0.0,
+        pools_rates: bool = True,
     ) -> None:
         self.site = site
+        self.pools_rates = pools_rates
         self.choose = choose
         self.models = models
         self.load = load
@@ -194,8 +199,15 @@
         total = LoadSum()
         for report in reports:
             total.add(report)
+        rates = estimate_rates(
+            merge_histograms(
+                entry.placement.prefill_rate.list_histograms() for entry in self.entries
+            )
+        )
         for entry, report in zip(self.entries, reports, strict=True):
             entry.loads.set_others(total.list_without(report))
+            if self.pools_rates:
+                entry.placement.prefill_rate.pooled = rates
 
 
 class Request:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -18,6 +18,7 @@
     DataCentre,
     EndpointId,
     InstanceId,
+    ModelName,
     ServiceName,
     SessionId,
 )
@@ -59,6 +60,7 @@
         self.successes: tuple[Success, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
+        self.prefill_rates: dict[ModelName, float] = {}
         self.open_sessions: frozenset[SessionId] = frozenset()
         self.replicas: dict[InstanceId, DataCentre] = {}
         self.boot = ""
@@ -129,6 +131,7 @@
         self.successes = reply.successes
         self._update_rollouts(reply)
         self.silent_endpoints = frozenset(reply.silent)
+        self.prefill_rates = reply.prefill_rates
         if reply.number == self.number:
             confirmed_at = Seconds(requested_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -12,9 +12,10 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
+from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
 from bergamotwood_core.gateway.suspects import Crash, Success
-from bergamotwood_core.ids import EndpointId, InstanceId, SessionId
+from bergamotwood_core.ids import EndpointId, InstanceId, ModelName, SessionId
 from bergamotwood_daemon.gateway.peermessages import (
     EntryAddress,
     EntryMember,
@@ -29,6 +30,8 @@
 # Time without a summary after which a replica's entries are dropped. They have moved to
 # another replica by then.
 SUMMARY_EXPIRY_SECONDS = 2.0
+# How long prefill rates are cached: they change slowly, and every poll needs them.
+RATES_CACHE_SECONDS = 0.5
 
 
 @dataclass
@@ -65,6 +68,8 @@
         self._received_at: dict[InstanceId, Seconds] = {}
         self._relayed: dict[InstanceId, RelayedEntries] = {}
         self._loads = LoadSum()
+        self._rates: dict[ModelName, float] = {}
+        self._rates_made_at = Seconds(float("-inf"))
 
     def update(self, status: EntryStatus) -> bool:
         """Store a status; return whether it is newer than what is known."""
@@ -105,6 +110,7 @@
             _collect(status.open_sessions for status in statuses),
             _collect(status.crashes for status in statuses),
             _collect(status.successes for status in statuses),
+            merge_histograms(status.prefill_times for status in statuses),
         )
 
     def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
@@ -157,6 +163,18 @@
             )
         )
 
+    def list_prefill_rates(self) -> dict[ModelName, float]:
+        """Return the seconds to prefill a token, from the samples of all entries."""
+        now = self._clock()
+        if now - self._rates_made_at > RATES_CACHE_SECONDS:
+            self._rates_made_at = now
+            reports = chain(
+                (status.prefill_times for status in self._statuses.values()),
+                (relayed.summary.prefill_times for relayed in self._relayed.values()),
+            )
+            self._rates = estimate_rates(merge_histograms(reports))
+        return self._rates
+
     def list_crashes(self, instance: InstanceId) -> tuple[Crash, ...]:
         """Return the crashes that all entries except `instance` report."""
         return _collect(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -7,6 +7,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import LeavingEndpoint
+from bergamotwood_core.gateway.prefill import Histogram
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
 from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.gateway.suspects import Crash, Success
@@ -15,6 +16,7 @@
     EndpointId,
     Incarnation,
     InstanceId,
+    ModelName,
     SessionId,
 )
 
@@ -64,6 +66,8 @@
         Requests that were suspected of crashing endpoints and then got an answer.
     leaving : tuple of LeavingEndpoint
         Endpoints that have recently announced in an answer that they leave.
+    prefill_times : dict
+        Histogram of its prefill times per token for each model.
     """
 
     entry: EntryAddress
@@ -75,6 +79,7 @@
     crashes: tuple[Crash, ...] = ()
     successes: tuple[Success, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
+    prefill_times: dict[ModelName, Histogram] = {}
 
 
 class EntryMember(Struct, frozen=True, array_like=True):
@@ -157,6 +162,8 @@
         Open sessions of all entries.
     silent : tuple of EndpointId
         Endpoints whose heartbeats are overdue.
+    prefill_rates : dict
+        Seconds to prefill a token for each model.
     """
 
     age_seconds: float
@@ -172,6 +179,7 @@
     successes: tuple[Success, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
     silent: tuple[EndpointId, ...] = ()
+    prefill_rates: dict[ModelName, float] = {}
 
 
 class ReplicaSummary(Struct, frozen=True, array_like=True):
@@ -187,7 +195,7 @@
         Increases with each summary of a run.
     members : Changes or None
         Changes of the entries that poll it.
-    loads, evidence, open_sessions, crashes, successes
+    loads, evidence, open_sessions, crashes, successes, prefill_times
         Sums of what these entries report, as in `EntryStatus`.
     """
 
@@ -200,6 +208,7 @@
     open_sessions: tuple[SessionId, ...] = ()
     crashes: tuple[Crash, ...] = ()
     successes: tuple[Success, ...] = ()
+    prefill_times: dict[ModelName, Histogram] = {}
 
 
 class SummaryCursor(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -420,6 +420,7 @@
                 self._clock(),
                 SILENT_AFTER_HEARTBEATS * self._settings.bounds.heartbeat_seconds,
             ),
+            prefill_rates=self.entries.list_prefill_rates(),
         )
 
     def _refresh_replicas(self) -> None:
