Bound what endpoints send by time and size also on the product's own calls

Change: deadlines for the head, a whole body and the next event with data, 64 KiB a head; a queued update is replaced also in a full queue; every new folder is synced; the test lets an attempt come late. Time in which a caller does not read does not count as silence of the endpoint. Result: new tests for each; those for the head, the stream, the split CRLF and the queue were written with the change and not run against the old code.

--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -10,11 +10,14 @@
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
+from bergamotwood_daemon.clock import read_clock
 
 RECEIVE_BYTES = 65_536
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data:"
 MAX_EVENT_BYTES = 1_000_000
+# Largest head of a response.
+MAX_HEAD_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +73,7 @@
         self._body = body
         self._response = _Response(method)
         self._socket = None
-        self.dispatched = False
+        self._received_bytes = 0
 
     def dial(self, timeout_seconds: float) -> None:
         """Connect to the endpoint.
@@ -95,18 +98,25 @@
         Raises
         ------
         EndpointError
-            The connection broke, or no data arrived in time.
+            The connection broke, the header fields did not arrive in time, or they
+            are larger than `MAX_HEAD_BYTES`.
         """
+        deadline = read_clock() + timeout_seconds
         self._socket.settimeout(timeout_seconds)
-        self.dispatched = True
         try:
             self._socket.sendall(self._head + self._body)
+        except timeout as error:
+            raise EndpointError(
+                f"{self._address} did not read the request", Code.STREAM_SILENT
+            ) from error
         except OSError as error:
             raise EndpointError(
                 f"{self._address} closed the connection: {error}"
             ) from error
         while not self._response.headers_complete:
-            self._receive()
+            if self._received_bytes > MAX_HEAD_BYTES:
+                raise self._make_broken_error(f"no head in {MAX_HEAD_BYTES} bytes")
+            self._receive(deadline)
 
     @property
     def status(self) -> int:
@@ -126,23 +136,24 @@
         EndpointError
             The connection broke, or no data arrived in time.
         """
-        self._socket.settimeout(timeout_seconds)
+        deadline = read_clock() + timeout_seconds
         while True:
             piece = self._response.take_body()
             if piece or self._response.message_complete:
                 return piece
-            self._receive()
+            self._receive(deadline)
 
     def read_all(self, timeout_seconds: float, limit: int) -> bytes:
-        """Return the whole body.
+        """Return the whole body, which has to arrive within `timeout_seconds`.
 
         Raises
         ------
         EndpointError
             As for `read`, or the body is larger than `limit` bytes.
         """
+        deadline = read_clock() + timeout_seconds
         body = bytearray()
-        while piece := self.read(timeout_seconds):
+        while piece := self.read(deadline - read_clock()):
             body += piece
             if len(body) > limit:
                 raise EndpointError(
@@ -158,7 +169,8 @@
         Parameters
         ----------
         first_timeout, timeout : float
-            Longest time without data in seconds, before the first data and later.
+            Longest time without an event in seconds, before the first one and later.
+            Bytes that complete no event do not keep a stalled stream alive.
 
         Raises
         ------
@@ -166,15 +178,21 @@
             As for `read`, or an event is larger than `MAX_EVENT_BYTES`.
         """
         buffered = bytearray()
-        wait = first_timeout
-        while piece := self.read(wait):
-            wait = timeout
+        carried = b""
+        deadline = read_clock() + first_timeout
+        while piece := self.read(deadline - read_clock()):
+            piece = carried + piece
+            # The rest of a CRLF may come with the next piece.
+            carried = b"\r" if piece.endswith(b"\r") else b""
+            piece = piece.removesuffix(carried)
             buffered += piece.replace(b"\r\n", b"\n")
             while (end := buffered.find(EVENT_END)) >= 0:
                 event = bytes(buffered[:end])
                 del buffered[: end + len(EVENT_END)]
                 if event.startswith(EVENT_PREFIX):
                     yield event[len(EVENT_PREFIX) :].strip()
+                    # Counts from here, as the caller may read slowly.
+                    deadline = read_clock() + timeout
             if len(buffered) > MAX_EVENT_BYTES:
                 raise EndpointError(
                     f"{self._address}: event too large",
@@ -186,7 +204,11 @@
         if self._socket is not None:
             self._socket.close()
 
-    def _receive(self) -> None:
+    def _receive(self, deadline: float) -> None:
+        left = deadline - read_clock()
+        if left <= 0.0:
+            raise EndpointError(f"{self._address} stayed silent", Code.STREAM_SILENT)
+        self._socket.settimeout(left)
         try:
             # Waiting first avoids a recv call that would find no data.
             wait_read(self._socket.fileno(), self._socket.gettimeout())
@@ -197,6 +219,7 @@
             ) from error
         except OSError as error:
             raise self._make_broken_error(str(error)) from error
+        self._received_bytes += len(data)
         if not data and not self._ends_with_connection():
             raise self._make_broken_error("closed early")
         try:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -98,13 +98,13 @@
 
     def _send(self, events: list[StreamEvent], head: h11.Response) -> None:
         self.events += len(events)
+        new_events = [event for event in events if self._mark_if_new(event)]
+        if new_events:
+            self._start_response(head)
+            self._exchange.send_chunk(b"".join(event.data for event in new_events))
         if any(event.has_data for event in events):
+            # Counts from here, as the caller may read slowly.
             self._last_event_at = self._entry.clock()
-        new_events = [event for event in events if self._mark_if_new(event)]
-        if not new_events:
-            return
-        self._start_response(head)
-        self._exchange.send_chunk(b"".join(event.data for event in new_events))
 
     def _mark_if_new(self, event: StreamEvent) -> bool:
         """Return whether the caller lacks an event, and mark it as sent."""
--- a/packages/daemon/src/bergamotwood_daemon/journal.py
+++ b/packages/daemon/src/bergamotwood_daemon/journal.py
@@ -162,8 +162,11 @@
     def _create_folder(self) -> None:
         if self._folder.is_dir():
             return
+        parents = [self._folder, *self._folder.parents]
+        missing = [folder for folder in parents if not folder.is_dir()]
         self._folder.mkdir(parents=True)
-        _sync_folder(self._folder.parent)
+        for folder in reversed(missing):
+            _sync_folder(folder.parent)
 
     def _acquire_lock(self) -> int:
         lock = open_file(self._folder / LOCK_NAME, O_RDWR | O_CREAT, FILE_MODE)
--- a/packages/daemon/src/bergamotwood_daemon/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/relay.py
@@ -57,10 +57,12 @@
     def put(self, update: Update) -> None:
         """Queue an update in place of an older one with the same key.
 
-        The update is dropped when the queue is full.
+        An update without an older one is dropped when the queue is full.
         """
-        if len(self._pending_updates) < MAX_PENDING_UPDATES:
-            self._pending_updates[_make_key(update)] = update
+        key = _make_key(update)
+        is_full = len(self._pending_updates) >= MAX_PENDING_UPDATES
+        if key in self._pending_updates or not is_full:
+            self._pending_updates[key] = update
 
     def _run(self) -> None:
         while True:
--- a/packages/daemon/src/bergamotwood_daemon/watch.py
+++ b/packages/daemon/src/bergamotwood_daemon/watch.py
@@ -124,7 +124,7 @@
     def queue_announcement(self, announcement: Announcement, urgent: bool) -> None:
         """Queue an endpoint's announcement for the control replicas.
 
-        The announcement is dropped when the queue is full.
+        The first one of an endpoint is dropped when the queue is full.
 
         Parameters
         ----------
@@ -133,7 +133,8 @@
         urgent : bool
             Whether it changes the membership, so that it is sent at once.
         """
-        if len(self._pending_announcements) >= MAX_PENDING_ANNOUNCEMENTS:
+        is_full = len(self._pending_announcements) >= MAX_PENDING_ANNOUNCEMENTS
+        if is_full and announcement.id not in self._pending_announcements:
             return
         self._pending_announcements[announcement.id] = announcement
         if urgent:
--- a/tests/daemon/test_endpointcall.py
+++ b/tests/daemon/test_endpointcall.py
@@ -1,5 +1,5 @@
 import pytest
-from gevent import spawn
+from gevent import Timeout, sleep, spawn
 from gevent.server import StreamServer
 
 from bergamotwood_core.errors import Code, EndpointError
@@ -127,3 +127,81 @@
     call.close()
     reader.join(1.0)
     assert isinstance(reader.exception, EndpointError)
+
+
+class PressingServer(RawServer):
+    """Sends a beginning, then the same bytes again and again."""
+
+    def __init__(self, beginning, repeated, pause_seconds):
+        self._repeated = repeated
+        self._pause_seconds = pause_seconds
+        super().__init__(beginning)
+
+    def _serve(self, sock, _):
+        sock.recv(65_536)
+        sock.sendall(self._answer)
+        while True:
+            try:
+                sock.sendall(self._repeated)
+            except OSError:
+                return
+            sleep(self._pause_seconds)
+
+
+@pytest.fixture
+def press():
+    servers = []
+
+    def start(beginning, repeated, pause_seconds=0.0):
+        servers.append(PressingServer(beginning, repeated, pause_seconds))
+        return make_call(servers[-1])
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+def test_a_head_without_end_is_broken(press):
+    call = press(b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"y" * 4_000 + b"\r\n")
+    with pytest.raises(EndpointError) as caught, Timeout(5.0):
+        call.send(2.0)
+    assert caught.value.code is Code.STREAM_BROKEN
+
+
+def test_a_head_that_comes_byte_by_byte_is_silent(press):
+    call = press(b"HTTP/1.1 200 OK\r\nX: ", b"y", 0.02)
+    with pytest.raises(EndpointError) as caught, Timeout(5.0):
+        call.send(0.3)
+    assert caught.value.code is Code.STREAM_SILENT
+
+
+@pytest.mark.parametrize("repeated", [b"1\r\nx\r\n", b"3\r\n:\n\n\r\n"])
+def test_a_stream_without_events_is_silent_whatever_bytes_come(press, repeated):
+    call = press(HEAD + b"Transfer-Encoding: chunked\r\n\r\n", repeated, 0.02)
+    call.send(1.0)
+    with pytest.raises(EndpointError) as caught, Timeout(5.0):
+        list(call.read_events(0.3, 0.3))
+    assert caught.value.code is Code.STREAM_SILENT
+
+
+def test_a_body_that_comes_byte_by_byte_is_silent(press):
+    call = press(HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n", 0.02)
+    call.send(1.0)
+    with pytest.raises(EndpointError) as caught, Timeout(5.0):
+        call.read_all(0.3, 1_000)
+    assert caught.value.code is Code.STREAM_SILENT
+
+
+def test_a_crlf_split_over_two_reads_ends_an_event(serve):
+    class SplitServer(RawServer):
+        def _serve(self, sock, _):
+            sock.recv(65_536)
+            sock.sendall(HEAD + b"Content-Length: 25\r\n\r\ndata: a\r\n\r")
+            sleep(0.05)
+            sock.sendall(b"\ndata: bcde\r\n\r\n")
+
+    server = SplitServer(b"")
+    call = make_call(server)
+    call.send(1.0)
+    assert list(call.read_events(1.0, 1.0)) == [b"a", b"bcde"]
+    server.stop()
--- a/tests/daemon/test_hedging.py
+++ b/tests/daemon/test_hedging.py
@@ -58,11 +58,19 @@
 
 
 def test_empty_budget_allows_no_second_attempt(budget):
+    class LateAttempt(Attempts):
+        def __call__(self):
+            self.started += 1
+            sleep(0.1)
+            return f"attempt {self.started}"
+
     budget.retries.tokens = 0.0
-    attempts = Attempts(EndpointError("broken"))
-    with pytest.raises(EndpointError):
-        run(attempts, budget)
+    attempts = LateAttempt()
+    assert run(attempts, budget) == "attempt 1"
     assert attempts.started == 1
+    budget.retries.tokens = budget.retries.max_tokens
+    run(attempts, budget)
+    assert attempts.started == 3
 
 
 def test_first_error_is_raised_when_both_attempts_fail(budget):
--- a/tests/daemon/test_journal.py
+++ b/tests/daemon/test_journal.py
@@ -16,6 +16,7 @@
     Snapshot,
 )
 from bergamotwood_core.membership import Genesis, Member, Membership
+from bergamotwood_daemon import journal
 from bergamotwood_daemon import journal as journal_module
 from bergamotwood_daemon.journal import Journal
 
@@ -244,3 +245,10 @@
     journal.save([build_entries(4, 6)])
     journal.close()
     assert read_saved(tmp_path).entries == build_entries(1, 6).entries
+
+
+def test_every_folder_that_is_created_is_synced(tmp_path, monkeypatch):
+    synced = []
+    monkeypatch.setattr(journal, "_sync_folder", synced.append)
+    open_journal(tmp_path / "a" / "b" / "c")
+    assert synced[:3] == [tmp_path, tmp_path / "a", tmp_path / "a" / "b"]
--- a/tests/daemon/test_watch.py
+++ b/tests/daemon/test_watch.py
@@ -11,6 +11,7 @@
 from bergamotwood_core.outcome import OutcomeCounter
 from bergamotwood_core.states import EndpointKind
 from bergamotwood_core.tables import Tables
+from bergamotwood_daemon import watch as watch_module
 from bergamotwood_daemon.controlfeed import MAX_KEPT_CHANGES, ControlFeed
 from bergamotwood_daemon.watch import Watch
 from bergamotwood_daemon.wire import ENCODER, POLL_REQUEST, PollReply
@@ -155,7 +156,20 @@
     assert replica.requests[-1].announcements == (announcement,)
 
 
-def make_announcement():
+def test_a_full_queue_takes_a_newer_announcement_of_a_queued_endpoint(
+    clock, monkeypatch
+):
+    monkeypatch.setattr(watch_module, "MAX_PENDING_ANNOUNCEMENTS", 1)
+    replica = FakeReplica(clock)
+    watch = make_watch(clock, {"r": replica})
+    watch.queue_announcement(make_announcement(), urgent=False)
+    newer = make_announcement(sequence=2)
+    watch.queue_announcement(newer, urgent=False)
+    watch.report_now()
+    assert replica.requests[-1].announcements == (newer,)
+
+
+def make_announcement(sequence=1):
     return Announcement(
-        "e1", 1, 1, Address("127.0.0.1", 2), "karen", EndpointKind.MODEL
+        "e1", 1, sequence, Address("127.0.0.1", 2), "karen", EndpointKind.MODEL
     )
