--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -1,6 +1,6 @@
 """Directory of endpoints, built from their heartbeats."""
 
-from collections.abc import Iterable
+from collections import abc
 
 from msgspec import Struct
 
@@ -17,6 +17,9 @@
 )
 from bergamotwood_core.states import EndpointState
 
+# Departures that the log has dropped and the directory still knows.
+MAX_OUTDATED_DEPARTURES = 1_024
+
 
 class EndpointHeartbeat(Struct, frozen=True, array_like=True):
     """State that an endpoint announces periodically.
@@ -100,8 +103,19 @@
             self.feed.put(heartbeat.endpoint, heartbeat)
         return True
 
-    def apply_departures(self, departures: Iterable[Departure]) -> None:
-        """Remove incarnations that are leaving or have left."""
+    def apply_departures(self, departures: abc.Sequence[Departure]) -> None:
+        """Remove incarnations that are leaving or have left.
+
+        Parameters
+        ----------
+        departures : sequence of Departure
+            Departures that the log keeps; older ones are forgotten some time later.
+        """
+        if len(self._departed) > len(departures) + MAX_OUTDATED_DEPARTURES:
+            kept = {(item.endpoint, item.incarnation) for item in departures}
+            self._departed = {
+                key: state for key, state in self._departed.items() if key in kept
+            }
         for departure in departures:
             key = (departure.endpoint, departure.incarnation)
             if key in self._departed:
--- a/tests/core/gateway/test_endpoints.py
+++ b/tests/core/gateway/test_endpoints.py
@@ -1,7 +1,10 @@
 from core.gateway.samples import make_heartbeat
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.gateway.endpoints import EndpointDirectory
+from bergamotwood_core.gateway.endpoints import (
+    MAX_OUTDATED_DEPARTURES,
+    EndpointDirectory,
+)
 from bergamotwood_core.gateway.state_machine import Departure
 from bergamotwood_core.ids import EndpointId, Incarnation, Sequence
 from bergamotwood_core.states import EndpointState
@@ -86,3 +89,13 @@
         make_heartbeat("b", sequence=Sequence(2)), Seconds(NOW + 2.0)
     )
     assert directory.list_silent(Seconds(NOW + 3.0), 2.5) == ("a",)
+
+
+def test_departures_that_the_log_has_dropped_are_forgotten():
+    directory = make_directory()
+    departures = []
+    for number in range(3 * MAX_OUTDATED_DEPARTURES):
+        departures = [*departures, make_departure(f"e-{number}")][-10:]
+        directory.apply_departures(departures)
+    assert len(directory._departed) <= MAX_OUTDATED_DEPARTURES + 20
+    assert not directory.apply_heartbeat(make_heartbeat(departures[-1].endpoint), NOW)
