Tell a replica that has just started of all endpoints at once

Cause: found while reading the diff: a restarted replica has an empty directory until heartbeats come, and entries of its data centre now return to it, so that they would find no endpoint for up to one heartbeat. Change: a relay to a replica that knows none of our entries carries all heartbeats. Result: the new test timed out after 2 s before, passes.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -596,6 +596,9 @@
         heartbeats: tuple[EndpointHeartbeat, ...],
     ) -> None:
         cursor = self._summary_cursors.get(instance, NO_CURSOR)
+        if cursor == NO_CURSOR:
+            # The other replica has just started, and entries may poll it soon.
+            heartbeats = self.directory.list_heartbeats()
         relay = Relay(
             replace(summary, members=self.entries.members.list_changes(cursor)),
             self._settings.data_centre,
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -330,6 +330,20 @@
     fleet.wait_for(lambda: all(state.age < 1.0 for state in states))
 
 
+def test_a_restarted_replica_learns_the_endpoints_before_their_next_heartbeats(fleet):
+    seeds = list(fleet.replicas)
+    fleet.replicas[seeds[0]].record_heartbeat(make_heartbeat())
+    for seed in seeds:
+        fleet.wait_for(lambda seed=seed: len(fleet.replicas[seed].directory) == 1)
+    sleep(0.5)
+    for seed in seeds:
+        fleet.kill(seed)
+        fleet.start(seed)
+        with Timeout(2.0):
+            while not len(fleet.replicas[seed].directory):
+                sleep(0.02)
+
+
 def test_committed_state_survives_losing_the_leader_and_its_disk(fleet):
     control_state = fleet.add_entry()
     leader, replica = fleet.find(leads=True)
