Decode only the routes that have changed since the last configuration

Cause: every entry decodes the whole document at each change: 16 to 19 ms of processor time for 1,400 routes (520 KB), at half a core and several changes a second. Change: routes are found again by a digest of their bytes; the table holds those of the last document only.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 from bergamotwood_core.gateway.configuration import RouteKind, find_configuration_errors
 from bergamotwood_core.states import EndpointState
 from bergamotwood_platform.documents import (
+    ConfigurationDecoder,
     decode_configuration,
     decode_deregistration,
     decode_heartbeat,
@@ -153,3 +154,29 @@
     assert decode_rollout(body) == ("pool", "v2", 12.0)
     with pytest.raises(RequestError):
         decode_rollout(b'{"service": "pool"}')
+
+
+def test_successive_configurations_decode_like_single_ones():
+    decoder = ConfigurationDecoder()
+    first = CONFIGURATION["routes"][0]
+    changed = {**first, "timeout_ms": 9_000}
+    added = {**first, "name": "added", "path_prefix": "/added/"}
+    for number, routes in enumerate(([first], [first, added], [changed, added], [])):
+        body = encode({**CONFIGURATION, "version": number, "routes": routes})
+        assert decoder.decode(body) == decode_configuration(body)
+
+
+def test_unchanged_routes_are_kept():
+    decoder = ConfigurationDecoder()
+    first = decoder.decode(encode(CONFIGURATION)).routes
+    second = decoder.decode(encode({**CONFIGURATION, "version": 99})).routes
+    assert all(one is other for one, other in zip(first, second, strict=True))
+
+
+def test_a_faulty_route_is_named_and_leaves_the_decoder_usable():
+    decoder = ConfigurationDecoder()
+    faulty = {**CONFIGURATION["routes"][0], "timeout_ms": "soon"}
+    routes = [CONFIGURATION["routes"][0], faulty]
+    with pytest.raises(RequestError, match="route 1: .*timeout_ms"):
+        decoder.decode(encode({**CONFIGURATION, "routes": routes}))
+    assert decoder.decode(encode(CONFIGURATION)).routes
