Deliver an answer that is complete just at its deadline

Cause: found while reading the diff: the check against bytes without end also dropped an answer whose last bytes had arrived a moment after the deadline. Change: a slack of 0.25 s, within the half second in which callers expect the final answer. Result: the tests of bytes without end pass with it.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -27,6 +27,8 @@
 
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
+# Time after the deadline for which bytes that have arrived are still read.
+DEADLINE_SLACK_SECONDS = 0.25
 # Interim responses accepted before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
 # Time without a response head after which a retryable request is retried at another
@@ -204,16 +206,17 @@
         return event
 
     def check_deadline(self) -> None:
-        """Check that the caller still waits.
+        """Check that the request's deadline has not passed for some time.
 
-        An endpoint that sends bytes without end would otherwise never time out.
+        An endpoint that sends bytes without end would otherwise never time out. An
+        answer that is complete just at the deadline is still delivered.
 
         Raises
         ------
         ResponseTimeoutError
-            When the request's deadline has passed.
+            When the deadline has passed.
         """
-        if self._compute_time_left() < 0.0:
+        if self._compute_time_left() < -DEADLINE_SLACK_SECONDS:
             raise ResponseTimeoutError(f"{self.heartbeat.address}: past the deadline")
 
     def release_connection(self) -> None:
