Pool response times by route and model over all entries

Change: entries report their averages, at most 32 pairs, weighted by samples; replicas merge them; estimates and slow answers are judged by the pool.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -18,7 +18,7 @@
 )
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import HealthTable
-from bergamotwood_core.gateway.latency import LatencyTable, Timing
+from bergamotwood_core.gateway.latency import LatencyTable, Timing, merge_latencies
 from bergamotwood_core.gateway.load import LoadSum, LoadTable
 from bergamotwood_core.gateway.models import can_finish_in_time, choose_next_model
 from bergamotwood_core.gateway.notices import NoticeTable
@@ -98,8 +98,8 @@
         share.
     restarted_at : float
         Second at which all entries restart and lose their state; 0 for never.
-    pools_rates : bool
-        Whether entries pool their prefill times.
+    pools_times : bool
+        Whether entries pool their prefill times and latencies.
     """
 
     def __init__(
@@ -112,10 +112,10 @@
         replaced_at: float = 20.0,
         replaced_share: float = 0.35,
         restarted_at: float = 0.0,
-        pools_rates: bool = True,
+        pools_times: bool = True,
     ) -> None:
         self.site = site
-        self.pools_rates = pools_rates
+        self.pools_times = pools_times
         self.choose = choose
         self.models = models
         self.load = load
@@ -204,10 +204,14 @@
                 entry.placement.prefill_rate.list_histograms() for entry in self.entries
             )
         )
+        latencies = merge_latencies(
+            entry.latencies.list_averages() for entry in self.entries
+        )
         for entry, report in zip(self.entries, reports, strict=True):
             entry.loads.set_others(total.list_without(report))
-            if self.pools_rates:
+            if self.pools_times:
                 entry.placement.prefill_rate.pooled = rates
+                entry.latencies.pooled = latencies
 
 
 class Request:
--- a/packages/core/src/bergamotwood_core/gateway/latency.py
+++ b/packages/core/src/bergamotwood_core/gateway/latency.py
@@ -1,5 +1,11 @@
-"""Moving averages of response times, and detection of slow answers."""
+"""Moving averages of response times, and detection of slow answers.
 
+The averages of all entries are pooled: in a large fleet one entry sees too few answers
+of each route and model to tell which of them has time for a larger model.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
 from math import exp, log
 
 from msgspec import Struct
@@ -17,6 +23,12 @@
 SLOW_START_FACTOR = 8.0
 SLOW_EVENT_FACTOR = 3.5
 SLOW_TOTAL_FACTOR = 4.0
+# Largest weight of one entry in pooled averages: about what its moving averages cover.
+MAX_WEIGHT = 16
+# Pairs of route and model for which an entry or a pool keeps averages.
+MAX_PAIRS = 32
+MILLI = 1_000.0
+MICRO = 1_000_000.0
 # Minimum number of events for a meaningful mean time between them.
 MIN_EVENTS = 3
 
@@ -44,6 +56,33 @@
         return (self.total_seconds - self.head_seconds) / max(self.events, 1)
 
 
+class RouteLatency(Struct, frozen=True, array_like=True):
+    """Averages of one route and model in a report; integers keep it small.
+
+    Parameters
+    ----------
+    samples, estimates : int
+        Weights of the times, and of the ratio of tokens; at most `MAX_WEIGHT` from
+        one entry.
+    head_ms, total_ms, event_us : int
+        Mean time to the start of the answer and in all in milliseconds, and between
+        events in microseconds.
+    log_ratio_milli : int
+        Mean logarithm of expected tokens per event, in thousandths.
+    """
+
+    samples: int
+    estimates: int
+    head_ms: int
+    total_ms: int
+    event_us: int
+    log_ratio_milli: int
+
+
+# Averages for each route and model.
+LatencyReport = dict[str, dict[ModelName, RouteLatency]]
+
+
 class _Averages(Struct):
     """Moving averages for one route and model.
 
@@ -61,16 +100,27 @@
 
 
 class LatencyTable:
-    """Moving averages of response times for each route and model."""
+    """Moving averages of response times for each route and model.
+
+    Attributes
+    ----------
+    pooled : dict
+        Averages of all entries.
+    """
 
     def __init__(self) -> None:
-        self._averages: dict[tuple[str, ModelName], _Averages] = {}
+        self.pooled: LatencyReport = {}
+        # Ordered by last use.
+        self._averages: OrderedDict[tuple[str, ModelName], _Averages] = OrderedDict()
 
     def record(
         self, route: str, model: ModelName, timing: Timing, expected_tokens: int = 0
     ) -> None:
         """Record a successful answer and the number of tokens its caller expected."""
         average = self._averages.setdefault((route, model), _Averages())
+        self._averages.move_to_end((route, model))
+        if len(self._averages) > MAX_PAIRS:
+            self._averages.popitem(last=False)
         average.samples += 1
         weight = max(SMOOTHING_FACTOR, 1.0 / average.samples)
         average.head += weight * (timing.head_seconds - average.head)
@@ -86,7 +136,7 @@
         self, route: str, model: ModelName, expected_tokens: int
     ) -> float | None:
         """Return the estimated duration of a stream; None with too few samples."""
-        average = self._averages.get((route, model))
+        average = self._find(route, model)
         if average is None or average.estimates < MIN_SAMPLES:
             return None
         events = expected_tokens / exp(average.log_token_ratio)
@@ -94,7 +144,7 @@
 
     def is_slow(self, route: str, model: ModelName, timing: Timing) -> bool:
         """Whether an answer took several times as long as the average."""
-        average = self._averages.get((route, model))
+        average = self._find(route, model)
         if average is None or average.samples < MIN_SAMPLES:
             return False
         if timing.events == 0:
@@ -104,3 +154,71 @@
         if timing.events < MIN_EVENTS:
             return False
         return timing.event_seconds > SLOW_EVENT_FACTOR * average.event
+
+    def list_averages(self) -> LatencyReport:
+        """Return the averages of this entry, to report them."""
+        report: LatencyReport = {}
+        for (route, model), average in self._averages.items():
+            report.setdefault(route, {})[model] = RouteLatency(
+                min(average.samples, MAX_WEIGHT),
+                min(average.estimates, MAX_WEIGHT),
+                round(MILLI * average.head),
+                round(MILLI * average.total),
+                round(MICRO * average.event),
+                round(MILLI * average.log_token_ratio),
+            )
+        return report
+
+    def _find(self, route: str, model: ModelName) -> _Averages | None:
+        pooled = self.pooled.get(route, {}).get(model)
+        if pooled is None:
+            return self._averages.get((route, model))
+        return _Averages(
+            pooled.samples,
+            pooled.estimates,
+            pooled.log_ratio_milli / MILLI,
+            pooled.head_ms / MILLI,
+            pooled.event_us / MICRO,
+            pooled.total_ms / MILLI,
+        )
+
+
+def merge_latencies(reports: Iterable[LatencyReport]) -> LatencyReport:
+    """Return the averages of several reports, weighted by their samples.
+
+    Of more than `MAX_PAIRS` pairs of route and model, those with most samples.
+    """
+    grouped: dict[str, dict[ModelName, list[RouteLatency]]] = {}
+    for report in reports:
+        for route, models in report.items():
+            for model, latency in models.items():
+                grouped.setdefault(route, {}).setdefault(model, []).append(latency)
+    merged = [
+        (route, model, _merge(latencies))
+        for route, models in grouped.items()
+        for model, latencies in models.items()
+    ]
+    merged.sort(key=lambda item: item[2].samples, reverse=True)
+    pooled: LatencyReport = {}
+    for route, model, latency in merged[:MAX_PAIRS]:
+        pooled.setdefault(route, {})[model] = latency
+    return pooled
+
+
+def _merge(latencies: list[RouteLatency]) -> RouteLatency:
+    samples = sum(latency.samples for latency in latencies)
+    estimates = sum(latency.estimates for latency in latencies)
+
+    def average(name: str) -> int:
+        total = sum(item.samples * getattr(item, name) for item in latencies)
+        return round(total / max(samples, 1))
+
+    log_ratio = sum(item.estimates * item.log_ratio_milli for item in latencies)
+    return RouteLatency(
+        samples,
+        estimates,
+        average("head_ms"),
+        average("total_ms"),
+        average("event_us"),
+        round(log_ratio / max(estimates, 1)),
+    )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -9,6 +9,7 @@
 from bergamotwood_core.errors import Code, RefusedError, RequestError
 from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
+from bergamotwood_core.gateway.latency import LatencyReport
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
@@ -61,6 +62,7 @@
         self.rollouts: dict[ServiceName, RolloutView] = {}
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.prefill_rates: dict[ModelName, float] = {}
+        self.latencies: LatencyReport = {}
         self.open_sessions: frozenset[SessionId] = frozenset()
         self.replicas: dict[InstanceId, DataCentre] = {}
         self.boot = ""
@@ -132,6 +134,7 @@
         self._update_rollouts(reply)
         self.silent_endpoints = frozenset(reply.silent)
         self.prefill_rates = reply.prefill_rates
+        self.latencies = reply.latencies
         if reply.number == self.number:
             confirmed_at = Seconds(requested_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -11,6 +11,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
+from bergamotwood_core.gateway.latency import LatencyReport, merge_latencies
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
 from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
@@ -30,8 +31,9 @@
 # Time without a summary after which a replica's entries are dropped. They have moved to
 # another replica by then.
 SUMMARY_EXPIRY_SECONDS = 2.0
-# How long prefill rates are cached: they change slowly, and every poll needs them.
-RATES_CACHE_SECONDS = 0.5
+# How long averages of all entries are cached: they change slowly, and every poll needs
+# them.
+AVERAGES_CACHE_SECONDS = 0.5
 
 
 @dataclass
@@ -69,7 +71,8 @@
         self._relayed: dict[InstanceId, RelayedEntries] = {}
         self._loads = LoadSum()
         self._rates: dict[ModelName, float] = {}
-        self._rates_made_at = Seconds(float("-inf"))
+        self._latencies: LatencyReport = {}
+        self._averaged_at = Seconds(float("-inf"))
 
     def update(self, status: EntryStatus) -> bool:
         """Store a status; return whether it is newer than what is known."""
@@ -111,6 +114,7 @@
             _collect(status.crashes for status in statuses),
             _collect(status.successes for status in statuses),
             merge_histograms(status.prefill_times for status in statuses),
+            merge_latencies(status.latencies for status in statuses),
         )
 
     def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
@@ -165,16 +169,14 @@
 
     def list_prefill_rates(self) -> dict[ModelName, float]:
         """Return the seconds to prefill a token, from the samples of all entries."""
-        now = self._clock()
-        if now - self._rates_made_at > RATES_CACHE_SECONDS:
-            self._rates_made_at = now
-            reports = chain(
-                (status.prefill_times for status in self._statuses.values()),
-                (relayed.summary.prefill_times for relayed in self._relayed.values()),
-            )
-            self._rates = estimate_rates(merge_histograms(reports))
+        self._refresh_averages()
         return self._rates
 
+    def list_latencies(self) -> LatencyReport:
+        """Return the average response times of all entries."""
+        self._refresh_averages()
+        return self._latencies
+
     def list_crashes(self, instance: InstanceId) -> tuple[Crash, ...]:
         """Return the crashes that all entries except `instance` report."""
         return _collect(
@@ -201,6 +203,19 @@
         )
         return tuple(dict.fromkeys(chain.from_iterable(sessions)))
 
+    def _refresh_averages(self) -> None:
+        now = self._clock()
+        if now - self._averaged_at <= AVERAGES_CACHE_SECONDS:
+            return
+        self._averaged_at = now
+        reports = [
+            *self._statuses.values(),
+            *(relayed.summary for relayed in self._relayed.values()),
+        ]
+        times = merge_histograms(report.prefill_times for report in reports)
+        self._rates = estimate_rates(times)
+        self._latencies = merge_latencies(report.latencies for report in reports)
+
     def _list_others(self, instance: InstanceId) -> Iterable[EntryStatus]:
         return (status for key, status in self._statuses.items() if key != instance)
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -158,6 +158,7 @@
         self.placement.silent_endpoints = self.control_state.silent_endpoints
         self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.placement.prefill_rate.pooled = self.control_state.prefill_rates
+        self.latencies.pooled = self.control_state.latencies
         self.loads.set_others(self.control_state.loads)
         self.suspects.apply_reports(
             self.control_state.crashes, self.control_state.successes, self.clock()
@@ -232,6 +233,7 @@
             self.suspects.list_successes(self.clock()),
             self.notices.list_leaving(self.clock()),
             self.placement.prefill_rate.list_histograms(),
+            self.latencies.list_averages(),
         )
 
     def _routes_to_target(self, view: RolloutView, call: Call) -> bool:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -5,6 +5,7 @@
 
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, Changes
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
+from bergamotwood_core.gateway.latency import LatencyReport
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.prefill import Histogram
@@ -68,6 +69,8 @@
         Endpoints that have recently announced in an answer that they leave.
     prefill_times : dict
         Histogram of its prefill times per token for each model.
+    latencies : dict
+        Its average response times for each route and model.
     """
 
     entry: EntryAddress
@@ -80,6 +83,7 @@
     successes: tuple[Success, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
+    latencies: LatencyReport = {}
 
 
 class EntryMember(Struct, frozen=True, array_like=True):
@@ -164,6 +168,8 @@
         Endpoints whose heartbeats are overdue.
     prefill_rates : dict
         Seconds to prefill a token for each model.
+    latencies : dict
+        Average response times for each route and model, of all entries.
     """
 
     age_seconds: float
@@ -180,6 +186,7 @@
     open_sessions: tuple[SessionId, ...] = ()
     silent: tuple[EndpointId, ...] = ()
     prefill_rates: dict[ModelName, float] = {}
+    latencies: LatencyReport = {}
 
 
 class ReplicaSummary(Struct, frozen=True, array_like=True):
@@ -195,7 +202,7 @@
         Increases with each summary of a run.
     members : Changes or None
         Changes of the entries that poll it.
-    loads, evidence, open_sessions, crashes, successes, prefill_times
+    loads, evidence, open_sessions, crashes, successes, prefill_times, latencies
         Sums of what these entries report, as in `EntryStatus`.
     """
 
@@ -209,6 +216,7 @@
     crashes: tuple[Crash, ...] = ()
     successes: tuple[Success, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
+    latencies: LatencyReport = {}
 
 
 class SummaryCursor(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -421,6 +421,7 @@
                 SILENT_AFTER_HEARTBEATS * self._settings.bounds.heartbeat_seconds,
             ),
             prefill_rates=self.entries.list_prefill_rates(),
+            latencies=self.entries.list_latencies(),
         )
 
     def _refresh_replicas(self) -> None:
--- a/tests/benchmarks/test_generation.py
+++ b/tests/benchmarks/test_generation.py
@@ -25,9 +25,9 @@
     return earned / total, late / count
 
 
-def test_callers_of_a_large_crowded_fleet_gain_by_pooled_prefill_times():
+def test_callers_of_a_large_crowded_fleet_gain_by_pooled_times():
     """Load: 195 entries and 39 engines at 1.3 of the traffic, engines replaced."""
     pooled_earned, pooled_late = play(replaced_at=12.0)
-    own_earned, own_late = play(replaced_at=12.0, pools_rates=False)
+    own_earned, own_late = play(replaced_at=12.0, pools_times=False)
     assert pooled_earned > own_earned
     assert pooled_late < own_late
