--- a/tests/core/gateway/test_latency.py
+++ b/tests/core/gateway/test_latency.py
@@ -56,7 +56,9 @@
         assert table.estimate("r", ModelName("large"), 200) is None
     pooled = merge_latencies(table.list_averages() for table in tables)
     tables[0].pooled = pooled
-    assert tables[0].estimate("r", ModelName("large"), 200) == pytest.approx(10.5, rel=0.01)
+    assert tables[0].estimate("r", ModelName("large"), 200) == pytest.approx(
+        10.5, rel=0.01
+    )
     assert tables[0].is_slow("r", ModelName("large"), Timing(6.0, 11.0, 10))
     assert not tables[0].is_slow("r", ModelName("large"), Timing(0.6, 5.5, 10))
 
