--- a/packages/ctl/src/bergamotctl/command.py
+++ b/packages/ctl/src/bergamotctl/command.py
@@ -8,7 +8,7 @@
 from bergamotctl.bills import bill, claim
 from bergamotctl.client import ENTRIES_VARIABLE, KEY_VARIABLE, Client
 from bergamotctl.instances import drain, endpoints, entries, status
-from bergamotctl.logs import explain, timeline
+from bergamotctl.logs import explain, outcomes, timeline
 from bergamotctl.rollouts import rollout
 from bergamotctl.tickets import ticket
 
@@ -52,6 +52,7 @@
     claim,
     drain,
     explain,
+    outcomes,
     timeline,
 )
 
--- a/packages/ctl/src/bergamotctl/logs.py
+++ b/packages/ctl/src/bergamotctl/logs.py
@@ -1,6 +1,7 @@
-"""Subcommands that read log files: the history of a request, or state changes."""
+"""Subcommands that read log files: the history of a request, or of many."""
 
 import sys
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any, TextIO
@@ -17,6 +18,8 @@
 )
 # Types of records about a single request; all others record a change of state.
 REQUEST_MESSAGE_TYPES = frozenset(("request", "attempt"))
+# Lowest status of a response that reports an error of the server.
+MIN_SERVER_ERROR = 500
 files_argument = argument(
     "files", nargs=-1, type=PathType(exists=True, dir_okay=False, path_type=Path)
 )
@@ -55,6 +58,42 @@
         echo(format_record(record))
 
 
+@command()
+@files_argument
+def outcomes(files: tuple[Path, ...]) -> None:
+    """Count how requests ended, by cause.
+
+    Requests that were cut off with their process have no line and are not counted.
+    Reads standard input if no FILES are given.
+    """
+    counts = Counter(
+        outcome
+        for record in read_records(files)
+        if (outcome := find_outcome(record)) is not None
+    )
+    if not counts:
+        raise ClickException("no line of the logs ends a request")
+    total = sum(counts.values())
+    for (ending, cause), count in counts.most_common():
+        echo(f"{count:8d} {100.0 * count / total:6.2f} %  {ending:<10} {cause}")
+
+
+def find_outcome(record: LogRecord) -> tuple[str, str] | None:
+    """Return how a record ends a request, and why; None if it ends none."""
+    match record.get("message"):
+        case "request: Answered." if record.get("status", 0) >= MIN_SERVER_ERROR:
+            return "answered", f"the endpoint's own {record['status']}"
+        case "request: Answered.":
+            return "answered", f"status {record.get('status', '?')}"
+        case "request: Refused.":
+            return "refused", str(record.get("code", "?"))
+        case "request: Failed.":
+            return "failed", str(record.get("code", "?"))
+        case "request: Caller disconnected.":
+            return "left", "the caller closed the connection"
+    return None
+
+
 def read_records(files: Iterable[Path]) -> Iterator[LogRecord]:
     """Read log records.
 
--- a/tests/ctl/test_logs.py
+++ b/tests/ctl/test_logs.py
@@ -62,3 +62,32 @@
         "2.000 edge-1 entry: Control lost. replica=c:1",
         "3.000 core-1 control: Configuration applied. number=7",
     ]
+
+
+def test_outcomes_counts_how_requests_ended_by_cause(tmp_path):
+    path = write_log(
+        tmp_path / "edge-1.log",
+        make_record(1.0, "request: Answered.", status=200),
+        make_record(1.1, "request: Answered.", status=200),
+        make_record(1.2, "request: Answered.", status=500),
+        make_record(1.3, "request: Refused.", status=503, code="OVERLOADED"),
+        make_record(1.4, "request: Failed.", status=504, code="STREAM_SILENT"),
+        make_record(1.5, "request: Caller disconnected."),
+        make_record(1.6, "attempt: Attempt failed.", result="full"),
+        make_record(1.7, "entry: Control lost."),
+    )
+    lines = run("outcomes", path).output.splitlines()
+    assert lines[0].split() == ["2", "33.33", "%", "answered", "status", "200"]
+    assert sorted(line.partition("%")[2].strip() for line in lines[1:]) == [
+        "answered   the endpoint's own 500",
+        "failed     STREAM_SILENT",
+        "left       the caller closed the connection",
+        "refused    OVERLOADED",
+    ]
+
+
+def test_outcomes_fails_without_a_line_that_ends_a_request(tmp_path):
+    path = write_log(tmp_path / "a.log", make_record(1.0, "daemon: Started."))
+    result = run("outcomes", path)
+    assert result.exit_code == 1
+    assert "no line of the logs ends a request" in result.output
