--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -88,7 +88,7 @@
 
     def stop(self) -> None:
         """Stop polling and close the channels."""
-        self._greenlet.kill()
+        self._greenlet.kill(block=False)
         self._channels.close()
 
     def report_now(self) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -28,9 +28,10 @@
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 # Callers may use a list of entries up to three times its time to live.
 DRAIN_TTLS = 3.0
-# Part of the grace period that is reserved for stopping the replica: leadership is
-# handed over within a few heartbeats.
-SHUTDOWN_RESERVE_SECONDS = 0.5
+# Part of the grace period that is reserved for the exit of the process.
+EXIT_RESERVE_SECONDS = 1.0
+# Limit on stopping the replica: leadership is handed over within a few heartbeats.
+REPLICA_STOP_SECONDS = 0.5
 # Limit on closing the server for other daemons.
 PEER_STOP_SECONDS = 0.2
 POLL_INTERVAL_SECONDS = 0.05
@@ -138,7 +139,7 @@
         deadline = (
             read_clock()
             + self.settings.bounds.grace_period_seconds
-            - SHUTDOWN_RESERVE_SECONDS
+            - EXIT_RESERVE_SECONDS
         )
         try:
             if self.entry is not None:
@@ -151,7 +152,7 @@
 
     def _stop_replica(self) -> None:
         # A disk that hangs must not delay the exit of the process.
-        with Timeout(SHUTDOWN_RESERVE_SECONDS, False):
+        with Timeout(REPLICA_STOP_SECONDS, False):
             try:
                 self.replica.stop()
             except Exception as error:
