--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -11,6 +11,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.latency import LatencyReport
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
 from bergamotwood_core.gateway.state_machine import decompress_document
@@ -63,6 +64,7 @@
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.prefill_rates: dict[ModelName, float] = {}
         self.latencies: LatencyReport = {}
+        self.retry_usage: UsageReport = {}
         self.open_sessions: frozenset[SessionId] = frozenset()
         self.replicas: dict[InstanceId, DataCentre] = {}
         self.boot = ""
@@ -135,6 +137,7 @@
         self.silent_endpoints = frozenset(reply.silent)
         self.prefill_rates = reply.prefill_rates
         self.latencies = reply.latencies
+        self.retry_usage = reply.retry_usage
         if reply.number == self.number:
             confirmed_at = Seconds(requested_at - reply.age_seconds)
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -14,6 +14,7 @@
 from bergamotwood_core.gateway.latency import LatencyReport, merge_latencies
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
 from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
+from bergamotwood_core.gateway.retries import UsageReport, merge_usage
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
 from bergamotwood_core.gateway.suspects import Crash, Success
 from bergamotwood_core.ids import EndpointId, InstanceId, ModelName, SessionId
@@ -115,6 +116,7 @@
             _collect(status.successes for status in statuses),
             merge_histograms(status.prefill_times for status in statuses),
             merge_latencies(status.latencies for status in statuses),
+            merge_usage(status.retry_usage for status in statuses),
         )
 
     def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
@@ -203,6 +205,15 @@
         )
         return tuple(dict.fromkeys(chain.from_iterable(sessions)))
 
+    def list_retry_usage(self) -> UsageReport:
+        """Return the requests and retries of all entries in the current window."""
+        return merge_usage(
+            chain(
+                (status.retry_usage for status in self._statuses.values()),
+                (relayed.summary.retry_usage for relayed in self._relayed.values()),
+            )
+        )
+
     def _refresh_averages(self) -> None:
         now = self._clock()
         if now - self._averaged_at <= AVERAGES_CACHE_SECONDS:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -91,7 +91,10 @@
         self.suspects = SuspectTable()
         self.sessions = SessionVersions(bounds.session_timeout_seconds)
         self.budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_seconds
+            bounds.retry_ratio,
+            bounds.retry_extra,
+            bounds.retry_window_seconds,
+            bounds.retry_share_fraction,
         )
         self.poller = ControlPoller(
             self.control_state,
@@ -159,6 +162,7 @@
         self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.placement.prefill_rate.pooled = self.control_state.prefill_rates
         self.latencies.pooled = self.control_state.latencies
+        self.budget.set_fleet_usage(self.control_state.retry_usage, self.clock())
         self.loads.set_others(self.control_state.loads)
         self.suspects.apply_reports(
             self.control_state.crashes, self.control_state.successes, self.clock()
@@ -234,6 +238,7 @@
             self.notices.list_leaving(self.clock()),
             self.placement.prefill_rate.list_histograms(),
             self.latencies.list_averages(),
+            self.budget.list_usage(self.clock()),
         )
 
     def _routes_to_target(self, view: RolloutView, call: Call) -> bool:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -9,6 +9,7 @@
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.prefill import Histogram
+from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
 from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.gateway.suspects import Crash, Success
@@ -71,6 +72,8 @@
         Histogram of its prefill times per token for each model.
     latencies : dict
         Its average response times for each route and model.
+    retry_usage : dict
+        Requests and retries that it has sent to each service in the current window.
     """
 
     entry: EntryAddress
@@ -84,6 +87,7 @@
     leaving: tuple[LeavingEndpoint, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
     latencies: LatencyReport = {}
+    retry_usage: UsageReport = {}
 
 
 class EntryMember(Struct, frozen=True, array_like=True):
@@ -170,6 +174,8 @@
         Seconds to prefill a token for each model.
     latencies : dict
         Average response times for each route and model, of all entries.
+    retry_usage : dict
+        Requests and retries of all entries in the current window.
     """
 
     age_seconds: float
@@ -187,6 +193,7 @@
     silent: tuple[EndpointId, ...] = ()
     prefill_rates: dict[ModelName, float] = {}
     latencies: LatencyReport = {}
+    retry_usage: UsageReport = {}
 
 
 class ReplicaSummary(Struct, frozen=True, array_like=True):
@@ -202,8 +209,10 @@
         Increases with each summary of a run.
     members : Changes or None
         Changes of the entries that poll it.
-    loads, evidence, open_sessions, crashes, successes, prefill_times, latencies
+    loads, evidence, open_sessions, crashes, successes
         Sums of what these entries report, as in `EntryStatus`.
+    prefill_times, latencies, retry_usage
+        As well.
     """
 
     replica: InstanceId
@@ -217,6 +226,7 @@
     successes: tuple[Success, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
     latencies: LatencyReport = {}
+    retry_usage: UsageReport = {}
 
 
 class SummaryCursor(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -422,6 +422,7 @@
             ),
             prefill_rates=self.entries.list_prefill_rates(),
             latencies=self.entries.list_latencies(),
+            retry_usage=self.entries.list_retry_usage(),
         )
 
     def _refresh_replicas(self) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -22,6 +22,9 @@
     retry_ratio, retry_extra, retry_window_seconds : float
         Retries allowed in each window: a fraction of the requests, plus a fixed
         number for the whole fleet.
+    retry_share_fraction : float
+        Fraction of its share of these retries that an entry uses while it does not
+        know what the fleet uses.
     session_timeout_seconds : float
         Longest pause between two requests of one session.
     acknowledge_timeout_seconds : float
@@ -36,6 +39,7 @@
     retry_ratio: float = 0.5
     retry_extra: float = 10.0
     retry_window_seconds: float = 10.0
+    retry_share_fraction: float = 1.0
     session_timeout_seconds: float = 5.0
     acknowledge_timeout_seconds: float = 0.9
     heartbeat_seconds: float = 1.0
