--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -209,10 +209,10 @@
         Increases with each summary of a run.
     members : Changes or None
         Changes of the entries that poll it.
-    loads, evidence, open_sessions, crashes, successes
+    loads, evidence, prefill_times, latencies, retry_usage
         Sums of what these entries report, as in `EntryStatus`.
-    prefill_times, latencies, retry_usage
-        As well.
+    open_sessions, crashes, successes
+        All that these entries report.
     """
 
     replica: InstanceId
