Log what doesn't stop in time

Cause: found while reading the diff: time-outs of the stop and of accepting waiting connections passed without a line. Change: one function stops a part, logs a failure or a time-out and goes on.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -152,14 +152,10 @@
 
     def _stop_replica(self) -> None:
         # A disk that hangs must not delay the exit of the process.
-        with Timeout(REPLICA_STOP_SECONDS, False):
-            try:
-                self.replica.stop()
-            except Exception as error:
-                log_failure("daemon", "Replica not stopped.", reason=str(error))
+        _stop_part("replica", REPLICA_STOP_SECONDS, self.replica.stop)
         if self._peer_server is not None:
-            with Timeout(PEER_STOP_SECONDS, False):
-                self._peer_server.stop(0.0)
+            server = self._peer_server
+            _stop_part("peer server", PEER_STOP_SECONDS, lambda: server.stop(0.0))
 
     def _drain_callers(self, deadline: float) -> None:
         """Serve until callers' address lists expire, then finish open requests."""
@@ -176,3 +172,17 @@
     def _wait_until(self, is_met: Callable[[], bool], deadline: float) -> None:
         while not is_met() and read_clock() < deadline:
             sleep(POLL_INTERVAL_SECONDS)
+
+
+def _stop_part(part: str, seconds: float, stop: Callable[[], None]) -> None:
+    """Stop a part of the daemon; log a failure, which must not keep the process."""
+    timer = Timeout(seconds)
+    try:
+        with timer:
+            stop()
+    except Timeout as timeout:
+        if timeout is not timer:
+            raise
+        log_event("daemon", "Not stopped in time.", part=part, seconds=seconds)
+    except Exception as error:
+        log_failure("daemon", "Not stopped.", part=part, reason=str(error))
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -414,9 +414,12 @@
 
         Closing the socket would reset those that wait to be accepted.
         """
-        with Timeout(ACCEPT_TIMEOUT_SECONDS, False):
-            while self._server.started and is_readable(self._server.socket):
-                sleep(0.0)
+        deadline = self.clock() + ACCEPT_TIMEOUT_SECONDS
+        while self._server.started and is_readable(self._server.socket):
+            if self.clock() >= deadline:
+                log_event("caller", "Waiting connections are reset.")
+                break
+            sleep(0.0)
         self._server.close()
 
     def handler(self, exchange: Exchange) -> None:
--- a/tests/daemon/gateway/test_daemon.py
+++ b/tests/daemon/gateway/test_daemon.py
@@ -121,3 +121,15 @@
     caller.settimeout(2.0)
     caller.sendall(b"GET /a/x HTTP/1.1\r\nhost: h\r\n\r\n")
     assert caller.recv(100).startswith(b"HTTP/1.1 503")
+
+
+def test_a_replica_that_hangs_does_not_keep_the_process(make_daemon):
+    class HangingReplica:
+        def stop(self):
+            sleep(60.0)
+
+    daemon = make_daemon()
+    daemon.replica = HangingReplica()
+    daemon._peer_server = SilentPeerServer()
+    stop_and_wait(daemon)
+    assert daemon._peer_server.is_stopped
