Deliver complete answers always; log notices as changes of state

Cause: found while reading the diff: a complete answer was dropped 0.25 s after its deadline; every answer without Retry-After raised and caught two exceptions; notices were logged as lines of a request, which 'bergamotctl timeline' leaves out. Change: the deadline is checked only while more is to come; Retry-After is read of a 503 only; the lines belong to the entry. Result: the new test of a late end passes; it was not run on the old code.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -153,9 +153,9 @@
         try:
             while True:
                 event = self.receive(compute_timeout())
-                self.check_deadline()
                 if isinstance(event, h11.EndOfMessage):
                     break
+                self.check_deadline()
                 pieces.append(bytes(event.data))
                 size += len(event.data)
                 if size > MAX_RESPONSE_BYTES:
@@ -209,7 +209,7 @@
         """Check that the request's deadline has not passed for some time.
 
         An endpoint that sends bytes without end would otherwise never time out. An
-        answer that is complete just at the deadline is still delivered.
+        answer that is complete is delivered whenever its end is read.
 
         Raises
         ------
@@ -279,9 +279,8 @@
         return not self._entry.liveness.check(self.heartbeat)
 
     def _check_head(self, head: h11.Response) -> h11.Response | Outcome:
-        headers = list(head.headers)
-        metadata = self._entry.dialect.read_answer(headers)
-        self._record_notices(head.status_code, metadata, read_retry_after(headers))
+        metadata = self._entry.dialect.read_answer(list(head.headers))
+        self._record_notices(head, metadata)
         if metadata.is_not_executed or head.status_code == MISDIRECTED_REQUEST:
             self.close()
             result = AttemptResult.FULL
@@ -299,29 +298,22 @@
             return MayHaveRun("response with an encoding", AttemptResult.BROKEN)
         return head
 
-    def _record_notices(
-        self, status: int, metadata: ResponseMetadata, retry_after: float | None
-    ) -> None:
-        if status == MISDIRECTED_REQUEST:
+    def _record_notices(self, head: h11.Response, metadata: ResponseMetadata) -> None:
+        """Record what the endpoint asks of this entry besides its answer."""
+        if head.status_code == MISDIRECTED_REQUEST:
             # Another endpoint has answered at this address.
             return
-        heartbeat = self.heartbeat
+        endpoint, incarnation = self.heartbeat.endpoint, self.heartbeat.incarnation
         now = self._entry.clock()
         notices = self._entry.notices
-        if metadata.is_leaving and notices.record_leaving(
-            heartbeat.endpoint, heartbeat.incarnation, now
-        ):
-            log_event("attempt", "Endpoint leaves.", endpoint=heartbeat.endpoint)
-        if status == SERVICE_UNAVAILABLE and retry_after is not None:
-            notices.record_pause(
-                heartbeat.endpoint, heartbeat.incarnation, retry_after, now
-            )
-            log_event(
-                "attempt",
-                "Endpoint paused.",
-                endpoint=heartbeat.endpoint,
-                seconds=retry_after,
-            )
+        if metadata.is_leaving and notices.record_leaving(endpoint, incarnation, now):
+            log_event("entry", "Endpoint announces that it leaves.", endpoint=endpoint)
+        if head.status_code != SERVICE_UNAVAILABLE:
+            return
+        seconds = read_retry_after(list(head.headers))
+        if seconds is not None:
+            notices.record_pause(endpoint, incarnation, seconds, now)
+            log_event("entry", "Endpoint paused.", endpoint=endpoint, seconds=seconds)
 
     def _compute_head_timeout(self) -> float:
         """Return the seconds to wait for the head of the response.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
@@ -50,12 +50,12 @@
 
     def check(self, heartbeat: EndpointHeartbeat) -> bool:
         """Return whether an endpoint answers; waits up to the time-out."""
-        run = (heartbeat.endpoint, heartbeat.incarnation)
+        key = (heartbeat.endpoint, heartbeat.incarnation)
         now = self._clock()
-        result = self._results.get(run)
-        if result is None or now - self._checked_at[run] > CHECK_INTERVAL_SECONDS:
-            result = self._results[run] = AsyncResult()
-            self._checked_at[run] = now
+        result = self._results.get(key)
+        if result is None or now - self._checked_at[key] > CHECK_INTERVAL_SECONDS:
+            result = self._results[key] = AsyncResult()
+            self._checked_at[key] = now
             self.checks += 1
             is_alive = False
             try:
@@ -68,9 +68,9 @@
     def expire(self) -> None:
         """Remove results that no longer hold."""
         limit = self._clock() - CHECK_INTERVAL_SECONDS - CHECK_TIMEOUT_SECONDS
-        for run in [run for run, at in self._checked_at.items() if at < limit]:
-            del self._results[run]
-            del self._checked_at[run]
+        for key in [key for key, at in self._checked_at.items() if at < limit]:
+            del self._results[key]
+            del self._checked_at[key]
 
     def _send_check(self, heartbeat: EndpointHeartbeat) -> bool:
         connection = EndpointConnection(heartbeat.address, self._clock)
@@ -89,7 +89,7 @@
         finally:
             connection.close()
         log_event(
-            "attempt",
+            "entry",
             "Silent endpoint checked.",
             endpoint=heartbeat.endpoint,
             is_alive=not reason,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/message.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/message.py
@@ -97,6 +97,8 @@
     10.2.3), so that the clocks of the two sides need not agree.
     """
     value = (find_field(headers, b"retry-after") or "").strip()
+    if not value:
+        return None
     try:
         seconds = float(value)
     except ValueError:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -72,9 +72,9 @@
         try:
             while True:
                 event = attempt.receive(self._compute_read_timeout())
-                attempt.check_deadline()
                 if isinstance(event, h11.EndOfMessage):
                     break
+                attempt.check_deadline()
                 self._send(splitter.feed(bytes(event.data)), head)
             self._send(splitter.finish(), head)
         except EventTooLargeError as error:
--- a/tests/daemon/gateway/test_endpoint_trouble.py
+++ b/tests/daemon/gateway/test_endpoint_trouble.py
@@ -2,6 +2,7 @@
 
 from time import monotonic
 
+import h11
 import pytest
 from core.gateway.samples import make_configuration, make_route
 from daemon.gateway.harness import make_complete
@@ -296,3 +297,22 @@
     reply = harness.connect().call("POST")
     ids = [line[4:] for line in reply.body.splitlines() if line.startswith("id: ")]
     assert ids == ["a", "b", "c", "d"]
+
+
+def test_a_complete_answer_is_delivered_however_late_its_end_is_read(
+    make_harness, monkeypatch
+):
+    monkeypatch.setattr(attempt_module, "DEADLINE_SLACK_SECONDS", 0.0)
+    harness = make_harness(configure(PLAIN_ROUTE), one=answer)
+    attempt = attempt_module.Attempt
+    monkeypatch.setattr(attempt, "_compute_time_left", lambda self: 1.0)
+    receive = attempt.receive
+
+    def receive_late(self, seconds):
+        event = receive(self, seconds)
+        if isinstance(event, h11.EndOfMessage):
+            monkeypatch.setattr(attempt, "_compute_time_left", lambda self: -9.0)
+        return event
+
+    monkeypatch.setattr(attempt, "receive", receive_late)
+    assert harness.connect().call().status == 200
