Clearer names: estimate_return, keys of incarnations; drop an unused method

Cause: found while reading the diff: two functions named measure_pause, 'run' for a pair of ids, a module imported for one type, a method only tests called. Change: renamed, removed. No change of behaviour. Result: the gateway's tests pass.

--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -1,7 +1,5 @@
 """Directory of endpoints, built from their heartbeats."""
 
-from collections import abc
-
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
@@ -103,12 +101,12 @@
             self.feed.put(heartbeat.endpoint, heartbeat)
         return True
 
-    def apply_departures(self, departures: abc.Sequence[Departure]) -> None:
+    def apply_departures(self, departures: list[Departure]) -> None:
         """Remove incarnations that are leaving or have left.
 
         Parameters
         ----------
-        departures : sequence of Departure
+        departures : list of Departure
             Departures that the log keeps; older ones are forgotten some time later.
         """
         if len(self._departed) > len(departures) + MAX_OUTDATED_DEPARTURES:
--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -11,6 +11,7 @@
 # to the maximum. A restarted process is back within seconds.
 FIRST_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 4.0
+# Limit on the exponent, which would overflow after many failures.
 MAX_PAUSE_DOUBLINGS = 16
 # Pause after a refusal for lack of capacity: a full queue has room again after
 # about one short request.
--- a/packages/core/src/bergamotwood_core/gateway/notices.py
+++ b/packages/core/src/bergamotwood_core/gateway/notices.py
@@ -87,15 +87,15 @@
         """Return the recent leave notices, to report them to other entries."""
         since = now - LEAVE_REPORT_SECONDS
         return tuple(
-            LeavingEndpoint(*run) for run, at in self._left_at.items() if at > since
+            LeavingEndpoint(*key) for key, at in self._left_at.items() if at > since
         )
 
     def expire(self, now: Seconds) -> None:
         """Remove notices that no longer have an effect."""
         limit = now - LEAVE_RETENTION_SECONDS
-        self._left_at = {run: at for run, at in self._left_at.items() if at > limit}
+        self._left_at = {key: at for key, at in self._left_at.items() if at > limit}
         self._paused_until = {
-            run: until for run, until in self._paused_until.items() if until > now
+            key: until for key, until in self._paused_until.items() if until > now
         }
 
 
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -146,7 +146,7 @@
             default=None,
         )
 
-    def measure_pause(
+    def estimate_return(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
     ) -> float | None:
         """Return the seconds until an endpoint may get a request.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -151,10 +151,6 @@
         ]:
             self._drop_relayed(replica)
 
-    def list_addresses(self) -> tuple[EntryAddress, ...]:
-        """Return the addresses of the live entries for callers."""
-        return self.addresses.list_values()
-
     def list_loads(self, instance: InstanceId | None) -> dict[EndpointId, EndpointLoad]:
         """Return the load that all entries except `instance` put on each endpoint."""
         own_status = self._statuses.get(instance)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -216,7 +216,7 @@
         entry = self._entry
         groups = entry.list_eligible_endpoints(call)
         heartbeats = [heartbeat for group in groups for heartbeat in group]
-        pause = entry.placement.measure_pause(heartbeats, call, entry.clock())
+        pause = entry.placement.estimate_return(heartbeats, call, entry.clock())
         if pause is None:
             seconds = NO_ENDPOINT_RETRY_SECONDS
         else:
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -240,7 +240,7 @@
     notices.record_leaving(first.endpoint, first.incarnation, NOW)
     placement = make_placement(notices=notices)
     assert placement.choose([first], make_call(), NOW) is None
-    assert placement.measure_pause([first], make_call(), NOW) is None
+    assert placement.estimate_return([first], make_call(), NOW) is None
     second = make_heartbeat("e-1", incarnation=first.incarnation + 1)
     assert placement.choose([second], make_call(), NOW).heartbeat is second
 
@@ -252,7 +252,7 @@
         notices.record_pause(heartbeat.endpoint, heartbeat.incarnation, seconds, NOW)
     placement = make_placement(notices=notices)
     assert placement.choose(heartbeats, make_call(), NOW) is None
-    pause = placement.measure_pause(heartbeats, make_call(), NOW)
+    pause = placement.estimate_return(heartbeats, make_call(), NOW)
     assert 2.0 <= pause <= 2.2
     chosen = placement.choose(heartbeats, make_call(), Seconds(NOW + pause + 0.01))
     assert chosen.heartbeat.endpoint == "e-2"
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -72,7 +72,7 @@
     table.update(make_status(2))
     table.expire()
     assert table.list_loads(InstanceId("i2")) == {}
-    assert [entry.address for entry in table.list_addresses()] == ["i2:80"]
+    assert [entry.address for entry in table.addresses.list_values()] == ["i2:80"]
 
 
 def test_crashes_and_open_sessions_are_listed_once():
@@ -112,7 +112,7 @@
 
 
 def list_names(replica):
-    return sorted(entry.instance for entry in replica.table.list_addresses())
+    return sorted(entry.instance for entry in replica.table.addresses.list_values())
 
 
 def test_a_summary_adds_the_entries_and_loads_of_another_replica(replicas):
