--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -4,12 +4,9 @@
 from random import Random
 from secrets import token_hex
 from time import time
-from typing import TypeVar
 
 from gevent import Greenlet, sleep, spawn, spawn_later
 from gevent.event import Event
-from msgspec import MsgspecError
-from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import (
@@ -19,15 +16,13 @@
     ReplicationError,
     RequestError,
 )
-from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
+from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.configuration import find_configuration_errors
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.state_machine import (
-    OUTCOME_DECODER,
     BeginRollout,
     CommandOutcome,
-    GatewayCommand,
     GatewayStateMachine,
     RecordDeparture,
     ReplaceConfiguration,
@@ -35,51 +30,41 @@
     SettleRollout,
     compress_document,
     decompress_document,
-    encode_command,
 )
 from bergamotwood_core.ids import (
-    DataCentre,
     EndpointId,
     Incarnation,
     InstanceId,
     ServiceName,
 )
 from bergamotwood_core.states import EndpointState
-from bergamotwood_daemon.gateway.channels import PeerChannels, ReplicationSenders
+from bergamotwood_daemon.gateway.channels import ReplicationSenders
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.entries import EntryTable
+from bergamotwood_daemon.gateway.leaderaccess import GROUP, LeaderAccess
 from bergamotwood_daemon.gateway.peermessages import (
     ENCODER,
     POLL,
-    STATE_REPLY,
-    SUMMARY_CURSOR,
     Cursors,
     Relay,
-    ReplicaSummary,
-    StateReply,
     SyncReply,
     SyncRequest,
 )
+from bergamotwood_daemon.gateway.replicarelay import ReplicaRelay
 from bergamotwood_daemon.gateway.rollouts import RolloutController
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.groupsettings import GroupSettings
 from bergamotwood_daemon.log import count_dropped_lines, log_event
-from bergamotwood_daemon.peer import POLL as POLL_METHOD
-from bergamotwood_daemon.peer import PROPOSE, QUERY, GroupTransport
+from bergamotwood_daemon.peer import GroupTransport
 from bergamotwood_daemon.wire import (
-    PROPOSE_REPLY,
     PROPOSE_REQUEST,
     REPLICATE_BATCH,
     Committed,
     NotLeader,
-    ProposeRequest,
     Unknown,
 )
 
-Result = TypeVar("Result")
-
-GROUP = "gateway"
 # Interval between the leader's heartbeats to the other replicas. Half of the default
 # 0.2 s: a replica that lost its disk must be a voter again within 4 s.
 HEARTBEAT_SECONDS = 0.1
@@ -88,14 +73,6 @@
 ELECTION_SECONDS = 0.6
 # Duration of the leader lease; less than the election timeout.
 LEASE_SECONDS = 0.45
-# Delay between two attempts to reach the leader; elections take about a second.
-LEADER_RETRY_SECONDS = 0.05
-# Soft state is batched into one call to each replica, at an interval well below those
-# of heartbeats and of entries' polls.
-RELAY_INTERVAL_SECONDS = 0.1
-# Longest time without a relay: well below the expiry of a replica's summary.
-MAX_RELAY_INTERVAL_SECONDS = 0.5
-RELAY_TIMEOUT_SECONDS = 0.5
 EXPIRY_INTERVAL_SECONDS = 0.25
 # Heartbeats arrive about every second. Requests detect failed endpoints long before an
 # endpoint expires.
@@ -104,8 +81,6 @@
 # Delay from a change to the answers of the polls that wait for it, so that changes in
 # quick succession wake them once.
 WAKE_DELAY_SECONDS = 0.1
-# Data centre of a replica that has not relayed anything yet.
-UNKNOWN_DATA_CENTRE = DataCentre("")
 # Heartbeat intervals without a heartbeat after which an endpoint is silent: one
 # heartbeat may be lost.
 SILENT_AFTER_HEARTBEATS = 2.2
@@ -139,19 +114,11 @@
         self._boot = token_hex(8)
         self._machine = GatewayStateMachine()
         self._senders = ReplicationSenders()
-        self._channels = PeerChannels()
-        self._relay_channels = PeerChannels()
         self.directory = EndpointDirectory(ENDPOINT_EXPIRY_SECONDS)
         self.entries = EntryTable(clock)
         self._state_changed = Event()
-        self._replica_feed: ChangeFeed[InstanceId, DataCentre] = ChangeFeed()
-        self._data_centres = {settings.instance: settings.data_centre}
-        self._pending_heartbeats: list[EndpointHeartbeat] = []
-        self._summary_sequence = 0
-        self._summary_cursors: dict[InstanceId, int] = {}
-        self._has_new_reports = False
         self._reported_departures: set[tuple[EndpointId, Incarnation]] = set()
-        self._greenlets: list[Greenlet] = []
+        self._expiry: Greenlet | None = None
         self._polls = 0
         self._applied_number = -1
         self._notified_cursor = NO_CURSOR
@@ -177,22 +144,32 @@
         self.rollouts = RolloutController(
             self._machine, self.directory, self.entries, clock
         )
+        self._leader = LeaderAccess(settings, self.group, self._machine, clock)
+        self._relay = ReplicaRelay(
+            settings,
+            self._boot,
+            self.directory,
+            self.entries,
+            self._list_replicas,
+            clock,
+        )
         self.group.add_apply_callback(self._handle_applied)
 
     def start(self) -> None:
         """Join the group and start the background tasks."""
         self.group.start()
         self._handle_applied()
-        self._greenlets = [spawn(self._run_relay), spawn(self._run_expiry)]
+        self._relay.start()
+        self._expiry = spawn(self._run_expiry)
 
     def stop(self, handover: bool = True) -> None:
         """Hand leadership over, unless told otherwise, and stop."""
-        for greenlet in self._greenlets:
-            greenlet.kill(block=False)
+        self._relay.stop()
+        if self._expiry is not None:
+            self._expiry.kill(block=False)
         self.group.stop(handover=handover)
         self._senders.stop()
-        self._channels.close()
-        self._relay_channels.close()
+        self._leader.close()
 
     def replace_configuration(self, document: bytes) -> CommandOutcome:
         """Commit a configuration, which takes effect if its number is the highest.
@@ -211,7 +188,7 @@
         command = ReplaceConfiguration(
             configuration.number, compress_document(document)
         )
-        return self._commit(command)
+        return self._leader.commit(command)
 
     def read_configuration(self) -> bytes:
         """Return the document of the newest configuration, unchanged.
@@ -223,7 +200,7 @@
         ReplicationError
             When no leader confirms it in time.
         """
-        state = self._read_state()
+        state = self._leader.read_state()
         if state.number < 0:
             raise RefusedError("no configuration yet", Code.CONFIG_STALE)
         return decompress_document(state.document)
@@ -241,7 +218,7 @@
             When no majority confirms it in time.
         """
         command = BeginRollout(service, target, duration_seconds, time())
-        outcome = self._commit(command)
+        outcome = self._leader.commit(command)
         if not outcome.accepted:
             raise RequestError(outcome.reason, Code.TICKET_CONFLICT)
         return outcome
@@ -254,7 +231,7 @@
         ReplicationError
             When no leader confirms it in time.
         """
-        for rollout in self._read_state().rollouts:
+        for rollout in self._leader.read_state().rollouts:
             if rollout.service == service:
                 return rollout
         return None
@@ -275,7 +252,7 @@
         cursor = self.directory.feed.cursor
         if not self.directory.apply_heartbeat(heartbeat, self._clock()):
             return
-        self._pending_heartbeats.append(heartbeat)
+        self._relay.queue_heartbeat(heartbeat)
         if self.directory.feed.cursor != cursor:
             self._log_endpoint(heartbeat)
         self._notify_if_changed()
@@ -307,7 +284,7 @@
             incarnation = (
                 known_heartbeat.incarnation if known_heartbeat else Incarnation(0)
             )
-        outcome = self._commit(RecordDeparture(endpoint, incarnation, state))
+        outcome = self._leader.commit(RecordDeparture(endpoint, incarnation, state))
         if outcome.changed:
             log_event("directory", "Endpoint leaves.", endpoint=endpoint, state=state)
 
@@ -353,20 +330,17 @@
     def handle_query(self, body: bytes) -> bytes:
         """Answer a read with the leader's confirmed state."""
         self.group.read_barrier(self._settings.bounds.acknowledge_timeout_seconds)
-        return ENCODER.encode(self._describe_state())
+        return ENCODER.encode(self._leader.describe_state())
 
     def handle_poll(self, body: bytes) -> bytes:
         """Answer an entry's poll, or store soft state relayed by another replica."""
         match POLL.decode(body):
             case SyncRequest() as request:
                 return ENCODER.encode(self._answer_sync(request))
-            case Relay(summary, data_centre, heartbeats):
-                now = self._clock()
-                for heartbeat in heartbeats:
-                    self.directory.apply_heartbeat(heartbeat, now)
-                self._data_centres[summary.replica] = data_centre
+            case Relay() as relay:
+                known = self._relay.receive(relay)
                 self._notify_if_changed()
-                return ENCODER.encode(self.entries.merge_summary(summary))
+                return ENCODER.encode(known)
 
     def _settle_rollouts(self) -> None:
         for command in self.rollouts.list_settlements():
@@ -374,7 +348,7 @@
 
     def _settle(self, command: SettleRollout) -> None:
         try:
-            self._commit(command)
+            self._leader.commit(command)
         except ReplicationError as error:
             # The next expiry run decides the same outcome again.
             log_event("rollout", "Outcome not committed.", reason=error.detail)
@@ -395,14 +369,13 @@
     def _answer_sync(self, request: SyncRequest) -> SyncReply:
         self._polls += 1
         if self.entries.update(request.status):
-            self._has_new_reports = True
+            self._relay.note_report()
         for leaving in request.status.leaving:
             self._record_leave_notice(leaving)
         self._wait_for_change(request)
         instance = request.status.entry.instance
         state = self._machine.state
         cursors = request.cursors if request.boot == self._boot else Cursors()
-        self._refresh_replicas()
         return SyncReply(
             age_seconds=self.group.measure_age(self._clock()),
             number=state.number,
@@ -410,7 +383,7 @@
             boot=self._boot,
             endpoints=self.directory.feed.list_changes(cursors.endpoints),
             entries=self.entries.addresses.list_changes(cursors.entries),
-            replicas=self._replica_feed.list_changes(cursors.replicas),
+            replicas=self._relay.list_replica_changes(cursors.replicas),
             rollouts=self.rollouts.list_views(),
             loads=self.entries.list_loads(instance),
             crashes=self.entries.list_crashes(instance),
@@ -425,14 +398,6 @@
             retry_usage=self.entries.list_retry_usage(),
         )
 
-    def _refresh_replicas(self) -> None:
-        replicas = self._list_replicas()
-        for replica in replicas:
-            data_centre = self._data_centres.get(replica, UNKNOWN_DATA_CENTRE)
-            self._replica_feed.put(replica, data_centre)
-        for replica in set(self._replica_feed).difference(replicas):
-            self._replica_feed.remove(replica)
-
     def _record_leave_notice(self, leaving: LeavingEndpoint) -> None:
         """Commit a departure that an endpoint has announced to an entry only."""
         run = (leaving.endpoint, leaving.incarnation)
@@ -474,74 +439,6 @@
         members = tuple(member.instance for member in self.group.membership.members)
         return members or self._settings.seeds
 
-    def _commit(self, command: GatewayCommand) -> CommandOutcome:
-        """Commit a command through the leader, at this replica or another."""
-        data = encode_command(command)
-        reply = self._retry_until_deadline(
-            lambda seconds: self._propose(data, seconds),
-            "no majority confirmed it in time",
-        )
-        return OUTCOME_DECODER.decode(reply)
-
-    def _retry_until_deadline(
-        self, action: Callable[[float], Result], failure: str
-    ) -> Result:
-        """Retry an action until it succeeds or the operator's deadline has passed.
-
-        Parameters
-        ----------
-        action : callable
-            Called with the seconds left; raises ReplicationError on failure.
-        failure : str
-            Detail of the error that is raised after the deadline.
-        """
-        deadline = self._clock() + self._settings.bounds.acknowledge_timeout_seconds
-        while True:
-            left = deadline - self._clock()
-            if left <= 0.0:
-                raise ReplicationError(failure)
-            try:
-                return action(left)
-            except ReplicationError:
-                sleep(LEADER_RETRY_SECONDS)
-
-    def _propose(self, data: bytes, seconds: float) -> bytes:
-        if self.group.is_leader:
-            return self.group.propose(data, seconds)
-        leader = self._find_leader()
-        request = ENCODER.encode(ProposeRequest(GROUP, data, seconds))
-        reply = self._channels.get(leader).call(PROPOSE, request, seconds)
-        match PROPOSE_REPLY.decode(reply):
-            case Committed(result):
-                return result
-            case NotLeader(found):
-                raise NotLeaderError(f"{leader} does not lead", found)
-            case Unknown(detail):
-                raise ReplicationError(detail)
-
-    def _read_state(self) -> StateReply:
-        return self._retry_until_deadline(
-            self._query, "no leader confirmed its state in time"
-        )
-
-    def _query(self, seconds: float) -> StateReply:
-        if self.group.is_leader:
-            self.group.read_barrier(seconds)
-            return self._describe_state()
-        reply = self._channels.get(self._find_leader()).call(QUERY, b"", seconds)
-        return STATE_REPLY.decode(reply)
-
-    def _find_leader(self) -> InstanceId:
-        leader = self.group.leader
-        if leader is None or leader == self._settings.instance:
-            raise NotLeaderError("no leader is known")
-        return leader
-
-    def _describe_state(self) -> StateReply:
-        state = self._machine.state
-        rollouts = tuple(state.rollouts.values())
-        return StateReply(state.number, state.document, rollouts)
-
     def _handle_applied(self) -> None:
         state = self._machine.state
         self.directory.apply_departures(state.departures)
@@ -572,51 +469,6 @@
         self._state_changed.set()
         self._state_changed.clear()
 
-    def _run_relay(self) -> None:
-        relayed_at = self._clock()
-        while True:
-            sleep(RELAY_INTERVAL_SECONDS)
-            is_due = self._clock() - relayed_at >= MAX_RELAY_INTERVAL_SECONDS
-            if not (self._pending_heartbeats or self._has_new_reports or is_due):
-                continue
-            relayed_at = self._clock()
-            self._has_new_reports = False
-            heartbeats = tuple(self._pending_heartbeats)
-            self._pending_heartbeats.clear()
-            self._summary_sequence += 1
-            summary = self.entries.summarize(
-                self._settings.instance, self._boot, self._summary_sequence
-            )
-            for instance in self._list_replicas():
-                if instance != self._settings.instance:
-                    spawn(self._send_relay, instance, summary, heartbeats)
-
-    def _send_relay(
-        self,
-        instance: InstanceId,
-        summary: ReplicaSummary,
-        heartbeats: tuple[EndpointHeartbeat, ...],
-    ) -> None:
-        cursor = self._summary_cursors.get(instance, NO_CURSOR)
-        if cursor == NO_CURSOR:
-            # The other replica has just started, and entries may poll it soon.
-            heartbeats = self.directory.list_heartbeats()
-        relay = Relay(
-            replace(summary, members=self.entries.members.list_changes(cursor)),
-            self._settings.data_centre,
-            heartbeats,
-        )
-        try:
-            reply = self._relay_channels.get(instance).call(
-                POLL_METHOD, ENCODER.encode(relay), RELAY_TIMEOUT_SECONDS
-            )
-            known = SUMMARY_CURSOR.decode(reply)
-        except (ReplicationError, MsgspecError) as error:
-            log_event("control", "Relay failed.", replica=instance, reason=str(error))
-            return
-        is_current = known.boot == self._boot
-        self._summary_cursors[instance] = known.cursor if is_current else NO_CURSOR
-
     def _run_expiry(self) -> None:
         while True:
             sleep(EXPIRY_INTERVAL_SECONDS)
