--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -110,6 +110,11 @@
     make_metadata : callable
         Returns the metadata to send to the endpoint. It is called just before
         the request is sent, and raises when the request may no longer be sent.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether the endpoint has begun to answer.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         self.heartbeat = heartbeat
         self.started_at = entry.clock()
         self.head_received_at = self.started_at
+        self.has_begun = False
         self._entry = entry
         self._call = call
         self._request = request
@@ -189,6 +195,7 @@
             self._call.possible_executions += 1
             return MayHaveRun(str(error), AttemptResult.SILENT)
         self.head_received_at = self._entry.clock()
+        self.has_begun = True
         return self._check_head(head)
 
     def receive(self, seconds: float) -> h11.Event:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -258,7 +258,7 @@
             if outcome is not None:
                 timing = self._measure_timing(outcome, attempt, relay, started_at)
                 call.timing = timing
-                self._record_outcome(call, candidate, outcome, timing)
+                self._record_outcome(call, candidate, attempt, outcome, timing)
         return outcome
 
     def _run_attempt(
@@ -289,6 +289,8 @@
                 endpoint=attempt.heartbeat.endpoint,
                 confidence=call.confidence,
                 larger=larger,
+                fingerprint=call.fingerprint,
+                prompt=[part.id for part in call.metadata.prompt[:-1]],
             )
             call.model = larger
             return Discarded("low confidence")
@@ -394,6 +396,7 @@
         self,
         call: Call,
         candidate: Candidate,
+        attempt: Attempt,
         outcome: Outcome,
         timing: Timing,
     ) -> None:
@@ -433,6 +436,9 @@
             version=heartbeat.version,
             milliseconds=round(1000 * timing.total_seconds, 1),
             failure_rate=round(candidate.health.failure_rate, 2),
+            has_begun=attempt.has_begun,
+            fingerprint=call.fingerprint,
+            prompt=[part.id for part in call.metadata.prompt[:-1]],
             configuration=entry.control_state.number,
             age=round(entry.control_state.age, 2),
         )
--- a/tests/daemon/gateway/harness.py
+++ b/tests/daemon/gateway/harness.py
@@ -10,7 +10,11 @@
 from gevent.server import StreamServer
 from gevent.socket import create_connection
 
-from bergamotwood_core.gateway.call import RequestMetadata, ResponseMetadata
+from bergamotwood_core.gateway.call import (
+    PromptPart,
+    RequestMetadata,
+    ResponseMetadata,
+)
 from bergamotwood_core.gateway.changefeed import Changes
 from bergamotwood_core.gateway.state_machine import compress_document
 from bergamotwood_core.ids import (
@@ -58,6 +62,10 @@
             accepts_any_model=model == "any",
             expected_tokens=int(find_field(headers, b"expected") or 0),
             last_event_id=find_field(headers, b"last") or "",
+            prompt=tuple(
+                PromptPart(name, 10)
+                for name in (find_field(headers, b"prompt") or "").split()
+            ),
         )
 
     def read_id(self, headers):
--- a/tests/daemon/gateway/test_explanation.py
+++ b/tests/daemon/gateway/test_explanation.py
@@ -60,6 +60,25 @@
     assert "run=may_have_run" in explanation[-1]
 
 
+def test_explain_shows_what_requests_that_lost_their_endpoint_have_in_common(
+    make_harness, logged, tmp_path
+):
+    def end_within_an_answer(arrival):
+        arrival.begin_events()
+        return False
+
+    harness = make_harness(
+        configure(kind=RouteKind.STREAMING, max_attempts=1), one=end_within_an_answer
+    )
+    for at in range(2):
+        harness.connect().call(id=f"q-{at}", body=b"%d" % at, prompt=f"a b last-{at}")
+    lines = [explain(logged, f"q-{at}", tmp_path)[0] for at in range(2)]
+    assert all("prompt=[a, b]" in line for line in lines)
+    assert all("has_begun=True" in line for line in lines)
+    fingerprints = {line.split("fingerprint=")[1].split()[0] for line in lines}
+    assert len(fingerprints) == 2
+
+
 def test_explain_shows_which_configuration_refused_a_key(
     make_harness, logged, tmp_path
 ):
