Add a failing test of prompts with one part that crashes model servers

Four entries, three replicas and six model servers; requests with the part are all different, and share their key and first part with sound ones. The replicas of test_replica.py move to a module that both tests use.

--- /dev/null
+++ b/tests/daemon/gateway/test_crashing_prompts.py
@@ -0,0 +1,115 @@
+"""Prompts with one part in common that crash every model server which answers them."""
+
+from random import Random
+
+import pytest
+from core.gateway.samples import make_configuration, make_route
+from daemon.gateway.fleet import DirectChannel, Fleet, FleetEntry, ModelServer
+from gevent import sleep, spawn
+
+from bergamotwood_core.gateway.configuration import RouteKind
+from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.gateway import channels
+
+ENTRIES = 4
+SERVERS = 6
+# Bound of the platform: time until every entry acts on what any of them has seen.
+CONTACT_SECONDS = 3.0
+# Crashes after which such requests are stopped, and those that may still be sent.
+CRASHES = 5
+SENDS_AFTER = 3
+
+STREAM = make_route(
+    kind=RouteKind.STREAMING,
+    max_attempts=3,
+    resumable=True,
+    event_gap_seconds=0.5,
+    timeout_seconds=20.0,
+    latency_objective_seconds=2.0,
+)
+
+
+class CrashingFleet(Fleet):
+    """Entries and model servers, and callers whose prompts share parts."""
+
+    def __init__(self, folder):
+        super().__init__(folder, ("karen", "karen", "karen"))
+        self.dialect.configuration = make_configuration(routes=(STREAM,))
+        self.retry(lambda: self.find(leads=True)[1].replace_configuration(b"7"))
+        self.entries = [FleetEntry(self, number) for number in range(1, ENTRIES + 1)]
+        self.servers = [ModelServer(self, f"m{at}") for at in range(SERVERS)]
+        self.rng = Random(1)
+        self.sound_replies = []
+        self.bad_replies = []
+        self._sent = 0
+        self._callers = []
+        for entry in self.entries:
+            self.wait_for_endpoints(entry)
+
+    def wait_for_endpoints(self, entry):
+        state = entry.entry.control_state
+        self.wait_for(lambda: state.routing and len(state.heartbeats) >= SERVERS)
+
+    def send(self, part, replies, entry=None):
+        """Send a request whose prompt contains a part, and no other like it."""
+        self._sent += 1
+        entry = entry or self.rng.choice(self.entries)
+        prompt = f"first {part} last-{self._sent}"
+        body = b"%d" % self._sent
+
+        def call():
+            replies.append(entry.call(body=body, prompt=prompt, id=prompt, timeout="9"))
+
+        self._callers.append(spawn(call))
+
+    def run(self, seconds, bad_interval=0.25, sound_interval=0.05):
+        """Send sound and bad requests for some seconds."""
+        until = read_clock() + seconds
+        next_bad = read_clock()
+        while read_clock() < until:
+            self.send(f"topic-{self.rng.randrange(8)}", self.sound_replies)
+            if read_clock() >= next_bad:
+                next_bad += bad_interval
+                self.send("bad", self.bad_replies)
+            sleep(sound_interval)
+
+    def list_crashes(self):
+        return sorted(at for server in self.servers for at in server.crashed_at)
+
+    def count_bad_arrivals(self, since):
+        return sum(
+            at > since and "bad" in parts
+            for server in self.servers
+            for at, parts in server.arrived
+        )
+
+    def stop(self):
+        for caller in self._callers:
+            caller.kill(block=False)
+        for part in (*self.entries, *self.servers):
+            part.stop()
+        super().stop()
+
+
+@pytest.fixture
+def fleet(tmp_path, monkeypatch):
+    monkeypatch.setattr(channels, "PeerChannel", DirectChannel)
+    fleet = CrashingFleet(tmp_path)
+    yield fleet
+    fleet.stop()
+
+
+def test_requests_with_a_part_that_crashes_endpoints_are_stopped_at_all_entries(fleet):
+    fleet.run(1.0, bad_interval=60.0)
+    while len(fleet.list_crashes()) < CRASHES:
+        fleet.run(0.5)
+    limit = fleet.list_crashes()[CRASHES - 1] + CONTACT_SECONDS
+    fleet.run(limit - read_clock() + 3.0)
+    assert fleet.count_bad_arrivals(limit) <= SENDS_AFTER
+    # Requests with other parts are served as before.
+    fleet.sound_replies.clear()
+    fleet.run(2.0)
+    statuses = [reply.status for reply in fleet.sound_replies]
+    assert len(statuses) > 20
+    assert statuses.count(200) > 0.9 * len(statuses)
+    assert {reply.status for reply in fleet.bad_replies[-5:]} == {503}
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -1,13 +1,9 @@
-from random import Random
-
 import pytest
 from core.gateway.samples import PLAIN, make_configuration, make_heartbeat, make_route
-from daemon.gateway.harness import PlainDialect
+from daemon.gateway.fleet import DirectChannel, Fleet
 from gevent import Timeout, sleep, spawn
-from msgspec.structs import replace
 
 from bergamotwood_core.errors import (
-    BergamotwoodError,
     Code,
     RefusedError,
     ReplicationError,
@@ -22,12 +18,9 @@
     InstanceId,
     Sequence,
 )
-from bergamotwood_core.messages import Address
-from bergamotwood_core.states import EndpointState, Run
+from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway import channels
-from bergamotwood_daemon.gateway.controlpoller import ControlPoller
-from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.peermessages import (
     ENCODER,
     SYNC_REPLY,
@@ -36,131 +29,6 @@
     EntryStatus,
     SyncRequest,
 )
-from bergamotwood_daemon.gateway.replica import GatewayReplica
-from bergamotwood_daemon.gateway.settings import GatewaySettings
-from bergamotwood_daemon.peer import POLL, PROPOSE, QUERY, REPLICATE
-
-WAIT_SECONDS = 20.0
-
-
-class NumberDialect(PlainDialect):
-    """Decodes a document that consists of a configuration number."""
-
-    def decode_configuration(self, document):
-        return replace(self.configuration, number=int(document))
-
-
-class DirectChannel:
-    """Calls a replica in the same process; fails if it is not running."""
-
-    running = {}
-
-    def __init__(self, address, key):
-        self._address = str(address)
-
-    def call(self, method, body, seconds):
-        handler = self.running.get(self._address)
-        sleep(0.001)
-        if handler is None:
-            raise ReplicationError(f"{self._address}: not running", run=Run.NOT_RUN)
-        act = {
-            REPLICATE: handler.handle_replicate,
-            PROPOSE: handler.handle_propose,
-            POLL: handler.handle_poll,
-            QUERY: handler.handle_query,
-        }[method]
-        try:
-            with Timeout(seconds):
-                return act(body)
-        except (Timeout, BergamotwoodError) as error:
-            raise ReplicationError(f"{method} at {self._address}: {error}")
-
-    def close(self):
-        pass
-
-
-class Fleet:
-    """Three control replicas in this process, and entries that poll them."""
-
-    def __init__(self, tmp_path, data_centres):
-        self.dialect = NumberDialect(make_configuration())
-        self.seeds = tuple(InstanceId(f"c{at}:1") for at in range(3))
-        self.replicas = {}
-        self.data_centres = dict(zip(self.seeds, data_centres, strict=True))
-        self.pollers = []
-        self.folder = tmp_path
-        for seed in self.seeds:
-            self.start(seed)
-        self.wait_for(lambda: any(r.group.is_leader for r in self.replicas.values()))
-
-    def start(self, seed, forms_group=True):
-        settings = GatewaySettings(
-            seed,
-            str(seed),
-            self.data_centres[seed],
-            self.seeds,
-            control_address=Address("127.0.0.1", 0),
-            data_folder=self.folder / seed.replace(":", "-"),
-            forms_group=forms_group,
-        )
-        replica = GatewayReplica(settings, self.dialect, read_clock, Random(seed))
-        replica.start()
-        self.replicas[seed] = replica
-        DirectChannel.running[seed] = replica
-
-    def kill(self, seed):
-        del DirectChannel.running[seed]
-        self.replicas.pop(seed).stop(handover=False)
-
-    def find(self, leads):
-        for seed, replica in self.replicas.items():
-            if replica.group.is_leader is leads:
-                return seed, replica
-        return None, None
-
-    def add_entry(self, data_centre="karen"):
-        control_state = ControlState(self.dialect, read_clock, 4.0)
-        at = len(self.pollers)
-        name = InstanceId(f"127.0.0.1:{at + 1}")
-
-        def make_status():
-            make_status.sequence += 1
-            entry = EntryAddress(name, f"e{at}:80", "karen", True)
-            return EntryStatus(entry, Incarnation(1), make_status.sequence, {})
-
-        make_status.sequence = 0
-        poller = ControlPoller(
-            control_state,
-            make_status,
-            lambda: self.seeds,
-            data_centre,
-            list,
-            read_clock,
-            Random(at),
-        )
-        poller.start()
-        self.pollers.append(poller)
-        return control_state
-
-    def wait_for(self, is_met):
-        with Timeout(WAIT_SECONDS):
-            while not is_met():
-                sleep(0.02)
-
-    def retry(self, action):
-        """Retry an action until it succeeds, as operators do."""
-        with Timeout(WAIT_SECONDS):
-            while True:
-                try:
-                    return action()
-                except ReplicationError:
-                    sleep(0.05)
-
-    def stop(self):
-        for poller in self.pollers:
-            poller.stop()
-        for seed in list(self.replicas):
-            self.kill(seed)
 
 
 @pytest.fixture
