--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -30,6 +30,7 @@
     Fingerprint,
     Incarnation,
     ModelName,
+    PromptPartId,
     RequestId,
     Sequence,
     ServiceName,
@@ -235,8 +236,8 @@
         )
         number = next(site_run.numbers)
         prompt = (
-            PromptPart(f"{kind.name}{prefix_index}", prefix_tokens),
-            PromptPart(f"q{number}", own_tokens),
+            PromptPart(PromptPartId(f"{kind.name}{prefix_index}"), prefix_tokens),
+            PromptPart(PromptPartId(f"q{number}"), own_tokens),
         )
         self.difficulty = Random(f"{site_run.seed}{number}").random()
         self.started_at = site_run.simulation.now
--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -5,10 +5,12 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.configuration import GatewayWorkspace, ServiceRoute
 from bergamotwood_core.gateway.latency import Timing
+from bergamotwood_core.gateway.suspects import MAX_PARTS, Cause, ExecutedRequest
 from bergamotwood_core.ids import (
     EndpointId,
     Fingerprint,
     ModelName,
+    PromptPartId,
     RequestId,
     ServiceName,
     SessionId,
@@ -21,13 +23,13 @@
 
     Parameters
     ----------
-    id : str
+    id : PromptPartId
         Identifies the content; equal parts have equal ids.
     tokens : int
         Length in tokens.
     """
 
-    id: str
+    id: PromptPartId
     tokens: int
 
 
@@ -151,6 +153,9 @@
         Confidence reported by the model that answered last.
     timing : Timing or None
         Timing of the answer that was delivered to the caller.
+    is_trial : bool
+        Whether it is sent although a cause that it has is suspended. It is sent to
+        one endpoint only.
     """
 
     metadata: RequestMetadata
@@ -166,6 +171,18 @@
     model: ModelName = ModelName("")
     confidence: float | None = None
     timing: Timing | None = None
+    is_trial: bool = False
+
+    @property
+    def causes(self) -> list[Cause]:
+        """What the crash of an endpoint that executes the request may be due to."""
+        return self.describe_execution(has_begun=False).list_causes(self.service)
+
+    def describe_execution(self, has_begun: bool) -> ExecutedRequest:
+        """Return what is reported of the request if its endpoint crashes."""
+        shared = self.metadata.prompt[:-1][:MAX_PARTS]
+        parts = tuple(part.id for part in shared)
+        return ExecutedRequest(self.fingerprint, parts, has_begun)
 
     @property
     def priority(self) -> int:
--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -0,0 +1,317 @@
+"""What all entries report of crashed endpoints, and the causes that follow from it.
+
+An endpoint that ends takes sound requests along, which share their caller and parts of
+their prompts with the one that crashed it. A cause is named when
+
+- it was there at several ends, without an answer that survived since,
+- no other cause explains these ends as well, and
+- for a part of a prompt, several different requests had it.
+
+Ends at the same moment count once: endpoints that are killed together say nothing about
+the requests that they had. Ends that a suspended part explains count for nothing else.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.suspects import (
+    MIN_CRASHES,
+    Cause,
+    CauseKind,
+    CauseReport,
+    EndpointCrash,
+    ExecutedRequest,
+    IncarnationKey,
+)
+from bergamotwood_core.ids import Fingerprint, ServiceName
+
+# Time for which ends are weighed together.
+EVIDENCE_SECONDS = 60.0
+# Ends that are kept; more than this many in a minute have another reason.
+MAX_INCIDENTS = 128
+# Requests that are kept of one end. An endpoint begins fewer answers in a second.
+MAX_REQUESTS = 128
+# Ends closer together than this count as one.
+COINCIDENCE_SECONDS = 0.05
+# Ends that name several parts which cannot be told apart.
+MIN_SHARED_CRASHES = 4
+# Ends that name a part which was served before, for example by an earlier version.
+MIN_CRASHES_AFTER_SUCCESS = 5
+# Different requests that must have had a part.
+MIN_REQUESTS = 2
+# Time for which entries are asked about a cause before it is named: a poll, a report
+# and a relay between replicas.
+QUESTION_SECONDS = 0.8
+# Causes about which entries are asked at a time.
+MAX_QUESTIONS = 64
+# Ends at which a cause must have been to be asked about.
+MIN_QUESTION_CRASHES = 2
+# Successes that are kept.
+MAX_SUCCESSES = 1_024
+# Time for which an end is relayed and sent to entries.
+RELAY_SECONDS = 3.0
+NEVER = Seconds(float("-inf"))
+
+
+class Incident(Struct):
+    """The end of one incarnation, as pooled from all entries.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Its service.
+    ended_at, updated_at : Seconds
+        Time of the end, and time at which something new was learned of it.
+    requests : dict
+        Requests that it had.
+    """
+
+    service: ServiceName
+    ended_at: Seconds
+    updated_at: Seconds
+    requests: dict[Fingerprint, ExecutedRequest] = {}
+
+    def list_suspects(self) -> list[ExecutedRequest]:
+        """Return the requests whose answer had begun, or else all."""
+        begun = [request for request in self.requests.values() if request.has_begun]
+        return begun or list(self.requests.values())
+
+    def list_causes(self) -> set[Cause]:
+        """Return what may have caused the end."""
+        return {
+            cause
+            for request in self.list_suspects()
+            for cause in request.list_causes(self.service)
+        }
+
+
+class IncidentLog:
+    """Recent ends of endpoints."""
+
+    def __init__(self) -> None:
+        self._incidents: OrderedDict[IncarnationKey, Incident] = OrderedDict()
+
+    def merge(self, crashes: Iterable[EndpointCrash], now: Seconds) -> None:
+        """Add what entries report."""
+        for crash in crashes:
+            key = (crash.endpoint, crash.incarnation)
+            ended_at = Seconds(now - crash.age_seconds)
+            incident = self._incidents.get(key)
+            if incident is None:
+                incident = Incident(crash.service, ended_at, now)
+                self._incidents[key] = incident
+                if len(self._incidents) > MAX_INCIDENTS:
+                    self._incidents.popitem(last=False)
+            incident.ended_at = min(incident.ended_at, ended_at)
+            for request in crash.requests:
+                _merge_request(incident, request, now)
+
+    def list_recent(self, now: Seconds) -> list[Incident]:
+        """Return the incidents that are still weighed, oldest first."""
+        limit = now - EVIDENCE_SECONDS
+        for key in [k for k, item in self._incidents.items() if item.ended_at < limit]:
+            del self._incidents[key]
+        return sorted(self._incidents.values(), key=lambda item: item.ended_at)
+
+    def list_crashes(
+        self, now: Seconds, with_requests: bool
+    ) -> tuple[EndpointCrash, ...]:
+        """Return the incidents of which something was learned recently."""
+        return tuple(
+            EndpointCrash(
+                *key,
+                incident.service,
+                round(now - incident.ended_at, 3),
+                tuple(incident.requests.values()) if with_requests else (),
+            )
+            for key, incident in self._incidents.items()
+            if now - incident.updated_at <= RELAY_SECONDS
+        )
+
+
+class CrashEvidence:
+    """Evidence of one replica: from its entries, and relayed by other replicas."""
+
+    def __init__(self) -> None:
+        self._own = IncidentLog()
+        self._all = IncidentLog()
+        self._successes: OrderedDict[Cause, Seconds] = OrderedDict()
+        self._own_successes: OrderedDict[Cause, Seconds] = OrderedDict()
+        self._asked_at: dict[Cause, Seconds] = {}
+
+    def apply_report(
+        self,
+        crashes: Iterable[EndpointCrash],
+        successes: Iterable[CauseReport],
+        now: Seconds,
+    ) -> None:
+        """Add what an entry of this replica reports."""
+        crashes = tuple(crashes)
+        self._own.merge(crashes, now)
+        self._all.merge(crashes, now)
+        successes = tuple(successes)
+        _merge_successes(self._own_successes, successes, now)
+        _merge_successes(self._successes, successes, now)
+
+    def apply_relay(
+        self,
+        crashes: Iterable[EndpointCrash],
+        successes: Iterable[CauseReport],
+        now: Seconds,
+    ) -> None:
+        """Add what another replica relays of its entries."""
+        self._all.merge(crashes, now)
+        _merge_successes(self._successes, successes, now)
+
+    def list_own_crashes(self, now: Seconds) -> tuple[EndpointCrash, ...]:
+        """Return the recent ends that other replicas need to know."""
+        return self._own.list_crashes(now, with_requests=True)
+
+    def list_own_successes(self, now: Seconds) -> tuple[CauseReport, ...]:
+        """Return the successes that other replicas need to know."""
+        return tuple(
+            CauseReport(cause, round(now - at, 3))
+            for cause, at in self._own_successes.items()
+            if cause in self._asked_at
+        )
+
+    def list_ends(self, now: Seconds) -> tuple[EndpointCrash, ...]:
+        """Return the recent ends that entries need to know, without the requests."""
+        return self._all.list_crashes(now, with_requests=False)
+
+    def find_last_success(self, cause: Cause) -> Seconds:
+        """Return the time of the last reported success; minus infinity if none."""
+        return self._successes.get(cause, NEVER)
+
+    def list_questions(
+        self, suspended: frozenset[Cause], now: Seconds
+    ) -> tuple[Cause, ...]:
+        """Return the causes about which entries are asked whether they succeed."""
+        counts = self._count_crashes(self._list_unexplained(suspended, now))
+        candidates = [
+            cause for cause, count in counts.items() if count >= MIN_QUESTION_CRASHES
+        ]
+        candidates.sort(key=lambda cause: -counts[cause])
+        questions = (*suspended, *candidates[:MAX_QUESTIONS])
+        self._asked_at = {cause: self._asked_at.get(cause, now) for cause in questions}
+        return questions
+
+    def find_causes(self, suspended: frozenset[Cause], now: Seconds) -> list[Cause]:
+        """Return the causes that the evidence names now, besides those suspended."""
+        self.list_questions(suspended, now)
+        incidents = self._list_unexplained(suspended, now)
+        counts = {
+            cause: count
+            for cause, count in self._count_crashes(incidents).items()
+            if now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
+        }
+        repeated = _find_repeated(incidents)
+        parts = {cause: count for cause, count in counts.items() if cause in repeated}
+        served = frozenset(self._successes)
+        named = choose_parts(parts, served)
+        if named:
+            return named
+        most = max(
+            (count for cause, count in parts.items() if cause not in served), default=0
+        )
+        return [
+            cause
+            for cause, count in counts.items()
+            if cause.kind is CauseKind.REQUEST
+            and cause not in suspended
+            and count >= MIN_CRASHES
+            and count > most
+        ]
+
+    def _list_unexplained(
+        self, suspended: frozenset[Cause], now: Seconds
+    ) -> list[Incident]:
+        """Return the incidents without a request that has a suspended part."""
+        parts = {cause for cause in suspended if cause.kind is CauseKind.PROMPT_PART}
+        return [
+            incident
+            for incident in self._all.list_recent(now)
+            if not parts.intersection(
+                cause
+                for request in incident.requests.values()
+                if request.has_begun
+                for cause in request.list_causes(incident.service)
+            )
+        ]
+
+    def _count_crashes(self, incidents: list[Incident]) -> dict[Cause, int]:
+        """Return the number of separate ends since the last success of each cause."""
+        counts: dict[Cause, int] = {}
+        counted_at: dict[Cause, Seconds] = {}
+        for incident in incidents:
+            at = incident.ended_at
+            for cause in incident.list_causes():
+                if at <= self._successes.get(cause, NEVER):
+                    continue
+                if at - counted_at.get(cause, NEVER) > COINCIDENCE_SECONDS:
+                    counts[cause] = counts.get(cause, 0) + 1
+                    counted_at[cause] = at
+        return counts
+
+
+def choose_parts(counts: dict[Cause, int], served: frozenset[Cause]) -> list[Cause]:
+    """Return the parts that crash endpoints, if the evidence tells them apart.
+
+    Parameters
+    ----------
+    counts : dict
+        Separate ends since the last success of each part.
+    served : frozenset of Cause
+        Parts that have had a success. While nothing is served at all, a part that
+        many prompts have is at every end, too.
+    """
+    fresh = {cause: count for cause, count in counts.items() if cause not in served}
+    most, leading = _find_leading(fresh)
+    if most >= MIN_SHARED_CRASHES or (most >= MIN_CRASHES and len(leading) == 1):
+        return leading
+    known = {cause: count for cause, count in counts.items() if cause in served}
+    most_known, leading_known = _find_leading(known)
+    is_clear = most_known > most and len(leading_known) == 1
+    if is_clear and most_known >= MIN_CRASHES_AFTER_SUCCESS:
+        return leading_known
+    return []
+
+
+def _find_leading(counts: dict[Cause, int]) -> tuple[int, list[Cause]]:
+    most = max(counts.values(), default=0)
+    return most, [cause for cause, count in counts.items() if count == most]
+
+
+def _find_repeated(incidents: list[Incident]) -> set[Cause]:
+    """Return the parts that several different suspected requests had."""
+    requests: dict[Cause, set[Fingerprint]] = {}
+    for incident in incidents:
+        for request in incident.list_suspects():
+            for cause in request.list_causes(incident.service):
+                if cause.kind is CauseKind.PROMPT_PART:
+                    requests.setdefault(cause, set()).add(request.fingerprint)
+    return {cause for cause, found in requests.items() if len(found) >= MIN_REQUESTS}
+
+
+def _merge_successes(
+    table: OrderedDict[Cause, Seconds], reports: Iterable[CauseReport], now: Seconds
+) -> None:
+    for report in reports:
+        at = Seconds(now - report.age_seconds)
+        table[report.cause] = max(at, table.get(report.cause, at))
+        table.move_to_end(report.cause)
+        if len(table) > MAX_SUCCESSES:
+            table.popitem(last=False)
+
+
+def _merge_request(incident: Incident, request: ExecutedRequest, now: Seconds) -> None:
+    known = incident.requests.get(request.fingerprint)
+    if known is not None and known.has_begun >= request.has_begun:
+        return
+    if known is None and len(incident.requests) >= MAX_REQUESTS:
+        return
+    incident.requests[request.fingerprint] = request
+    incident.updated_at = now
--- a/packages/core/src/bergamotwood_core/gateway/state_machine.py
+++ b/packages/core/src/bergamotwood_core/gateway/state_machine.py
@@ -7,7 +7,15 @@
 from msgspec.msgpack import Decoder, Encoder
 from msgspec.structs import replace
 
-from bergamotwood_core.ids import EndpointId, Incarnation, LogIndex, ServiceName
+from bergamotwood_core.gateway.suspects import Cause
+from bergamotwood_core.gateway.suspensions import MAX_SUSPENSIONS, Suspension
+from bergamotwood_core.ids import (
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    LogIndex,
+    ServiceName,
+)
 from bergamotwood_core.states import EndpointState
 
 # Departures are kept to reject delayed heartbeats. Heartbeats are delayed by seconds,
@@ -74,7 +82,65 @@
     state: EndpointState
 
 
-GatewayCommand = ReplaceConfiguration | BeginRollout | SettleRollout | RecordDeparture
+class SuspendCause(Struct, frozen=True, array_like=True, tag=5):
+    """Refuse all requests with a cause of crashes.
+
+    Parameters
+    ----------
+    cause : Cause
+        The cause.
+    versions : tuple of str
+        Versions of its service that are in use.
+    ordered_at : float
+        Wall-clock time in seconds.
+    """
+
+    cause: Cause
+    versions: tuple[str, ...]
+    ordered_at: float
+
+
+class GrantTrial(Struct, frozen=True, array_like=True, tag=6):
+    """Let one entry try one request with a suspended cause.
+
+    Parameters
+    ----------
+    cause : Cause
+        The cause.
+    index : LogIndex
+        Index of the suspension that the trial was decided for.
+    entry, incarnation : InstanceId, Incarnation
+        Run of the entry.
+    versions : tuple of str
+        Versions of the service that are in use.
+    ordered_at : float
+        Wall-clock time in seconds.
+    """
+
+    cause: Cause
+    index: LogIndex
+    entry: InstanceId
+    incarnation: Incarnation
+    versions: tuple[str, ...]
+    ordered_at: float
+
+
+class LiftSuspension(Struct, frozen=True, array_like=True, tag=7):
+    """End a suspension, unless it has changed since it was decided."""
+
+    cause: Cause
+    index: LogIndex
+
+
+GatewayCommand = (
+    ReplaceConfiguration
+    | BeginRollout
+    | SettleRollout
+    | RecordDeparture
+    | SuspendCause
+    | GrantTrial
+    | LiftSuspension
+)
 
 
 class ServiceRollout(Struct, frozen=True, array_like=True):
@@ -123,12 +189,25 @@
         Latest roll-out of each service.
     departures : list of Departure
         Latest departures, oldest first.
+    suspensions : list of Suspension
+        Suspended causes of crashes, oldest first.
+    suspensions_index : LogIndex
+        Index of the last change of the suspensions.
     """
 
     number: int = -1
     document: bytes = b""
     rollouts: dict[str, ServiceRollout] = field(default_factory=dict)
     departures: list[Departure] = field(default_factory=list)
+    suspensions: list[Suspension] = field(default_factory=list)
+    suspensions_index: LogIndex = LogIndex(0)
+
+    def find_suspension(self, cause: Cause) -> Suspension | None:
+        """Return the suspension of a cause; None if it is not suspended."""
+        for suspension in self.suspensions:
+            if suspension.cause == cause:
+                return suspension
+        return None
 
 
 class CommandOutcome(Struct, frozen=True, array_like=True):
@@ -206,6 +285,12 @@
                 return self._settle_rollout(command)
             case RecordDeparture():
                 return self._record_departure(command)
+            case SuspendCause():
+                return self._suspend_cause(index, command)
+            case GrantTrial():
+                return self._grant_trial(index, command)
+            case LiftSuspension():
+                return self._lift_suspension(index, command)
 
     def _replace_configuration(self, command: ReplaceConfiguration) -> CommandOutcome:
         if command.number <= self.state.number:
@@ -248,3 +333,42 @@
         self.state.departures.append(departure)
         del self.state.departures[:-MAX_DEPARTURES]
         return CommandOutcome(True, True)
+
+    def _suspend_cause(self, index: LogIndex, command: SuspendCause) -> CommandOutcome:
+        if self.state.find_suspension(command.cause) is not None:
+            return CommandOutcome(True, False, "suspended already")
+        suspension = Suspension(
+            command.cause, command.versions, index, command.ordered_at
+        )
+        self.state.suspensions.append(suspension)
+        del self.state.suspensions[:-MAX_SUSPENSIONS]
+        self.state.suspensions_index = index
+        return CommandOutcome(True, True)
+
+    def _grant_trial(self, index: LogIndex, command: GrantTrial) -> CommandOutcome:
+        current = self.state.find_suspension(command.cause)
+        if current is None or current.index != command.index:
+            return CommandOutcome(True, False, "the suspension has changed")
+        granted = replace(
+            current,
+            versions=tuple(dict.fromkeys((*current.versions, *command.versions))),
+            index=index,
+            ordered_at=command.ordered_at,
+            trials=current.trials + 1,
+            entry=command.entry,
+            incarnation=command.incarnation,
+        )
+        position = self.state.suspensions.index(current)
+        self.state.suspensions[position] = granted
+        self.state.suspensions_index = index
+        return CommandOutcome(True, True)
+
+    def _lift_suspension(
+        self, index: LogIndex, command: LiftSuspension
+    ) -> CommandOutcome:
+        current = self.state.find_suspension(command.cause)
+        if current is None or current.index != command.index:
+            return CommandOutcome(True, False, "the suspension has changed")
+        self.state.suspensions.remove(current)
+        self.state.suspensions_index = index
+        return CommandOutcome(True, True)
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -1,144 +1,349 @@
-"""Detection of requests that crash the endpoints that execute them.
+"""What one entry sees of requests that crash the endpoints which execute them.
 
-A caller may resend such a request through any entry, and each attempt takes down an
-engine. After a few crashes, all entries refuse the request for some time.
+Either a single request does, which its caller resends, or any request whose prompt has
+a certain part. An endpoint that ends takes all of its requests along. Those that it has
+just begun to answer are suspected, and answers that survive speak for their request and
+for the parts of its prompt. The control group weighs what all entries report.
 """
 
+from collections import OrderedDict, deque
 from collections.abc import Iterable
+from enum import StrEnum
+from itertools import chain
 
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.ids import EndpointId, Fingerprint, Incarnation
+from bergamotwood_core.ids import (
+    EndpointId,
+    Fingerprint,
+    Incarnation,
+    PromptPartId,
+    ServiceName,
+)
 
-NEVER = Seconds(float("-inf"))
-# Number of endpoints that a request must have crashed without a success in between, at
-# all entries together. Two may be a coincidence while endpoints crash for another
-# reason.
-MIN_SUSPECT_CRASHES = 3
-# Time for which a crash is kept, and thus the maximum suspension.
-CRASH_RETENTION_SECONDS = 30.0
-# Crashes kept by one entry; more indicate endpoints that fail for other reasons.
-MAX_CRASHES = 64
+# Time after the beginning of an answer within which the request can have crashed its
+# endpoint. An answer that outlasts it counts as a success.
+SURVIVAL_SECONDS = 1.0
+# Tolerance for the times at which entries notice the same end of an endpoint.
+NOTICE_SECONDS = 0.1
+# Further time until an answer counts as a success: another entry may have noticed the
+# end of the endpoint, and its report takes a few polls.
+CONFIRMATION_SECONDS = 1.2
+# Time for which ends of endpoints are kept and reported; covers several polls.
+REPORT_SECONDS = 4.0
+# Time for which an entry by itself refuses a request that crashed several endpoints.
+LOCAL_SUSPENSION_SECONDS = 30.0
+# Number of endpoints that a request must have crashed without a success in between.
+# Two may be a coincidence while endpoints crash for another reason.
+MIN_CRASHES = 3
+# Parts of a prompt that are considered; prompts have a few.
+MAX_PARTS = 16
+# Limits on what one entry keeps: the newest are kept.
+MAX_ENDS = 64
+MAX_ANSWERS = 4_096
+MAX_SUCCESSES = 4_096
+MAX_REFUSALS = 64
 
+IncarnationKey = tuple[EndpointId, Incarnation]
 
-class Crash(Struct, frozen=True, array_like=True):
-    """Loss of the connection to an endpoint while it executed a request.
+
+class CauseKind(StrEnum):
+    """What a crash is attributed to.
+
+    Attributes
+    ----------
+    REQUEST
+        One request, whoever resends it.
+    PROMPT_PART
+        Every request whose prompt has a certain part.
+    """
+
+    REQUEST = "request"
+    PROMPT_PART = "prompt_part"
+
+
+class Cause(Struct, frozen=True, array_like=True):
+    """What may crash the endpoints of a service.
+
+    Parameters
+    ----------
+    kind : CauseKind
+        Kind of the cause.
+    service : ServiceName
+        Service whose endpoints crash.
+    id : str
+        Fingerprint of the request, or id of the part.
+    """
+
+    kind: CauseKind
+    service: ServiceName
+    id: Fingerprint | PromptPartId
+
+
+class ExecutedRequest(Struct, frozen=True, array_like=True):
+    """A request that was at an endpoint when it ended.
 
     Parameters
     ----------
     fingerprint : Fingerprint
-        Hash of the method, path, query, workspace and body of the request.
+        Hash of the method, path, query, workspace and body.
+    parts : tuple of PromptPartId
+        Parts of its prompt except the last, which no other request has.
+    has_begun : bool
+        Whether the endpoint had begun to answer.
+    """
+
+    fingerprint: Fingerprint
+    parts: tuple[PromptPartId, ...] = ()
+    has_begun: bool = False
+
+    def list_causes(self, service: ServiceName) -> list[Cause]:
+        """Return what may have crashed the endpoint if this request did."""
+        causes = [Cause(CauseKind.REQUEST, service, self.fingerprint)]
+        causes += [Cause(CauseKind.PROMPT_PART, service, part) for part in self.parts]
+        return causes
+
+
+class EndpointCrash(Struct, frozen=True, array_like=True):
+    """The end of an incarnation, and the requests that may have crashed it.
+
+    Parameters
+    ----------
     endpoint, incarnation : EndpointId, Incarnation
-        Endpoint that executed the request.
+        The incarnation.
+    service : ServiceName
+        Its service.
     age_seconds : float
-        Age of the crash at the time of the report.
+        Time since the end was first noticed.
+    requests : tuple of ExecutedRequest
+        Requests of the reporting entries.
     """
 
-    fingerprint: Fingerprint
     endpoint: EndpointId
     incarnation: Incarnation
-    age_seconds: float = 0.0
+    service: ServiceName
+    age_seconds: float
+    requests: tuple[ExecutedRequest, ...] = ()
+
 
+class CauseReport(Struct, frozen=True, array_like=True):
+    """Time since something last happened to requests with a cause."""
 
-class Success(Struct, frozen=True, array_like=True):
-    """Success of a request that is suspected because of earlier crashes.
+    cause: Cause
+    age_seconds: float
+
+
+class StartedAnswer(Struct):
+    """An answer that an endpoint has begun.
 
     Parameters
     ----------
-    fingerprint : Fingerprint
-        Hash of the method, path, query, workspace and body of the request.
-    age_seconds : float
-        Age of the success at the time of the report.
+    request : ExecutedRequest
+        The request.
+    service : ServiceName
+        Its service.
+    started_at : Seconds
+        Time at which the answer began.
+    is_conclusive : bool
+        Whether the answer counts as a success if the endpoint survives. One that was
+        cut off, or that ended with its connection, does not.
     """
 
-    fingerprint: Fingerprint
-    age_seconds: float = 0.0
+    request: ExecutedRequest
+    service: ServiceName
+    started_at: Seconds
+    is_conclusive: bool = True
+
+
+class EndedIncarnation(Struct):
+    """An incarnation that has ended.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Its service.
+    ended_at : Seconds
+        Time at which the end was first noticed.
+    is_observed : bool
+        Whether this entry noticed it by itself.
+    waiting : list of ExecutedRequest
+        Requests of this entry that it had not begun to answer.
+    """
+
+    service: ServiceName
+    ended_at: Seconds
+    is_observed: bool = False
+    waiting: list[ExecutedRequest] = []
 
 
 class SuspectTable:
-    """Crashes observed by this entry and reported by other entries."""
+    """Answers, ends of endpoints and refusals that one entry has seen."""
 
     def __init__(self) -> None:
-        self._own: list[tuple[Crash, Seconds]] = []
-        self._others: list[tuple[Crash, Seconds]] = []
-        self._cleared_at: dict[Fingerprint, Seconds] = {}
-        self._cleared_by_others_at: dict[Fingerprint, Seconds] = {}
+        # Ordered by time: those that are not concluded yet, and the suspected ones.
+        self._answers: deque[tuple[IncarnationKey, StartedAnswer]] = deque(
+            maxlen=MAX_ANSWERS
+        )
+        self._suspected: deque[tuple[IncarnationKey, StartedAnswer]] = deque(
+            maxlen=MAX_ANSWERS
+        )
+        self._ended: OrderedDict[IncarnationKey, EndedIncarnation] = OrderedDict()
+        self._successes: dict[CauseKind, OrderedDict[Cause, Seconds]] = {
+            kind: OrderedDict() for kind in CauseKind
+        }
+        self._refused: OrderedDict[Cause, Seconds] = OrderedDict()
+        self._crashes: deque[tuple[Cause, IncarnationKey, Seconds]] = deque(
+            maxlen=MAX_ENDS
+        )
+
+    def record_answer(
+        self,
+        key: IncarnationKey,
+        service: ServiceName,
+        request: ExecutedRequest,
+        now: Seconds,
+    ) -> StartedAnswer:
+        """Record that an endpoint begins to answer a request."""
+        answer = StartedAnswer(request, service, now)
+        self._answers.append((key, answer))
+        return answer
 
     def record_crash(
         self,
-        fingerprint: Fingerprint,
-        endpoint: EndpointId,
-        incarnation: Incarnation,
+        key: IncarnationKey,
+        service: ServiceName,
+        request: ExecutedRequest,
         now: Seconds,
     ) -> None:
-        """Record that an endpoint crashed while it executed a request."""
-        self._own.append((Crash(fingerprint, endpoint, incarnation), now))
-        del self._own[:-MAX_CRASHES]
+        """Record that an endpoint ended while it had a request.
 
-    def record_success(self, fingerprint: Fingerprint, now: Seconds) -> None:
-        """Record a success, which clears the request of all crashes up to now."""
-        if self._list_crashes(fingerprint, now):
-            self._cleared_at[fingerprint] = now
+        Requests that it answered for longer than `SURVIVAL_SECONDS` are not suspected:
+        their ends are recorded with `record_end`.
+        """
+        ended = self._record_end(key, service, now)
+        ended.is_observed = True
+        if not request.has_begun:
+            ended.waiting.append(request)
+        # A request with a prompt that only waited for its answer crashed nothing.
+        if request.has_begun or not request.parts:
+            cause = Cause(CauseKind.REQUEST, service, request.fingerprint)
+            self._crashes.append((cause, key, now))
 
-    def apply_reports(
-        self, crashes: Iterable[Crash], successes: Iterable[Success], now: Seconds
+    def record_end(
+        self, key: IncarnationKey, service: ServiceName, now: Seconds
     ) -> None:
-        """Replace the reports of all other entries."""
-        self._others = [(crash, Seconds(now - crash.age_seconds)) for crash in crashes]
-        self._cleared_by_others_at = {}
-        for success in successes:
-            at = Seconds(now - success.age_seconds)
-            known = self._cleared_by_others_at.get(success.fingerprint, NEVER)
-            self._cleared_by_others_at[success.fingerprint] = max(known, at)
-
-    def list_own_crashes(self, now: Seconds) -> tuple[Crash, ...]:
-        """Return the crashes to report to other entries."""
+        """Record that an endpoint has ended."""
+        self._record_end(key, service, now).is_observed = True
+
+    def apply_ends(self, crashes: Iterable[EndpointCrash], now: Seconds) -> None:
+        """Apply the ends that other entries have noticed."""
+        for crash in crashes:
+            self._record_end(
+                (crash.endpoint, crash.incarnation),
+                crash.service,
+                Seconds(now - crash.age_seconds),
+            )
+
+    def record_refusal(self, cause: Cause, now: Seconds) -> None:
+        """Record that a request was refused because of a cause."""
+        self._refused[cause] = now
+        self._refused.move_to_end(cause)
+        if len(self._refused) > MAX_REFUSALS:
+            self._refused.popitem(last=False)
+
+    def list_crashes(self, now: Seconds) -> tuple[EndpointCrash, ...]:
+        """Return the recent ends of endpoints, with the requests that are suspected."""
         self._expire(now)
+        begun: dict[IncarnationKey, list[ExecutedRequest]] = {}
+        for key, answer in chain(self._suspected, self._answers):
+            if self._is_suspected(key, answer):
+                begun.setdefault(key, []).append(answer.request)
         return tuple(
-            Crash(
-                crash.fingerprint, crash.endpoint, crash.incarnation, round(now - at, 2)
+            EndpointCrash(
+                *key,
+                ended.service,
+                round(now - ended.ended_at, 3),
+                (*begun.get(key, ()), *ended.waiting),
             )
-            for crash, at in self._own
-            if at > self._find_last_success(crash.fingerprint)
+            for key, ended in self._ended.items()
+            if ended.is_observed or key in begun
         )
 
-    def list_successes(self, now: Seconds) -> tuple[Success, ...]:
-        """Return the successes to report to other entries."""
+    def list_successes(
+        self, causes: Iterable[Cause], now: Seconds
+    ) -> tuple[CauseReport, ...]:
+        """Return the last success for each of some causes that has had one."""
         self._expire(now)
+        found = ((cause, self._successes[cause.kind].get(cause)) for cause in causes)
         return tuple(
-            Success(fingerprint, round(now - at, 2))
-            for fingerprint, at in self._cleared_at.items()
+            CauseReport(cause, round(now - at, 3)) for cause, at in found if at
         )
 
-    def compute_suspension(self, fingerprint: Fingerprint, now: Seconds) -> float:
-        """Return the seconds for which a request is refused; 0 if it is allowed."""
-        crashes = self._list_crashes(fingerprint, now)
-        incarnations = {(crash.endpoint, crash.incarnation) for crash, _ in crashes}
-        if len(incarnations) < MIN_SUSPECT_CRASHES:
-            return 0.0
-        newest = max(at for _, at in crashes)
-        return max(newest + CRASH_RETENTION_SECONDS - now, 0.0)
-
-    def _list_crashes(
-        self, fingerprint: Fingerprint, now: Seconds
-    ) -> list[tuple[Crash, Seconds]]:
-        since = max(self._find_last_success(fingerprint), now - CRASH_RETENTION_SECONDS)
-        return [
-            (crash, at)
-            for crash, at in (*self._own, *self._others)
-            if crash.fingerprint == fingerprint and at > since
+    def list_refusals(self, now: Seconds) -> tuple[CauseReport, ...]:
+        """Return the causes of recent refusals."""
+        return tuple(
+            CauseReport(cause, round(now - at, 3))
+            for cause, at in self._refused.items()
+            if now - at <= REPORT_SECONDS
+        )
+
+    def measure_suspension(self, cause: Cause, now: Seconds) -> float:
+        """Return the seconds for which this entry by itself refuses a request.
+
+        It does so until the control group decides, and while that is away.
+        """
+        since = self._successes[cause.kind].get(cause, Seconds(float("-inf")))
+        since = max(since, now - LOCAL_SUSPENSION_SECONDS)
+        crashes = [
+            (key, at)
+            for crashed, key, at in self._crashes
+            if crashed == cause and at > since
         ]
+        if len({key for key, _ in crashes}) < MIN_CRASHES:
+            return 0.0
+        return max(at for _, at in crashes) + LOCAL_SUSPENSION_SECONDS - now
 
-    def _find_last_success(self, fingerprint: Fingerprint) -> Seconds:
-        """Return the time of the last success of a request at any entry."""
-        return max(
-            self._cleared_at.get(fingerprint, NEVER),
-            self._cleared_by_others_at.get(fingerprint, NEVER),
-        )
+    def _record_end(
+        self, key: IncarnationKey, service: ServiceName, at: Seconds
+    ) -> EndedIncarnation:
+        ended = self._ended.get(key)
+        if ended is None:
+            ended = self._ended[key] = EndedIncarnation(service, at)
+            if len(self._ended) > MAX_ENDS:
+                self._ended.popitem(last=False)
+        ended.ended_at = min(ended.ended_at, at)
+        return ended
 
     def _expire(self, now: Seconds) -> None:
-        limit = now - CRASH_RETENTION_SECONDS
-        self._own = [(crash, at) for crash, at in self._own if at > limit]
-        for fingerprint in [key for key, at in self._cleared_at.items() if at < limit]:
-            del self._cleared_at[fingerprint]
+        """Conclude what became of older answers, and drop old ends."""
+        confirmed_at = now - SURVIVAL_SECONDS - CONFIRMATION_SECONDS
+        while self._answers and self._answers[0][1].started_at <= confirmed_at:
+            key, answer = self._answers.popleft()
+            if self._is_suspected(key, answer):
+                self._suspected.append((key, answer))
+            elif answer.is_conclusive:
+                self._record_success(answer)
+        limit = now - REPORT_SECONDS
+        while self._suspected and self._suspected[0][1].started_at <= limit:
+            self._suspected.popleft()
+        for key, ended in list(self._ended.items()):
+            if now - ended.ended_at > REPORT_SECONDS:
+                del self._ended[key]
+
+    def _is_suspected(self, key: IncarnationKey, answer: StartedAnswer) -> bool:
+        """Whether the endpoint ended shortly after an answer had begun."""
+        ended = self._ended.get(key)
+        if ended is None:
+            return False
+        seconds = ended.ended_at - answer.started_at
+        return -NOTICE_SECONDS <= seconds <= SURVIVAL_SECONDS
+
+    def _record_success(self, answer: StartedAnswer) -> None:
+        at = Seconds(answer.started_at + SURVIVAL_SECONDS)
+        for cause in answer.request.list_causes(answer.service):
+            successes = self._successes[cause.kind]
+            successes[cause] = max(at, successes.get(cause, at))
+            successes.move_to_end(cause)
+            if len(successes) > MAX_SUCCESSES:
+                successes.popitem(last=False)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -10,6 +10,7 @@
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import AttemptResult
+from bergamotwood_core.gateway.suspects import SURVIVAL_SECONDS, StartedAnswer
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     EndpointConnection,
@@ -20,6 +21,7 @@
 from bergamotwood_daemon.gateway.message import (
     HttpRequest,
     HttpResponse,
+    is_framed,
     read_retry_after,
     strip_connection_fields,
 )
@@ -117,6 +119,9 @@
         Whether the endpoint has begun to answer.
     """
 
+    # Set while the endpoint answers.
+    _answer: StartedAnswer | None = None
+
     def __init__(
         self,
         entry: GatewayEntry,
@@ -129,6 +134,7 @@
         self.started_at = entry.clock()
         self.head_received_at = self.started_at
         self.has_begun = False
+        self._key = (heartbeat.endpoint, heartbeat.incarnation)
         self._entry = entry
         self._call = call
         self._request = request
@@ -174,6 +180,8 @@
         except ResponseTimeoutError as error:
             return MayHaveRun(str(error), AttemptResult.SILENT)
         self.release_connection()
+        if not is_framed(list(head.headers)):
+            self.record_unframed_end()
         headers = strip_connection_fields(list(head.headers))
         return Answered(HttpResponse(head.status_code, headers, b"".join(pieces)))
 
@@ -182,9 +190,11 @@
         try:
             self._send()
         except NotConnectedError as error:
+            self._record_refused_connection(error)
             return NotRun(str(error), AttemptResult.UNREACHABLE, was_sent=False)
         except ConnectionBrokenError as error:
             self._call.possible_executions += 1
+            self._record_crash()
             return MayHaveRun(str(error), AttemptResult.BROKEN)
         try:
             head = self._receive_head()
@@ -206,7 +216,11 @@
         ConnectionBrokenError, ResponseTimeoutError
             As for `EndpointConnection.receive`.
         """
-        event = self._connection.receive(max(seconds, 0.0))
+        try:
+            event = self._connection.receive(max(seconds, 0.0))
+        except ConnectionBrokenError:
+            self._record_crash()
+            raise
         self._entry.health.record_traffic(
             self.heartbeat.endpoint, self.heartbeat.incarnation, self._entry.clock()
         )
@@ -231,12 +245,45 @@
         self._entry.pool.release(self._connection)
         self._connection = None
 
+    def record_unframed_end(self) -> None:
+        """Record the end of an answer that ended with its connection.
+
+        Nothing in such an answer tells a crash of the endpoint from its end.
+        """
+        if self._answer is None:
+            return
+        self._answer.is_conclusive = False
+        if self._entry.clock() - self._answer.started_at > SURVIVAL_SECONDS:
+            return
+        if not self._entry.liveness.check(self.heartbeat):
+            self._record_crash()
+
     def close(self) -> None:
         """Close the connection, so that the endpoint stops running the request."""
         if self._connection is not None:
+            if self._answer is not None:
+                self._answer.is_conclusive = False
             self._connection.close()
             self._connection = None
 
+    def _record_crash(self) -> None:
+        entry, call = self._entry, self._call
+        now = entry.clock()
+        if self._answer is None:
+            request = call.describe_execution(has_begun=False)
+            entry.suspects.record_crash(self._key, call.service, request, now)
+        elif now - self._answer.started_at <= SURVIVAL_SECONDS:
+            request = self._answer.request
+            entry.suspects.record_crash(self._key, call.service, request, now)
+        else:
+            entry.suspects.record_end(self._key, call.service, now)
+        entry.poller.report_soon()
+
+    def _record_refused_connection(self, error: NotConnectedError) -> None:
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            entry = self._entry
+            entry.suspects.record_end(self._key, self._call.service, entry.clock())
+
     def _send(self) -> None:
         request = self._request
         # Without an id, a late copy of an earlier response could not be told from the
@@ -303,6 +350,12 @@
             return MayHaveRun("response of another request", AttemptResult.BROKEN)
         if any(name == b"content-encoding" for name, _ in head.headers):
             return MayHaveRun("response with an encoding", AttemptResult.BROKEN)
+        self._answer = self._entry.suspects.record_answer(
+            self._key,
+            self._call.service,
+            self._call.describe_execution(has_begun=True),
+            self.head_received_at,
+        )
         return head
 
     def _record_notices(self, head: h11.Response, metadata: ResponseMetadata) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from gevent import Greenlet, sleep, spawn
+from gevent import Greenlet, sleep, spawn, spawn_later
 from msgspec import MsgspecError
 
 from bergamotwood_core.clock import Seconds
@@ -30,6 +30,8 @@
 # A replica with older state is partitioned from the others, or they have no leader.
 MAX_STATE_AGE_SECONDS = 0.9
 RETRY_DELAY_SECONDS = 0.1
+# Delay of a report that is due soon: requests lose an endpoint together.
+REPORT_DELAY_SECONDS = 0.05
 # Shortest time for which a replica that failed is avoided. The time varies, so that
 # entries return one by one.
 AVOID_SECONDS = 2.0
@@ -81,6 +83,7 @@
         self._failures: dict[InstanceId, int] = {}
         self._is_disconnected = False
         self._greenlet: Greenlet | None = None
+        self._is_report_scheduled = False
 
     def start(self) -> None:
         """Start polling."""
@@ -95,6 +98,16 @@
         """Report to the replica at once, or to the next one if it does not answer."""
         spawn(self._report, self._make_status())
 
+    def report_soon(self) -> None:
+        """Report within a short time; what happens until then is reported together."""
+        if not self._is_report_scheduled:
+            self._is_report_scheduled = True
+            spawn_later(REPORT_DELAY_SECONDS, self._report_scheduled)
+
+    def _report_scheduled(self) -> None:
+        self._is_report_scheduled = False
+        self._report(self._make_status())
+
     def _run(self) -> None:
         while True:
             if self._replica is None:
@@ -136,7 +149,14 @@
     def _encode_request(self, status: EntryStatus, hold_seconds: float) -> bytes:
         state = self._control_state
         return ENCODER.encode(
-            SyncRequest(status, state.number, state.boot, state.cursors, hold_seconds)
+            SyncRequest(
+                status,
+                state.number,
+                state.boot,
+                state.cursors,
+                hold_seconds,
+                state.suspensions_index,
+            )
         )
 
     def _report(self, status: EntryStatus) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -15,11 +15,13 @@
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
 from bergamotwood_core.gateway.state_machine import decompress_document
-from bergamotwood_core.gateway.suspects import Crash, Success
+from bergamotwood_core.gateway.suspects import Cause, EndpointCrash
+from bergamotwood_core.gateway.suspensions import Suspension
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
     InstanceId,
+    LogIndex,
     ModelName,
     ServiceName,
     SessionId,
@@ -58,8 +60,10 @@
         self.heartbeats: dict[EndpointId, EndpointHeartbeat] = {}
         self.entries: dict[InstanceId, EntryAddress] = {}
         self.loads: dict[EndpointId, EndpointLoad] = {}
-        self.crashes: tuple[Crash, ...] = ()
-        self.successes: tuple[Success, ...] = ()
+        self.suspensions: tuple[Suspension, ...] = ()
+        self.suspensions_index = LogIndex(-1)
+        self.questions: tuple[Cause, ...] = ()
+        self.ends: tuple[EndpointCrash, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.prefill_rates: dict[ModelName, float] = {}
@@ -70,6 +74,7 @@
         self.boot = ""
         self.cursors = Cursors()
         self.confirmed_at = Seconds(float("-inf"))
+        self.requested_at = Seconds(float("-inf"))
         self._dialect = dialect
         self._clock = clock
         self._key_lease_seconds = key_lease_seconds
@@ -131,8 +136,14 @@
             self._load_document(reply.document)
         self._apply_changes(reply)
         self.loads = reply.loads
-        self.crashes = reply.crashes
-        self.successes = reply.successes
+        if (
+            reply.suspensions is not None
+            and reply.suspensions_index > self.suspensions_index
+        ):
+            self._update_suspensions(reply.suspensions, reply.suspensions_index)
+        self.questions = reply.questions
+        self.ends = reply.ends
+        self.requested_at = requested_at
         self._update_rollouts(reply)
         self.silent_endpoints = frozenset(reply.silent)
         self.prefill_rates = reply.prefill_rates
@@ -177,6 +188,18 @@
             self.rollouts[service] = view
         self.open_sessions = frozenset(reply.open_sessions)
 
+    def _update_suspensions(
+        self, suspensions: tuple[Suspension, ...], index: LogIndex
+    ) -> None:
+        log_event(
+            "entry",
+            "Suspensions changed.",
+            index=index,
+            causes=[item.cause.id for item in suspensions],
+        )
+        self.suspensions = suspensions
+        self.suspensions_index = index
+
     def _load_document(self, document: bytes) -> None:
         try:
             configuration = self._decode_document(document)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -16,7 +16,6 @@
 from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.gateway.retries import UsageReport, merge_usage
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
-from bergamotwood_core.gateway.suspects import Crash, Success
 from bergamotwood_core.ids import EndpointId, InstanceId, ModelName, SessionId
 from bergamotwood_daemon.gateway.peermessages import (
     EntryAddress,
@@ -112,11 +111,9 @@
             loads.list_without({}),
             tuple(merge_evidence(status.evidence for status in statuses)),
             _collect(status.open_sessions for status in statuses),
-            _collect(status.crashes for status in statuses),
-            _collect(status.successes for status in statuses),
-            merge_histograms(status.prefill_times for status in statuses),
-            merge_latencies(status.latencies for status in statuses),
-            merge_usage(status.retry_usage for status in statuses),
+            prefill_times=merge_histograms(status.prefill_times for status in statuses),
+            latencies=merge_latencies(status.latencies for status in statuses),
+            retry_usage=merge_usage(status.retry_usage for status in statuses),
         )
 
     def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
@@ -175,24 +172,6 @@
         self._refresh_averages()
         return self._latencies
 
-    def list_crashes(self, instance: InstanceId) -> tuple[Crash, ...]:
-        """Return the crashes that all entries except `instance` report."""
-        return _collect(
-            chain(
-                (status.crashes for status in self._list_others(instance)),
-                (relayed.summary.crashes for relayed in self._relayed.values()),
-            )
-        )
-
-    def list_successes(self, instance: InstanceId) -> tuple[Success, ...]:
-        """Return the successes that all entries except `instance` report."""
-        return _collect(
-            chain(
-                (status.successes for status in self._list_others(instance)),
-                (relayed.summary.successes for relayed in self._relayed.values()),
-            )
-        )
-
     def list_open_sessions(self) -> tuple[SessionId, ...]:
         """Return the open sessions of all entries without duplicates."""
         sessions = chain(
@@ -223,9 +202,6 @@
         self._rates = estimate_rates(times)
         self._latencies = merge_latencies(report.latencies for report in reports)
 
-    def _list_others(self, instance: InstanceId) -> Iterable[EntryStatus]:
-        return (status for key, status in self._statuses.items() if key != instance)
-
     def _apply_member_changes(self, relayed: RelayedEntries) -> None:
         changes = relayed.summary.members
         if changes is None or not (
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -19,6 +19,7 @@
 )
 from bergamotwood_core.gateway.state_machine import RolloutOutcome
 from bergamotwood_core.gateway.suspects import SuspectTable
+from bergamotwood_core.gateway.suspensions import SuspensionTable
 from bergamotwood_core.ids import DataCentre, Incarnation, SessionId
 from bergamotwood_daemon.gateway.client import ConnectionPool
 from bergamotwood_daemon.gateway.controlpoller import ControlPoller
@@ -89,6 +90,7 @@
         self.latencies = LatencyTable()
         self.evidence = EvidenceCounter()
         self.suspects = SuspectTable()
+        self.suspensions = SuspensionTable(settings.instance, incarnation)
         self.sessions = SessionVersions(bounds.session_timeout_seconds)
         self.budget = RetryBudget(
             bounds.retry_ratio,
@@ -164,9 +166,10 @@
         self.latencies.pooled = self.control_state.latencies
         self.budget.set_fleet_usage(self.control_state.retry_usage, self.clock())
         self.loads.set_others(self.control_state.loads)
-        self.suspects.apply_reports(
-            self.control_state.crashes, self.control_state.successes, self.clock()
+        self.suspensions.update(
+            self.control_state.suspensions, self.control_state.requested_at
         )
+        self.suspects.apply_ends(self.control_state.ends, self.clock())
 
     def record_outcome(
         self,
@@ -216,6 +219,7 @@
             "connections_opened_total": self.pool.opened_connections,
             "log_lines_dropped_total": count_dropped_lines(),
             "liveness_checks_total": self.liveness.checks,
+            "suspensions": len(self.suspensions),
             "silent_endpoints": len(self.control_state.silent_endpoints),
         }
 
@@ -233,8 +237,9 @@
             self.loads.list_own(),
             self.evidence.list_counts(),
             self._list_open_sessions(),
-            self.suspects.list_own_crashes(self.clock()),
-            self.suspects.list_successes(self.clock()),
+            self.suspects.list_crashes(self.clock()),
+            self.suspects.list_successes(self.control_state.questions, self.clock()),
+            self.suspects.list_refusals(self.clock()),
             self.notices.list_leaving(self.clock()),
             self.placement.prefill_rate.list_histograms(),
             self.latencies.list_averages(),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -132,15 +132,37 @@
         return call
 
     def _check_suspension(self, call: Call) -> None:
-        """Refuse a request that has crashed several endpoints, at any entry."""
+        """Refuse a request that is known to crash endpoints, unless it is a trial.
+
+        Raises
+        ------
+        RefusedError
+            When it, or a part of its prompt, has crashed several endpoints.
+        """
         entry = self._entry
-        seconds = entry.suspects.compute_suspension(call.fingerprint, entry.clock())
-        if seconds > 0.0:
-            raise RefusedError(
-                f"suspended for {seconds:.1f} s: it crashed several endpoints",
-                Code.SUSPENDED,
-                retry_after=seconds,
-            )
+        if call.is_trial:
+            return
+        now = entry.clock()
+        suspension = entry.suspensions.find_suspended(call.causes)
+        if suspension is not None:
+            if entry.suspensions.take_trial(suspension, now):
+                call.is_trial = True
+                log_event("request", "Suspension tried.", **_make_call_fields(call))
+                return
+            cause = suspension.cause
+            entry.suspects.record_refusal(cause, now)
+            seconds = entry.suspensions.measure_left(suspension, now)
+        else:
+            cause = call.causes[0]
+            seconds = entry.suspects.measure_suspension(cause, now)
+            if seconds <= 0.0:
+                return
+        raise RefusedError(
+            f"{cause.kind} {cause.id} crashed several endpoints;"
+            f" suspended for {seconds:.1f} s",
+            Code.SUSPENDED,
+            retry_after=seconds,
+        )
 
     def _authorize(
         self, routing: RoutingTable, route: ServiceRoute, metadata: RequestMetadata
@@ -344,6 +366,7 @@
 
     def _make_forward_metadata(self, call: Call, attempt: Attempt) -> ForwardMetadata:
         self._recheck_key(call)
+        self._check_suspension(call)
         return ForwardMetadata(
             endpoint=attempt.heartbeat.endpoint,
             timeout_seconds=call.deadline - self._entry.clock(),
@@ -375,7 +398,11 @@
         has_run = not isinstance(outcome, NotRun)
         if not may_retry(call, has_run, now):
             return False
-        if entry.suspects.compute_suspension(call.fingerprint, now) > 0.0:
+        if has_run and call.is_trial:
+            return False
+        if entry.suspensions.find_suspended(call.causes) and not call.is_trial:
+            return False
+        if entry.suspects.measure_suspension(call.causes[0], now) > 0.0:
             return False
         unsent = isinstance(outcome, NotRun) and not outcome.was_sent
         return unsent or entry.budget.allows(call.service, now)
@@ -414,15 +441,7 @@
         if isinstance(outcome, Answered | Delivered | MayHaveRun):
             is_bad = result is not AttemptResult.OK
             entry.record_outcome(call, heartbeat, is_bad, None if is_bad else timing)
-        if isinstance(outcome, MayHaveRun) and result is AttemptResult.BROKEN:
-            entry.suspects.record_crash(
-                call.fingerprint,
-                heartbeat.endpoint,
-                heartbeat.incarnation,
-                entry.clock(),
-            )
         if result is AttemptResult.OK:
-            entry.suspects.record_success(call.fingerprint, entry.clock())
             return
         log_event(
             "attempt",
--- a/packages/daemon/src/bergamotwood_daemon/gateway/message.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/message.py
@@ -114,6 +114,11 @@
     return span.total_seconds()
 
 
+def is_framed(headers: Headers) -> bool:
+    """Whether a response states where its body ends, instead of closing after it."""
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
 def strip_connection_fields(headers: Headers) -> Headers:
     """Return the header fields without hop-by-hop and framing fields."""
     connection_options = {
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -12,12 +12,14 @@
 from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
 from bergamotwood_core.gateway.state_machine import ServiceRollout
-from bergamotwood_core.gateway.suspects import Crash, Success
+from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
+from bergamotwood_core.gateway.suspensions import Suspension
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
     Incarnation,
     InstanceId,
+    LogIndex,
     ModelName,
     SessionId,
 )
@@ -62,10 +64,12 @@
     open_sessions : tuple of SessionId
         Sessions open on other versions that the first stage of a roll-out would
         move.
-    crashes : tuple of Crash
-        Endpoints that broke the connection while they ran a request.
-    successes : tuple of Success
-        Requests that were suspected of crashing endpoints and then got an answer.
+    crashes : tuple of EndpointCrash
+        Recent ends of endpoints, and its requests that may have crashed them.
+    successes : tuple of CauseReport
+        Last successes with the causes that it was asked about.
+    refusals : tuple of CauseReport
+        Suspended causes for which it has recently refused a request.
     leaving : tuple of LeavingEndpoint
         Endpoints that have recently announced in an answer that they leave.
     prefill_times : dict
@@ -82,8 +86,9 @@
     loads: dict[EndpointId, EndpointLoad]
     evidence: tuple[VersionEvidence, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
-    crashes: tuple[Crash, ...] = ()
-    successes: tuple[Success, ...] = ()
+    crashes: tuple[EndpointCrash, ...] = ()
+    successes: tuple[CauseReport, ...] = ()
+    refusals: tuple[CauseReport, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
     latencies: LatencyReport = {}
@@ -129,6 +134,8 @@
         What it has of the replica's feeds.
     hold_seconds : float
         How long the replica may wait for a change before it answers.
+    suspensions_index : LogIndex
+        Index of the suspensions that it has.
     """
 
     status: EntryStatus
@@ -136,6 +143,7 @@
     boot: str
     cursors: Cursors
     hold_seconds: float
+    suspensions_index: LogIndex = LogIndex(-1)
 
 
 class SyncReply(Struct, frozen=True, array_like=True):
@@ -161,11 +169,14 @@
         Newest roll-out of each service.
     loads : dict
         Load that all other entries put on each endpoint.
-    crashes : tuple of Crash
-        Crashes that other entries report.
-    successes : tuple of Success
-        Answered requests, suspected of crashing endpoints, that other entries
-        report.
+    suspensions : tuple of Suspension or None
+        Suspended causes of crashes; None if the entry has them.
+    suspensions_index : LogIndex
+        Index of the last change of the suspensions.
+    questions : tuple of Cause
+        Causes of which the entry is to report successes.
+    ends : tuple of EndpointCrash
+        Recent ends of endpoints that entries have noticed, without requests.
     open_sessions : tuple of SessionId
         Open sessions of all entries.
     silent : tuple of EndpointId
@@ -187,8 +198,10 @@
     replicas: Changes[InstanceId, DataCentre] | None = None
     rollouts: tuple[RolloutView, ...] = ()
     loads: dict[EndpointId, EndpointLoad] = {}
-    crashes: tuple[Crash, ...] = ()
-    successes: tuple[Success, ...] = ()
+    suspensions: tuple[Suspension, ...] | None = None
+    suspensions_index: LogIndex = LogIndex(0)
+    questions: tuple[Cause, ...] = ()
+    ends: tuple[EndpointCrash, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
     silent: tuple[EndpointId, ...] = ()
     prefill_rates: dict[ModelName, float] = {}
@@ -211,8 +224,10 @@
         Changes of the entries that poll it.
     loads, evidence, prefill_times, latencies, retry_usage
         Sums of what these entries report, as in `EntryStatus`.
-    open_sessions, crashes, successes
+    open_sessions
         All that these entries report.
+    crashes, successes
+        What these entries have reported of recent crashes.
     """
 
     replica: InstanceId
@@ -222,8 +237,8 @@
     loads: dict[EndpointId, EndpointLoad] = {}
     evidence: tuple[VersionEvidence, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
-    crashes: tuple[Crash, ...] = ()
-    successes: tuple[Success, ...] = ()
+    crashes: tuple[EndpointCrash, ...] = ()
+    successes: tuple[CauseReport, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
     latencies: LatencyReport = {}
     retry_usage: UsageReport = {}
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -23,11 +23,11 @@
 from bergamotwood_core.gateway.state_machine import (
     BeginRollout,
     CommandOutcome,
+    GatewayCommand,
     GatewayStateMachine,
     RecordDeparture,
     ReplaceConfiguration,
     ServiceRollout,
-    SettleRollout,
     compress_document,
     decompress_document,
 )
@@ -53,6 +53,7 @@
 from bergamotwood_daemon.gateway.replicarelay import ReplicaRelay
 from bergamotwood_daemon.gateway.rollouts import RolloutController
 from bergamotwood_daemon.gateway.settings import GatewaySettings
+from bergamotwood_daemon.gateway.suspensions import SuspensionController
 from bergamotwood_daemon.group import LogGroup
 from bergamotwood_daemon.groupsettings import GroupSettings
 from bergamotwood_daemon.log import count_dropped_lines, log_event
@@ -144,12 +145,14 @@
         self.rollouts = RolloutController(
             self._machine, self.directory, self.entries, clock
         )
+        self.suspensions = SuspensionController(self._machine, self.directory, clock)
         self._leader = LeaderAccess(settings, self.group, self._machine, clock)
         self._relay = ReplicaRelay(
             settings,
             self._boot,
             self.directory,
             self.entries,
+            self.suspensions,
             self._list_replicas,
             clock,
         )
@@ -303,6 +306,7 @@
             "configuration_number": self._machine.state.number,
             "endpoints": len(self.directory),
             "entries": len(self.entries.addresses),
+            "suspensions": len(self._machine.state.suspensions),
             "polling_entries": len(self.entries.members),
             "polls_total": self._polls,
             "endpoint_changes_total": self.directory.feed.cursor,
@@ -342,16 +346,23 @@
                 self._notify_if_changed()
                 return ENCODER.encode(known)
 
-    def _settle_rollouts(self) -> None:
+    def _commit_decisions(self) -> None:
         for command in self.rollouts.list_settlements():
-            spawn(self._settle, command)
+            spawn(self._commit, command)
+        for command in self.suspensions.list_commands():
+            spawn(self._commit, command)
 
-    def _settle(self, command: SettleRollout) -> None:
+    def _commit(self, command: GatewayCommand) -> None:
         try:
             self._leader.commit(command)
         except ReplicationError as error:
-            # The next expiry run decides the same outcome again.
-            log_event("rollout", "Outcome not committed.", reason=error.detail)
+            # The next expiry run decides the same again.
+            log_event(
+                "control",
+                "Decision not committed.",
+                command=type(command).__name__,
+                reason=error.detail,
+            )
 
     def _log_endpoint(self, heartbeat: EndpointHeartbeat) -> None:
         log_event(
@@ -370,6 +381,7 @@
         self._polls += 1
         if self.entries.update(request.status):
             self._relay.note_report()
+        self.suspensions.record_status(request.status)
         for leaving in request.status.leaving:
             self._record_leave_notice(leaving)
         self._wait_for_change(request)
@@ -386,8 +398,12 @@
             replicas=self._relay.list_replica_changes(cursors.replicas),
             rollouts=self.rollouts.list_views(),
             loads=self.entries.list_loads(instance),
-            crashes=self.entries.list_crashes(instance),
-            successes=self.entries.list_successes(instance),
+            suspensions=tuple(state.suspensions)
+            if state.suspensions_index > request.suspensions_index
+            else None,
+            suspensions_index=state.suspensions_index,
+            questions=self.suspensions.list_questions(),
+            ends=self.suspensions.list_ends(),
             open_sessions=self.entries.list_open_sessions(),
             silent=self.directory.list_silent(
                 self._clock(),
@@ -430,7 +446,10 @@
         Changes of other entries wait for the next poll: callers use lists of entries
         for longer than that.
         """
-        if self._machine.state.number > request.number:
+        state = self._machine.state
+        if state.number > request.number:
+            return True
+        if state.suspensions_index > request.suspensions_index:
             return True
         cursor = self.directory.feed.cursor
         return request.boot != self._boot or request.cursors.endpoints != cursor
@@ -476,5 +495,6 @@
             self.entries.expire()
             self._notify_if_changed()
             self.rollouts.observe()
+            self.suspensions.observe()
             if self.group.is_leader:
-                self._settle_rollouts()
+                self._commit_decisions()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
@@ -25,6 +25,7 @@
     SummaryCursor,
 )
 from bergamotwood_daemon.gateway.settings import GatewaySettings
+from bergamotwood_daemon.gateway.suspensions import SuspensionController
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.peer import POLL as POLL_METHOD
 
@@ -51,6 +52,8 @@
         The replica's directory of endpoints.
     entries : EntryTable
         The replica's table of entries.
+    suspensions : SuspensionController
+        The replica's evidence of crashes.
     list_replicas : callable
         Returns the members of the control group.
     clock : callable
@@ -63,6 +66,7 @@
         boot: str,
         directory: EndpointDirectory,
         entries: EntryTable,
+        suspensions: SuspensionController,
         list_replicas: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], Seconds],
     ) -> None:
@@ -70,6 +74,7 @@
         self._boot = boot
         self._directory = directory
         self._entries = entries
+        self._suspensions = suspensions
         self._list_replicas = list_replicas
         self._clock = clock
         self._channels = PeerChannels()
@@ -105,6 +110,7 @@
         for heartbeat in relay.heartbeats:
             self._directory.apply_heartbeat(heartbeat, now)
         self._data_centres[relay.summary.replica] = relay.data_centre
+        self._suspensions.record_summary(relay.summary)
         return self._entries.merge_summary(relay.summary)
 
     def list_replica_changes(
@@ -137,6 +143,11 @@
             summary = self._entries.summarize(
                 self._settings.instance, self._boot, self._summary_sequence
             )
+            summary = replace(
+                summary,
+                crashes=self._suspensions.list_own_crashes(),
+                successes=self._suspensions.list_own_successes(),
+            )
             for instance in self._list_replicas():
                 if instance != self._settings.instance:
                     spawn(self._send_relay, instance, summary, heartbeats)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -5,6 +5,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.endpoints import EndpointDirectory
+from bergamotwood_core.gateway.ordertimer import OrderTimer
 from bergamotwood_core.gateway.rollout import (
     MIN_CAPACITY_FRACTION,
     RegressionDetector,
@@ -13,7 +14,6 @@
     choose_outcome,
     choose_share,
 )
-from bergamotwood_core.gateway.rollouttimer import RolloutTimer
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
     RolloutOutcome,
@@ -55,7 +55,7 @@
         self._directory = directory
         self._entries = entries
         self._clock = clock
-        self._timer = RolloutTimer()
+        self._timer = OrderTimer()
         self._detectors: dict[LogIndex, RegressionDetector] = {}
         self._views: tuple[RolloutView, ...] = ()
         self._views_made_at = Seconds(float("-inf"))
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -21,7 +21,7 @@
     ResponseTimeoutError,
 )
 from bergamotwood_daemon.gateway.entry import GatewayEntry
-from bergamotwood_daemon.gateway.message import strip_connection_fields
+from bergamotwood_daemon.gateway.message import is_framed, strip_connection_fields
 from bergamotwood_daemon.gateway.server import Exchange
 
 # Idle time after which a stream resumes at another endpoint, in multiples of the
@@ -83,12 +83,16 @@
             return MayHaveRun(str(error), AttemptResult.BROKEN)
         except ResponseTimeoutError as error:
             return MayHaveRun(str(error), AttemptResult.SILENT)
-        if splitter.has_partial_event:
-            return MayHaveRun("ended within an event", AttemptResult.BROKEN)
-        self._start_response(head)
-        attempt.release_connection()
-        self._exchange.end_stream()
-        return Delivered()
+        is_complete = not splitter.has_partial_event
+        if is_complete:
+            self._start_response(head)
+            attempt.release_connection()
+            self._exchange.end_stream()
+        if not is_framed(list(head.headers)):
+            attempt.record_unframed_end()
+        if is_complete:
+            return Delivered()
+        return MayHaveRun("ended within an event", AttemptResult.BROKEN)
 
     def _read_error(self, attempt: Attempt, head: h11.Response) -> Outcome:
         outcome = attempt.read_body(head, self._compute_read_timeout)
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
@@ -0,0 +1,156 @@
+"""Suspensions at a control replica: evidence from entries, and decisions to commit."""
+
+from collections.abc import Callable
+from time import time
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.crashes import CrashEvidence
+from bergamotwood_core.gateway.endpoints import EndpointDirectory
+from bergamotwood_core.gateway.ordertimer import OrderTimer
+from bergamotwood_core.gateway.state_machine import (
+    GatewayStateMachine,
+    GrantTrial,
+    LiftSuspension,
+    SuspendCause,
+)
+from bergamotwood_core.gateway.suspects import (
+    REPORT_SECONDS,
+    Cause,
+    CauseReport,
+    EndpointCrash,
+)
+from bergamotwood_core.gateway.suspensions import Suspension, compute_trial_delay
+from bergamotwood_core.ids import Incarnation, InstanceId, ServiceName
+from bergamotwood_daemon.gateway.peermessages import EntryStatus, ReplicaSummary
+from bergamotwood_daemon.log import log_event
+
+# Refusals that a replica keeps; there is at most one for each suspended cause.
+MAX_REFUSALS = 256
+
+SuspensionCommand = SuspendCause | GrantTrial | LiftSuspension
+
+
+class SuspensionController:
+    """Weighs the evidence of crashes, and decides what is suspended and tried.
+
+    Parameters
+    ----------
+    machine : GatewayStateMachine
+        State machine that holds the suspensions.
+    directory : EndpointDirectory
+        Lists the versions in use.
+    clock : callable
+        Returns the current time.
+    """
+
+    def __init__(
+        self,
+        machine: GatewayStateMachine,
+        directory: EndpointDirectory,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._machine = machine
+        self._directory = directory
+        self._clock = clock
+        self._timer = OrderTimer()
+        self._evidence = CrashEvidence()
+        # Newest refusal for each cause, and the run of the entry that refused.
+        self._refused: dict[Cause, tuple[Seconds, InstanceId, Incarnation]] = {}
+
+    def record_status(self, status: EntryStatus) -> None:
+        """Add what an entry of this replica reports."""
+        now = self._clock()
+        self._evidence.apply_report(status.crashes, status.successes, now)
+        for refusal in status.refusals:
+            self._record_refusal(
+                refusal, status.entry.instance, status.incarnation, now
+            )
+
+    def record_summary(self, summary: ReplicaSummary) -> None:
+        """Add what another replica relays of its entries."""
+        self._evidence.apply_relay(summary.crashes, summary.successes, self._clock())
+
+    def list_own_crashes(self) -> tuple[EndpointCrash, ...]:
+        """Return the crashes to relay to other replicas."""
+        return self._evidence.list_own_crashes(self._clock())
+
+    def list_own_successes(self) -> tuple[CauseReport, ...]:
+        """Return the successes to relay to other replicas."""
+        return self._evidence.list_own_successes(self._clock())
+
+    def list_ends(self) -> tuple[EndpointCrash, ...]:
+        """Return the recent ends of endpoints, for entries."""
+        return self._evidence.list_ends(self._clock())
+
+    def list_questions(self) -> tuple[Cause, ...]:
+        """Return the causes of which entries are to report successes."""
+        return self._evidence.list_questions(self._list_suspended(), self._clock())
+
+    def observe(self) -> None:
+        """Note which suspensions exist; to be called several times a second."""
+        self._timer.observe(self._machine.state.suspensions, time(), self._clock())
+
+    def list_commands(self) -> list[SuspensionCommand]:
+        """Return the commands to commit now; to be called on the leader only."""
+        self.observe()
+        now = self._clock()
+        commands: list[SuspensionCommand] = [
+            self._suspend(cause)
+            for cause in self._evidence.find_causes(self._list_suspended(), now)
+        ]
+        for suspension in self._machine.state.suspensions:
+            command = self._review(suspension, now)
+            if command is not None:
+                commands.append(command)
+        return commands
+
+    def _suspend(self, cause: Cause) -> SuspendCause:
+        log_event(
+            "suspension", "Cause of crashes found.", kind=cause.kind, cause=cause.id
+        )
+        return SuspendCause(cause, self._list_versions(cause.service), time())
+
+    def _review(self, suspension: Suspension, now: Seconds) -> SuspensionCommand | None:
+        cause = suspension.cause
+        elapsed = self._timer.measure(suspension, now)
+        success_age = now - self._evidence.find_last_success(cause)
+        if success_age < elapsed:
+            log_event("suspension", "Cause cleared.", kind=cause.kind, cause=cause.id)
+            return LiftSuspension(cause, suspension.index)
+        versions = self._list_versions(cause.service)
+        refused_at, entry, incarnation = self._refused.get(
+            cause, (Seconds(float("-inf")), InstanceId(""), Incarnation(0))
+        )
+        is_due = elapsed >= compute_trial_delay(suspension, versions)
+        if not is_due or now - refused_at > REPORT_SECONDS:
+            return None
+        log_event("suspension", "Trial granted.", cause=cause.id, entry=entry)
+        return GrantTrial(cause, suspension.index, entry, incarnation, versions, time())
+
+    def _record_refusal(
+        self,
+        refusal: CauseReport,
+        entry: InstanceId,
+        incarnation: Incarnation,
+        now: Seconds,
+    ) -> None:
+        at = Seconds(now - refusal.age_seconds)
+        known = self._refused.pop(refusal.cause, None)
+        newest = max(known or (at, entry, incarnation), (at, entry, incarnation))
+        self._refused[refusal.cause] = newest
+        if len(self._refused) > MAX_REFUSALS:
+            del self._refused[next(iter(self._refused))]
+
+    def _list_suspended(self) -> frozenset[Cause]:
+        return frozenset(item.cause for item in self._machine.state.suspensions)
+
+    def _list_versions(self, service: ServiceName) -> tuple[str, ...]:
+        return tuple(
+            sorted(
+                {
+                    heartbeat.version
+                    for heartbeat in self._directory.list_heartbeats()
+                    if heartbeat.service == service
+                }
+            )
+        )
--- /dev/null
+++ b/tests/core/gateway/test_crashes.py
@@ -0,0 +1,191 @@
+from itertools import count
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.crashes import (
+    MAX_INCIDENTS,
+    MAX_QUESTIONS,
+    MAX_REQUESTS,
+    QUESTION_SECONDS,
+    CrashEvidence,
+    choose_parts,
+)
+from bergamotwood_core.gateway.suspects import (
+    Cause,
+    CauseKind,
+    CauseReport,
+    EndpointCrash,
+    ExecutedRequest,
+)
+from bergamotwood_core.ids import (
+    EndpointId,
+    Fingerprint,
+    Incarnation,
+    PromptPartId,
+    ServiceName,
+)
+
+SERVICE = ServiceName("models")
+NONE = frozenset()
+numbers = count()
+
+
+def make_part(name):
+    return Cause(CauseKind.PROMPT_PART, SERVICE, PromptPartId(name))
+
+
+def make_request(*parts, fingerprint=None, has_begun=True):
+    return ExecutedRequest(
+        Fingerprint(fingerprint or f"f{next(numbers)}"),
+        tuple(map(PromptPartId, parts)),
+        has_begun,
+    )
+
+
+def crash(evidence, at, *requests):
+    """Report the end of another incarnation at a time."""
+    report = EndpointCrash(
+        EndpointId(f"e{next(numbers)}"), Incarnation(1), SERVICE, 0.0, requests
+    )
+    evidence.apply_report([report], (), Seconds(at))
+    evidence.list_questions(NONE, Seconds(at))
+
+
+def succeed(evidence, part, at):
+    evidence.apply_report((), [CauseReport(make_part(part), 0.0)], Seconds(at))
+
+
+def find(evidence, at, suspended=NONE):
+    """Return the ids of the causes named once entries were asked about them."""
+    evidence.list_questions(suspended, Seconds(at))
+    now = Seconds(at + QUESTION_SECONDS + 0.01)
+    return [cause.id for cause in evidence.find_causes(suspended, now)]
+
+
+def test_the_part_that_recurs_and_never_succeeds_is_named():
+    evidence = CrashEvidence()
+    for at in range(3):
+        succeed(evidence, "first", at + 0.1)
+        assert find(evidence, at) == []
+        crash(
+            evidence,
+            at + 0.5,
+            make_request("first", "bad"),
+            make_request("first", f"topic-{at}"),
+        )
+    assert find(evidence, 3) == ["bad"]
+    # Its entries were asked whether it succeeds before it was named.
+    assert make_part("bad") in evidence.list_questions(NONE, Seconds(3.0))
+
+
+def test_a_part_is_not_named_before_entries_were_asked():
+    evidence = CrashEvidence()
+    for at in (0.0, 0.2, 0.4):
+        crash(evidence, at, make_request("bad"))
+    assert evidence.find_causes(NONE, Seconds(0.5)) == []
+    assert evidence.find_causes(NONE, Seconds(0.5 + QUESTION_SECONDS)) != []
+
+
+def test_a_part_with_a_success_since_is_not_named():
+    evidence = CrashEvidence()
+    for at in range(3):
+        crash(evidence, at, make_request("sound"))
+    succeed(evidence, "sound", 2.5)
+    assert find(evidence, 3) == []
+
+
+def test_endpoints_that_end_together_count_once():
+    evidence = CrashEvidence()
+    for at in range(9):
+        crash(evidence, 1.0 + 0.001 * at, make_request("sound", "rare"))
+    assert find(evidence, 1.1) == []
+
+
+def test_a_part_of_many_prompts_is_not_named_while_nothing_is_served():
+    evidence = CrashEvidence()
+    succeed(evidence, "first", 0.5)
+    for at in range(1, 5):
+        crash(evidence, at, make_request("first", "bad"), make_request("first"))
+    assert find(evidence, 5) == ["bad"]
+    suspended = frozenset([make_part("bad")])
+    assert find(evidence, 6, suspended) == []
+
+
+def test_requests_that_were_answered_count_before_those_that_waited():
+    evidence = CrashEvidence()
+    for at in range(3):
+        crash(
+            evidence,
+            at,
+            make_request("first", "bad"),
+            make_request("first", "waiting", has_begun=False),
+        )
+        succeed(evidence, "first", at + 0.1)
+    assert find(evidence, 3) == ["bad"]
+    # The head of an answer may be lost with the connection.
+    lost = CrashEvidence()
+    for at in range(3):
+        crash(lost, at, make_request("bad", has_begun=False))
+    assert find(lost, 3) == ["bad"]
+
+
+def test_a_request_that_is_resent_is_named_and_not_a_part_that_only_it_has():
+    evidence = CrashEvidence()
+    for at in range(3):
+        succeed(evidence, "first", at + 0.1)
+        request = make_request("first", "own", fingerprint="again")
+        crash(evidence, at + 0.5, request)
+    assert find(evidence, 3) == ["again"]
+
+
+def test_a_sound_request_that_is_resent_to_crashing_endpoints_is_not_named():
+    evidence = CrashEvidence()
+    for at in range(3):
+        sound = make_request("first", "rare", fingerprint="sound")
+        crash(evidence, at, make_request("bad"), sound)
+        succeed(evidence, "first", at + 0.1)
+    assert find(evidence, 3) == ["bad"]
+
+
+def test_parts_that_always_come_together_are_named_together():
+    evidence = CrashEvidence()
+    for at in range(3):
+        crash(evidence, at, make_request("x", "y"))
+    assert find(evidence, 3) == []
+    crash(evidence, 4, make_request("x", "y"))
+    assert sorted(find(evidence, 4)) == ["x", "y"]
+
+
+def test_a_part_that_was_served_before_is_named_later_and_alone():
+    old, new = make_part("old"), make_part("new")
+    served = frozenset([old])
+    assert choose_parts({old: 4}, served) == []
+    assert choose_parts({old: 5}, served) == [old]
+    assert choose_parts({old: 5, new: 5}, served) == [new]
+    assert choose_parts({old: 5, make_part("other"): 5}, {old, make_part("other")}) == (
+        []
+    )
+
+
+def test_relayed_evidence_adds_up_with_own():
+    one, two = CrashEvidence(), CrashEvidence()
+    for at in range(3):
+        crash((one, two, one)[at], at, make_request("bad"))
+    two.apply_relay(
+        one.list_own_crashes(Seconds(2.5)), one.list_own_successes(Seconds(2.5)), 2.5
+    )
+    assert find(two, 3) == ["bad"]
+    # What was relayed is not relayed again.
+    assert len(two.list_own_crashes(Seconds(2.5))) == 1
+    assert all(not end.requests for end in two.list_ends(Seconds(2.5)))
+
+
+def test_evidence_is_bounded():
+    evidence = CrashEvidence()
+    for at in range(3 * MAX_INCIDENTS):
+        requests = [make_request(f"p{at}-{i}") for i in range(2 * MAX_REQUESTS)]
+        crash(evidence, at * 0.01, *requests[: 2 if at else None])
+    crashes = evidence.list_own_crashes(Seconds(0.01 * 3 * MAX_INCIDENTS))
+    assert len(crashes) <= MAX_INCIDENTS
+    assert all(len(item.requests) <= MAX_REQUESTS for item in crashes)
+    questions = evidence.list_questions(NONE, Seconds(4.0))
+    assert len(questions) <= MAX_QUESTIONS
--- a/tests/core/gateway/test_rollouttimer.py
+++ b/tests/core/gateway/test_ordertimer.py
@@ -1,7 +1,7 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.gateway.rollouttimer import RolloutTimer
+from bergamotwood_core.gateway.ordertimer import OrderTimer
 from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 
 RUNNING = ServiceRollout(
@@ -10,7 +10,7 @@
 
 
 def test_a_step_of_the_time_of_day_moves_no_rollout():
-    timer = RolloutTimer()
+    timer = OrderTimer()
     timer.observe([], 999.9, Seconds(49.9))
     timer.observe([RUNNING], 1_000.0, Seconds(50.0))
     for step in (-30.0, 0.0, 30.0):
@@ -20,20 +20,20 @@
 
 def test_a_rollout_ordered_by_a_machine_with_another_time_starts_now():
     for offset in (-20.0, 20.0):
-        timer = RolloutTimer()
+        timer = OrderTimer()
         timer.observe([], 999.9 + offset, Seconds(49.9))
         timer.observe([RUNNING], 1_000.0 + offset, Seconds(50.0))
         assert timer.measure(RUNNING, Seconds(50.0)) <= 0.1 + 1e-9
 
 
 def test_a_restarted_replica_estimates_the_start_by_the_time_of_day():
-    timer = RolloutTimer()
+    timer = OrderTimer()
     timer.observe([RUNNING], 1_005.0, Seconds(3.0))
     assert timer.measure(RUNNING, Seconds(4.0)) == 6.0
 
 
 def test_a_further_rollout_of_a_service_is_timed_anew():
-    timer = RolloutTimer()
+    timer = OrderTimer()
     timer.observe([RUNNING], 1_000.0, Seconds(50.0))
     second = replace(RUNNING, target="v3", index=9, ordered_at=1_020.0)
     timer.observe([second], 1_020.1, Seconds(70.0))
--- a/tests/core/gateway/test_state_machine.py
+++ b/tests/core/gateway/test_state_machine.py
@@ -3,15 +3,27 @@
     OUTCOME_DECODER,
     BeginRollout,
     GatewayStateMachine,
+    GrantTrial,
+    LiftSuspension,
     RecordDeparture,
     ReplaceConfiguration,
     RolloutOutcome,
     SettleRollout,
+    SuspendCause,
     compress_document,
     decompress_document,
     encode_command,
 )
-from bergamotwood_core.ids import EndpointId, Incarnation, LogIndex, ServiceName
+from bergamotwood_core.gateway.suspects import Cause, CauseKind
+from bergamotwood_core.gateway.suspensions import MAX_SUSPENSIONS
+from bergamotwood_core.ids import (
+    EndpointId,
+    Incarnation,
+    InstanceId,
+    LogIndex,
+    PromptPartId,
+    ServiceName,
+)
 from bergamotwood_core.states import EndpointState
 
 SERVICE = ServiceName("models")
@@ -90,3 +102,46 @@
     other.restore(machine.snapshot())
     assert other.state == machine.state
     assert decompress_document(other.state.document) == b"seven"
+
+
+def make_cause(name="bad"):
+    return Cause(CauseKind.PROMPT_PART, SERVICE, PromptPartId(name))
+
+
+def test_a_suspension_holds_until_it_is_lifted():
+    machine = GatewayStateMachine()
+    assert apply(machine, SuspendCause(make_cause(), ("v1",), 100.0), 5).changed
+    assert not apply(machine, SuspendCause(make_cause(), ("v1",), 101.0), 6).changed
+    assert machine.state.suspensions_index == 5
+    restored = GatewayStateMachine()
+    restored.restore(machine.snapshot())
+    assert restored.state.find_suspension(make_cause()).index == 5
+    assert apply(machine, LiftSuspension(make_cause(), LogIndex(5)), 7).changed
+    assert machine.state.find_suspension(make_cause()) is None
+    assert machine.state.suspensions_index == 7
+
+
+def test_one_trial_at_a_time_is_granted_and_supersedes_older_decisions():
+    machine = GatewayStateMachine()
+    apply(machine, SuspendCause(make_cause(), ("v1",), 100.0), 5)
+    grants = [
+        GrantTrial(
+            make_cause(), LogIndex(5), InstanceId(name), Incarnation(1), ("v2",), 130.0
+        )
+        for name in ("i1", "i2")
+    ]
+    assert apply(machine, grants[0], 6).changed
+    # A second one, decided at the same time by a former leader.
+    assert not apply(machine, grants[1], 7).changed
+    assert not apply(machine, LiftSuspension(make_cause(), LogIndex(5)), 8).changed
+    granted = machine.state.find_suspension(make_cause())
+    assert (granted.entry, granted.trials, granted.index) == ("i1", 1, 6)
+    assert granted.versions == ("v1", "v2")
+
+
+def test_the_oldest_suspensions_are_dropped():
+    machine = GatewayStateMachine()
+    for at in range(MAX_SUSPENSIONS + 3):
+        apply(machine, SuspendCause(make_cause(f"p{at}"), (), 100.0), at + 1)
+    assert len(machine.state.suspensions) == MAX_SUSPENSIONS
+    assert machine.state.find_suspension(make_cause("p0")) is None
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -6,11 +6,9 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.load import EndpointLoad
-from bergamotwood_core.gateway.suspects import Crash
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
-    Fingerprint,
     Incarnation,
     InstanceId,
     SessionId,
@@ -75,14 +73,11 @@
     assert [entry.address for entry in table.addresses.list_values()] == ["i2:80"]
 
 
-def test_crashes_and_open_sessions_are_listed_once():
-    crash = Crash(Fingerprint("f"), ENDPOINT, Incarnation(1), 0.5)
+def test_open_sessions_are_listed_once():
     table = EntryTable(Clock())
     sessions = (SessionId("s1"), SessionId("s2"))
-    table.update(make_status(1, crashes=(crash,), open_sessions=sessions))
+    table.update(make_status(1, open_sessions=sessions))
     table.update(make_status(2, open_sessions=sessions[:1]))
-    assert table.list_crashes(InstanceId("i1")) == ()
-    assert table.list_crashes(InstanceId("i2")) == (crash,)
     assert table.list_open_sessions() == sessions
 
 
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -119,7 +119,8 @@
             reply.endpoints.cursor, reply.entries.cursor, reply.replicas.cursor
         )
     boot = reply.boot if reply is not None else ""
-    request = SyncRequest(status, -1, boot, cursors, hold_seconds)
+    index = reply.suspensions_index if reply is not None else -1
+    request = SyncRequest(status, -1, boot, cursors, hold_seconds, index)
     return replica.handle_poll(ENCODER.encode(request))
 
 
