Test answers that end with their connection

A stream without a length or chunks is whole if it ends between two events, and resumed otherwise; both held before. Whether its endpoint has crashed is asked of the endpoint itself, as nothing in the answer tells.

--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -391,6 +391,68 @@
     assert not reply.is_whole
 
 
+def begin_unframed(arrival):
+    fields = f"id: {arrival.headers['id']}\r\nsigned: 1\r\n"
+    arrival.send(f"HTTP/1.1 200 X\r\n{fields}\r\n")
+
+
+def test_an_unframed_stream_that_ends_between_events_is_complete(make_harness):
+    def act(arrival):
+        begin_unframed(arrival)
+        arrival.send("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        return False
+
+    harness = make_harness(configure(**STREAM), one=act, two=act)
+    reply = harness.connect().call(timeout="20")
+    assert list_ids(reply.body) == ["1", "2"]
+    assert reply.is_whole
+    assert len(harness.list_arrivals()) == 1
+
+
+def test_an_unframed_stream_that_ends_within_an_event_is_resumed(make_harness):
+    seen = []
+
+    def act(arrival):
+        seen.append(arrival)
+        if len(seen) > 1:
+            return stream(arrival, last=3)
+        begin_unframed(arrival)
+        arrival.send("id: 1\ndata: a\n\nid: 2\nda")
+        return False
+
+    harness = make_harness(configure(**STREAM), one=act, two=act)
+    reply = harness.connect().call(timeout="20")
+    assert list_ids(reply.body) == ["1", "2", "3"]
+    assert reply.is_whole
+    assert seen[1].headers["last"] == "1"
+
+
+def test_a_crash_within_an_unframed_answer_is_reported(make_harness):
+    def act(arrival):
+        begin_unframed(arrival)
+        arrival.send("id: 1\ndata: a\n\n")
+        harness.endpoints["one"].stop()
+        return False
+
+    harness = make_harness(configure(**STREAM), one=act)
+    harness.connect().call(timeout="20", prompt="a bad last")
+    sleep(0.1)
+    (crash,) = harness.entry.suspects.list_crashes(harness.read_time())
+    assert [request.parts for request in crash.requests] == [("a", "bad")]
+
+
+def test_an_unframed_answer_of_a_living_endpoint_is_no_crash(make_harness):
+    def act(arrival):
+        begin_unframed(arrival)
+        arrival.send("id: 1\ndata: a\n\n")
+        return False
+
+    harness = make_harness(configure(**STREAM), one=act)
+    harness.connect().call(timeout="20", prompt="a sound last")
+    sleep(0.1)
+    assert harness.entry.suspects.list_crashes(harness.read_time()) == ()
+
+
 def answer_by_model(arrival):
     small = arrival.headers["model"] == "small"
     arrival.begin_events(confidence="0.1" if small else "0.9")
