Tell all entries of endpoints that refuse connections

Each entry learned of an end only by its own attempt, up to the 2.6 s after which missing heartbeats are noticed, while the others had noticed long before. A refused connection is now reported at once and pooled with the ends of endpoints; such an incarnation is chosen last.

--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -73,6 +73,8 @@
         Its service.
     ended_at, updated_at : Seconds
         Time of the end, and time at which something new was learned of it.
+    is_certain : bool
+        Whether it refuses connections.
     requests : dict
         Requests that it had.
     """
@@ -80,6 +82,7 @@
     service: ServiceName
     ended_at: Seconds
     updated_at: Seconds
+    is_certain: bool = False
     requests: dict[Fingerprint, ExecutedRequest] = {}
 
     def list_suspects(self) -> list[ExecutedRequest]:
@@ -116,6 +119,9 @@
                 if len(self._incidents) > MAX_INCIDENTS:
                     self._incidents.popitem(last=False)
             incident.ended_at = min(incident.ended_at, ended_at)
+            if crash.is_certain and not incident.is_certain:
+                incident.is_certain = True
+                incident.updated_at = now
             for request in crash.requests:
                 _merge_request(incident, request, now)
 
@@ -136,6 +142,7 @@
                 incident.service,
                 round(now - incident.ended_at, 3),
                 tuple(incident.requests.values()) if with_requests else (),
+                incident.is_certain,
             )
             for key, incident in self._incidents.items()
             if now - incident.updated_at <= RELAY_SECONDS
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -16,7 +16,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import FAILING_RATE, EndpointHealth, HealthTable
 from bergamotwood_core.gateway.load import EndpointLoad
-from bergamotwood_core.gateway.notices import NoticeTable
+from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
 from bergamotwood_core.gateway.prefill import PrefillRate, PrefixCacheIndex
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
 from bergamotwood_core.ids import DataCentre, EndpointId, ModelName
@@ -29,8 +29,8 @@
 PROBE_FRACTION = 0.02
 # Cost of sending a request to another data centre: the round trip and its price.
 REMOTE_COST_SECONDS = 0.01
-# Cost of an endpoint that sends neither heartbeats nor answers; about the latency
-# objective for long prompts.
+# Cost of an endpoint that refuses connections, or sends neither heartbeats nor answers;
+# about the latency objective for long prompts.
 UNRESPONSIVE_COST_SECONDS = 4.0
 # Cost of an endpoint that is still warming up.
 WARMUP_COST_SECONDS = 0.2
@@ -105,6 +105,8 @@
     ----------
     silent_endpoints : frozenset of EndpointId
         Endpoints whose heartbeats are missing.
+    ended : frozenset of IncarnationKey
+        Incarnations that have recently refused a connection of any entry.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         self.prefix_cache = PrefixCacheIndex()
         self._data_centre = data_centre
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
+        self.ended: frozenset[IncarnationKey] = frozenset()
         self._health = health
         self._notices = notices
         self._find_load = find_load
@@ -263,7 +266,8 @@
             cost += REMOTE_COST_SECONDS
         if heartbeat.warmup_seconds > 0.0:
             cost += WARMUP_COST_SECONDS
-        if self.is_unresponsive(heartbeat, now):
+        key = (heartbeat.endpoint, heartbeat.incarnation)
+        if key in self.ended or self.is_unresponsive(heartbeat, now):
             cost += UNRESPONSIVE_COST_SECONDS
         cost *= 1.0 + COST_JITTER * self._rng.random()
         return cost + self._estimate_failure_cost(candidate.health)
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -15,6 +15,7 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.notices import IncarnationKey
 from bergamotwood_core.ids import (
     EndpointId,
     Fingerprint,
@@ -46,8 +47,6 @@
 MAX_SUCCESSES = 4_096
 MAX_REFUSALS = 64
 
-IncarnationKey = tuple[EndpointId, Incarnation]
-
 
 class CauseKind(StrEnum):
     """What a crash is attributed to.
@@ -122,6 +121,8 @@
         Time since the end was first noticed.
     requests : tuple of ExecutedRequest
         Requests of the reporting entries.
+    is_certain : bool
+        Whether it refuses connections; a connection may also break by itself.
     """
 
     endpoint: EndpointId
@@ -129,6 +130,7 @@
     service: ServiceName
     age_seconds: float
     requests: tuple[ExecutedRequest, ...] = ()
+    is_certain: bool = False
 
 
 class CauseReport(Struct, frozen=True, array_like=True):
@@ -185,6 +187,8 @@
         Time at which the end was first noticed.
     is_observed : bool
         Whether this entry noticed it by itself.
+    is_certain : bool
+        Whether it refuses connections.
     waiting : list of ExecutedRequest
         Requests of this entry that it had not begun to answer.
     """
@@ -192,6 +196,7 @@
     service: ServiceName
     ended_at: Seconds
     is_observed: bool = False
+    is_certain: bool = False
     waiting: list[ExecutedRequest] = []
 
 
@@ -251,9 +256,18 @@
     def record_end(
         self, key: IncarnationKey, service: ServiceName, now: Seconds
     ) -> None:
-        """Record that an endpoint has ended."""
+        """Record that the connection to an endpoint broke."""
         self._record_end(key, service, now).is_observed = True
 
+    def record_refused_connection(
+        self, key: IncarnationKey, service: ServiceName, now: Seconds
+    ) -> bool:
+        """Record that an endpoint refuses connections; return whether this is new."""
+        ended = self._record_end(key, service, now)
+        is_new = not ended.is_certain
+        ended.is_observed = ended.is_certain = True
+        return is_new
+
     def apply_ends(self, crashes: Iterable[EndpointCrash], now: Seconds) -> None:
         """Apply the ends that other entries have noticed."""
         for crash in crashes:
@@ -287,6 +301,7 @@
                 ended.service,
                 round(now - ended.ended_at, 3),
                 (*begun.get(key, ()), *ended.waiting),
+                ended.is_certain,
             )
             for key, ended in self._ended.items()
             if ended.is_observed or key in begun
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -284,7 +284,10 @@
     def _record_refused_connection(self, error: NotConnectedError) -> None:
         if isinstance(error.__cause__, ConnectionRefusedError):
             entry = self._entry
-            entry.suspects.record_end(self._key, self._call.service, entry.clock())
+            if entry.suspects.record_refused_connection(
+                self._key, self._call.service, entry.clock()
+            ):
+                entry.poller.report_soon()
 
     def _send(self) -> None:
         request = self._request
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -161,6 +161,11 @@
     def apply_reports(self) -> None:
         """Apply the newest reports of the control group and of other entries."""
         self.placement.silent_endpoints = self.control_state.silent_endpoints
+        self.placement.ended = frozenset(
+            (crash.endpoint, crash.incarnation)
+            for crash in self.control_state.ends
+            if crash.is_certain
+        )
         self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.placement.prefill_rate.pooled = self.control_state.prefill_rates
         self.latencies.pooled = self.control_state.latencies
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -256,3 +256,21 @@
     assert 2.0 <= pause <= 2.2
     chosen = placement.choose(heartbeats, make_call(), Seconds(NOW + pause + 0.01))
     assert chosen.heartbeat.endpoint == "e-2"
+
+
+def test_an_endpoint_that_refused_another_entry_is_the_last_choice():
+    """Guards against requests that are refused at one dead endpoint after another."""
+    placement = make_placement()
+    heartbeats = [make_heartbeat(name) for name in ("dead", "alive")]
+    placement.ended = frozenset([("dead", 1)])
+    for _ in range(20):
+        chosen = placement.choose(heartbeats, make_call(), NOW)
+        assert chosen.heartbeat.endpoint == "alive"
+    restarted = make_heartbeat("dead", incarnation=2)
+    assert any(
+        placement.choose([restarted, heartbeats[1]], make_call(), NOW).heartbeat
+        is restarted
+        for _ in range(20)
+    )
+    only = placement.choose(heartbeats[:1], make_call(), NOW)
+    assert only.heartbeat.endpoint == "dead"
