Read and log the limit that an endpoint names

The logs could not tell whether a limit was known and exceeded, or not known at all. The field is now read, checked and logged when it changes; nothing acts on it yet.

--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -115,6 +115,9 @@
         The model's confidence in its answer, from 0 to 1.
     is_leaving : bool
         Whether the endpoint announces that it leaves.
+    requests_per_second : float or None
+        Limit that the endpoint names on the requests of all entries; None if it names
+        none.
     """
 
     request: RequestId
@@ -122,6 +125,7 @@
     is_not_executed: bool
     confidence: float | None = None
     is_leaving: bool = False
+    requests_per_second: float | None = None
 
 
 class Call(Struct):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -133,6 +133,7 @@
         self.heartbeat = heartbeat
         self.started_at = entry.clock()
         self.head_received_at = self.started_at
+        self._sent_at = self.started_at
         self.has_begun = False
         self._key = (heartbeat.endpoint, heartbeat.incarnation)
         self._entry = entry
@@ -303,6 +304,7 @@
         )
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", str(len(request.body)).encode()))
+        self._sent_at = self._entry.clock()
         self._connection.send(request.method, request.target, headers, request.body)
 
     def _receive_head(self) -> h11.Event:
@@ -373,6 +375,15 @@
         notices = self._entry.notices
         if metadata.is_leaving and notices.record_leaving(endpoint, incarnation, now):
             log_event("entry", "Endpoint announces that it leaves.", endpoint=endpoint)
+        if self._entry.limits.record_answer(
+            self._key, metadata.requests_per_second, self._sent_at, now
+        ):
+            log_event(
+                "entry",
+                "Endpoint's limit changed.",
+                endpoint=endpoint,
+                requests_per_second=metadata.requests_per_second,
+            )
         if head.status_code != SERVICE_UNAVAILABLE:
             return
         seconds = read_retry_after(list(head.headers))
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -8,6 +8,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import HealthTable
 from bergamotwood_core.gateway.latency import LatencyTable, Timing
+from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import LoadTable
 from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Placement
@@ -80,6 +81,7 @@
         self.control_state = ControlState(dialect, clock, bounds.key_lease_seconds)
         self.health = HealthTable()
         self.notices = NoticeTable(rng)
+        self.limits = LimitTable()
         self.liveness = LivenessChecker(dialect.liveness_target, clock)
         self.pool = ConnectionPool(clock)
         self.loads = LoadTable()
@@ -210,6 +212,12 @@
         self.pool.expire()
         self.health.retain(set(self.control_state.heartbeats))
         self.notices.expire(self.clock())
+        self.limits.retain(
+            {
+                (heartbeat.endpoint, heartbeat.incarnation)
+                for heartbeat in self.control_state.heartbeats.values()
+            }
+        )
         self.liveness.expire()
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
 
--- a/tests/daemon/gateway/harness.py
+++ b/tests/daemon/gateway/harness.py
@@ -86,12 +86,14 @@
 
     def read_answer(self, headers):
         confidence = find_field(headers, b"confidence")
+        limit = find_field(headers, b"limit")
         return ResponseMetadata(
             request=self.read_id(headers),
             is_signed=find_field(headers, b"signed") is not None,
             is_not_executed=find_field(headers, b"not-executed") is not None,
             confidence=float(confidence) if confidence else None,
             is_leaving=find_field(headers, b"leaving") is not None,
+            requests_per_second=float(limit) if limit else None,
         )
 
     def decode_configuration(self, document):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -97,3 +97,20 @@
     assert (refused.is_signed, refused.is_not_executed) == (False, True)
     assert refused.confidence == 0.4
     assert read_response_metadata([(b"x-confidence", b"high")]).confidence is None
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [
+        (b"1", 1.0),
+        (b" 0.5 ", 0.5),
+        (b"0", 0.0),
+        (b"many", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"", None),
+    ],
+)
+def test_an_endpoints_limit_is_read_unless_it_is_nonsense(text, limit):
+    metadata = read_response_metadata([(b"server-limit", text)])
+    assert metadata.requests_per_second == limit
