Add a failing test of endpoints that name a limit on all entries' requests

Four entries and three model servers, of which one names a limit of 0, 0.5 or 2 requests a second. The test also asks that the endpoint is used up to its limit, that callers see nothing of it, and that the limit ends.

--- a/tests/daemon/gateway/fleet.py
+++ b/tests/daemon/gateway/fleet.py
@@ -199,6 +199,8 @@
         self.crashed_at = []
         self.arrived = []
         self.is_sound = False
+        # Requests a second that it names in its answers.
+        self.limit = None
         self._fleet = fleet
         self._name = name
         self._bad_part = bad_part
@@ -250,7 +252,8 @@
         if self._endpoint is not endpoint:
             return False
         try:
-            arrival.begin_events()
+            fields = {} if self.limit is None else {"limit": str(self.limit)}
+            arrival.begin_events(**fields)
             arrival.send_events(1, 1)
             if self._bad_part in parts and not self.is_sound:
                 sleep(0.06)
