Keep the limit that an endpoint names, over all entries together

Endpoints in need got far more requests than the limit that they had named. Cause: nothing read the field; and a limit kept by each entry alone would have been exceeded by as many times as there are entries. A bound that entries keep alone while it counts all of them is the class of fault.

Change: entries report what endpoints name, and which requests could use a permit. Each control replica issues permits for its share of the limit, by the entries that poll it; a permit is valid for 1.4 s from the poll, on a clock that counts pauses, and is checked again when the request is sent. In t seconds at most 5.9/4 of limit * t and one for each replica are sent, which stays within 1.5 of the limit and five for 4 s with up to five replicas. Requests that find no permit go to other endpoints, or are refused at once with the time of the next permit. A limit ends with an answer to a later request that names none; one of 0 is probed every 10 s.

--- a/packages/core/src/bergamotwood_core/gateway/limits.py
+++ b/packages/core/src/bergamotwood_core/gateway/limits.py
@@ -1,18 +1,69 @@
 """Limits that endpoints name on the requests a second which all entries may send.
 
 An endpoint in need names its limit in its answers for as long as it holds, whatever its
-heartbeats say. It answers overload of single endpoints.
+heartbeats say. The control replicas issue permits for single requests, each replica its
+share by the entries that poll it, so that all sends together keep the limit. It answers
+overload of single endpoints.
 """
 
+from collections import deque
+from collections.abc import Iterable
 from math import isfinite
 
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.notices import IncarnationKey
+from bergamotwood_core.ids import EndpointId, Incarnation
 
 # Limit from which on no endpoint is limited by it.
 MAX_LIMIT = 100_000.0
+# Time for which a limit holds without being named again.
+LIMIT_RETENTION_SECONDS = 30.0
+# Time for which an entry reports what an endpoint has named.
+REPORT_SECONDS = 4.0
+# Time for which a permit is valid, from the poll that it answers: the poll is held for
+# up to 0.4 s of it.
+PERMIT_SECONDS = 1.4
+# Permits that a replica saves, as the time in which they accumulate, but at least one.
+BURST_SECONDS = 0.5
+# Initial number of permits, and thus sooner than after a whole interval.
+INITIAL_PERMITS = 0.5
+# Requests a second that find out whether a limit still holds, at least.
+PROBE_RATE = 0.1
+# Time for which requests that could have used a permit count as demand, and the number
+# of them that is counted.
+DEMAND_SECONDS = 1.0
+MAX_DEMAND = 256
+# Shortest wait for a permit: a poll and its answer.
+MIN_WAIT_SECONDS = 0.5
+
+
+class LimitReport(Struct, frozen=True, array_like=True):
+    """What an incarnation has named last.
+
+    Parameters
+    ----------
+    endpoint, incarnation : EndpointId, Incarnation
+        The incarnation.
+    requests_per_second : float or None
+        Its limit; None if it no longer has one.
+    age_seconds : float
+        Time since it was named.
+    """
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    requests_per_second: float | None
+    age_seconds: float
+
+
+class RequestCount(Struct, frozen=True, array_like=True):
+    """A number of requests for a limited incarnation: wanted, or permitted."""
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    requests: int
 
 
 class KnownLimit(Struct):
@@ -30,12 +81,61 @@
     stated_at: Seconds
 
 
-class LimitTable:
-    """Limits that this entry knows of."""
+class StatementTable:
+    """Newest statement of each incarnation that has named a limit."""
 
     def __init__(self) -> None:
         self._limits: dict[IncarnationKey, KnownLimit] = {}
 
+    def find(self, key: IncarnationKey) -> KnownLimit | None:
+        """Return the newest statement of an incarnation; None if there is none."""
+        return self._limits.get(key)
+
+    def put(self, key: IncarnationKey, statement: KnownLimit) -> bool:
+        """Store a statement; return whether it is newer than what is known."""
+        known = self._limits.get(key)
+        if known is not None and known.stated_at >= statement.stated_at:
+            return False
+        self._limits[key] = statement
+        return True
+
+    def find_limit(self, key: IncarnationKey, now: Seconds) -> float | None:
+        """Return the limit of an incarnation; None if it has none now."""
+        known = self._limits.get(key)
+        if known is None or now - known.stated_at > LIMIT_RETENTION_SECONDS:
+            return None
+        return known.requests_per_second
+
+    def apply(self, reports: Iterable[LimitReport], now: Seconds) -> None:
+        """Apply reports of statements."""
+        for report in reports:
+            key = (report.endpoint, report.incarnation)
+            at = Seconds(now - report.age_seconds)
+            self.put(key, KnownLimit(report.requests_per_second, at))
+
+    def list_reports(self, now: Seconds, max_age: float) -> tuple[LimitReport, ...]:
+        """Return the statements up to an age, and drop those that no longer hold."""
+        limit = now - LIMIT_RETENTION_SECONDS
+        for key in [k for k, item in self._limits.items() if item.stated_at < limit]:
+            del self._limits[key]
+        return tuple(
+            LimitReport(
+                *key, known.requests_per_second, round(now - known.stated_at, 3)
+            )
+            for key, known in self._limits.items()
+            if now - known.stated_at <= max_age
+        )
+
+
+class LimitTable:
+    """Limits that an entry knows of, and its permits."""
+
+    def __init__(self) -> None:
+        self._all = StatementTable()
+        self._own = StatementTable()
+        self._permits: dict[IncarnationKey, deque[Seconds]] = {}
+        self._wanted: dict[IncarnationKey, deque[Seconds]] = {}
+
     def record_answer(
         self,
         key: IncarnationKey,
@@ -62,15 +162,186 @@
         bool
             Whether the limit has changed.
         """
-        known = self._limits.get(key)
+        known = self._all.find(key)
         if requests_per_second is None and (known is None or sent_at < known.stated_at):
             return False
-        self._limits[key] = KnownLimit(requests_per_second, now)
+        statement = KnownLimit(requests_per_second, now)
+        self._own.put(key, statement)
+        self._all.put(key, statement)
         return known is None or known.requests_per_second != requests_per_second
 
-    def retain(self, keys: set[IncarnationKey]) -> None:
-        """Remove all incarnations except the given ones."""
-        self._limits = {key: item for key, item in self._limits.items() if key in keys}
+    def apply_reports(self, reports: Iterable[LimitReport], now: Seconds) -> None:
+        """Apply the statements that other entries have got."""
+        self._all.apply(reports, now)
+
+    def apply_permits(
+        self, permits: Iterable[RequestCount], requested_at: Seconds
+    ) -> None:
+        """Add the permits in the answer to a poll."""
+        for permit in permits:
+            key = (permit.endpoint, permit.incarnation)
+            expiries = self._permits.setdefault(key, deque())
+            expiries.extend([Seconds(requested_at + PERMIT_SECONDS)] * permit.requests)
+
+    def is_limited(self, key: IncarnationKey, now: Seconds) -> bool:
+        """Whether an incarnation has a limit."""
+        return self._all.find_limit(key, now) is not None
+
+    def may_send(self, key: IncarnationKey, now: Seconds) -> bool:
+        """Whether a request may be sent: there is no limit, or there is a permit."""
+        return not self.is_limited(key, now) or self._count_permits(key, now) > 0
+
+    def take_permit(self, key: IncarnationKey, now: Seconds) -> Seconds | None:
+        """Use a permit for one request.
+
+        Returns
+        -------
+        Seconds or None
+            Time until which the request may be sent; infinite without a limit, and
+            None if there is no permit.
+        """
+        if not self.is_limited(key, now):
+            return Seconds(float("inf"))
+        if not self._count_permits(key, now):
+            return None
+        return self._permits[key].popleft()
+
+    def may_still_send(
+        self, key: IncarnationKey, allowed_until: Seconds, now: Seconds
+    ) -> bool:
+        """Whether a request may be sent that was allowed before it had to wait."""
+        if isfinite(allowed_until):
+            return now <= allowed_until
+        return self.take_permit(key, now) is not None
+
+    def record_demand(self, key: IncarnationKey, now: Seconds) -> None:
+        """Record a request that could use a permit."""
+        if key not in self._wanted:
+            self._wanted[key] = deque(maxlen=MAX_DEMAND)
+        self._wanted[key].append(now)
+
+    def list_demands(self, now: Seconds) -> tuple[RequestCount, ...]:
+        """Return the requests that could recently have used permits."""
+        since = now - DEMAND_SECONDS
+        for key, times in list(self._wanted.items()):
+            while times and times[0] < since:
+                times.popleft()
+            if not times:
+                del self._wanted[key]
+        return tuple(
+            RequestCount(*key, len(times)) for key, times in self._wanted.items()
+        )
+
+    def list_own(self, now: Seconds) -> tuple[LimitReport, ...]:
+        """Return the recent statements in answers to this entry."""
+        return self._own.list_reports(now, REPORT_SECONDS)
+
+    def count_limited(self, now: Seconds) -> int:
+        """Return the number of incarnations that have a limit."""
+        reports = self._all.list_reports(now, LIMIT_RETENTION_SECONDS)
+        return sum(report.requests_per_second is not None for report in reports)
+
+    def estimate_wait(self, key: IncarnationKey, now: Seconds) -> float:
+        """Return about how many seconds pass until a request may be sent."""
+        limit = self._all.find_limit(key, now)
+        if limit is None or self._count_permits(key, now):
+            return 0.0
+        return max(1.0 / max(limit, PROBE_RATE), MIN_WAIT_SECONDS)
+
+    def expire(self, now: Seconds) -> None:
+        """Remove what no longer has an effect."""
+        self._all.list_reports(now, 0.0)
+        for key in list(self._permits):
+            if not self._count_permits(key, now):
+                del self._permits[key]
+
+    def _count_permits(self, key: IncarnationKey, now: Seconds) -> int:
+        expiries = self._permits.get(key)
+        if expiries is None:
+            return 0
+        while expiries and expiries[0] < now:
+            expiries.popleft()
+        return len(expiries)
+
+
+class PermitBucket(Struct):
+    """Permits of one incarnation that a replica has not issued yet."""
+
+    level: float
+    updated_at: Seconds
+
+
+class PermitIssuer:
+    """Issues the permits of one replica.
+
+    In `t` seconds it issues at most its share of `limit * t`, plus one or what
+    accumulates in `BURST_SECONDS`.
+    """
+
+    def __init__(self) -> None:
+        self._all = StatementTable()
+        self._own = StatementTable()
+        self._buckets: dict[IncarnationKey, PermitBucket] = {}
+
+    def apply_own(self, reports: Iterable[LimitReport], now: Seconds) -> None:
+        """Add the statements that an entry of this replica reports."""
+        reports = tuple(reports)
+        self._own.apply(reports, now)
+        self._all.apply(reports, now)
+
+    def apply_relay(self, reports: Iterable[LimitReport], now: Seconds) -> None:
+        """Add the statements that another replica relays."""
+        self._all.apply(reports, now)
+
+    def list_own(self, now: Seconds) -> tuple[LimitReport, ...]:
+        """Return the statements that other replicas need to know."""
+        return self._own.list_reports(now, REPORT_SECONDS)
+
+    def list_all(self, now: Seconds) -> tuple[LimitReport, ...]:
+        """Return the statements that entries need to know."""
+        return self._all.list_reports(now, LIMIT_RETENTION_SECONDS)
+
+    def issue(
+        self, demands: Iterable[RequestCount], share: float, now: Seconds
+    ) -> tuple[RequestCount, ...]:
+        """Return permits for an entry's demands, as far as there are any.
+
+        Parameters
+        ----------
+        demands : iterable of RequestCount
+            What the entry could use.
+        share : float
+            This replica's fraction of all entries.
+        now : Seconds
+            Current time.
+        """
+        permits = []
+        for demand in demands:
+            key = (demand.endpoint, demand.incarnation)
+            limit = self._all.find_limit(key, now)
+            if limit is None:
+                self._buckets.pop(key, None)
+                continue
+            bucket = self._refill(key, share * max(limit, PROBE_RATE), now)
+            count = min(int(bucket.level), demand.requests)
+            if count:
+                bucket.level -= count
+                permits.append(RequestCount(*key, count))
+        return tuple(permits)
+
+    def expire(self, now: Seconds) -> None:
+        """Remove the permits of incarnations that have no limit now."""
+        for key in list(self._buckets):
+            if self._all.find_limit(key, now) is None:
+                del self._buckets[key]
+
+    def _refill(self, key: IncarnationKey, rate: float, now: Seconds) -> PermitBucket:
+        bucket = self._buckets.setdefault(key, PermitBucket(INITIAL_PERMITS, now))
+        capacity = max(1.0, rate * BURST_SECONDS)
+        gained = rate * max(now - bucket.updated_at, 0.0)
+        bucket.level = min(bucket.level + gained, capacity)
+        bucket.updated_at = now
+        return bucket
 
 
 def is_valid_limit(requests_per_second: float) -> bool:
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -15,6 +15,7 @@
 from bergamotwood_core.gateway.call import Call, PromptPart
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import FAILING_RATE, EndpointHealth, HealthTable
+from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
 from bergamotwood_core.gateway.prefill import PrefillRate, PrefixCacheIndex
@@ -100,6 +101,8 @@
         Returns the load on an endpoint.
     rng : Random
         Source of randomness for jitter and probes.
+    limits : LimitTable or None
+        Limits that endpoints have named; None for no limits.
 
     Attributes
     ----------
@@ -116,6 +119,7 @@
         notices: NoticeTable,
         find_load: Callable[[EndpointId], EndpointLoad],
         rng: Random,
+        limits: LimitTable | None = None,
     ) -> None:
         self.prefill_rate = PrefillRate()
         self.prefix_cache = PrefixCacheIndex()
@@ -126,6 +130,7 @@
         self._notices = notices
         self._find_load = find_load
         self._rng = rng
+        self._limits = limits or LimitTable()
 
     def choose(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
@@ -164,6 +169,9 @@
                     self._notices.measure_pause(
                         heartbeat.endpoint, heartbeat.incarnation, now
                     ),
+                    self._limits.estimate_wait(
+                        (heartbeat.endpoint, heartbeat.incarnation), now
+                    ),
                 )
                 for heartbeat, health in self._find_usable(heartbeats, call)
             ),
@@ -208,8 +216,16 @@
             and not self._notices.measure_pause(
                 heartbeat.endpoint, heartbeat.incarnation, now
             )
+            and self._is_within_limit(heartbeat, now)
         ]
 
+    def _is_within_limit(self, heartbeat: EndpointHeartbeat, now: Seconds) -> bool:
+        key = (heartbeat.endpoint, heartbeat.incarnation)
+        if not self._limits.is_limited(key, now):
+            return True
+        self._limits.record_demand(key, now)
+        return self._limits.may_send(key, now)
+
     def _find_usable(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call
     ) -> list[tuple[EndpointHeartbeat, EndpointHealth]]:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -96,6 +96,10 @@
 Outcome = Answered | NotRun | MayHaveRun | Discarded | Delivered
 
 
+class LimitReachedError(Exception):
+    """The endpoint's limit allows no further request now; nothing was sent."""
+
+
 class Attempt:
     """Sends a request to an endpoint and reads the response.
 
@@ -136,6 +140,7 @@
         self._sent_at = self.started_at
         self.has_begun = False
         self._key = (heartbeat.endpoint, heartbeat.incarnation)
+        self._allowed_until = entry.limits.take_permit(self._key, self.started_at)
         self._entry = entry
         self._call = call
         self._request = request
@@ -190,6 +195,8 @@
         """Send the request and return the response's head, or why none is valid."""
         try:
             self._send()
+        except LimitReachedError as error:
+            return NotRun(str(error), AttemptResult.FULL, was_sent=False)
         except NotConnectedError as error:
             self._record_refused_connection(error)
             return NotRun(str(error), AttemptResult.UNREACHABLE, was_sent=False)
@@ -256,7 +263,11 @@
         if self._answer is None:
             return
         self._answer.is_conclusive = False
-        if self._entry.clock() - self._answer.started_at > SURVIVAL_SECONDS:
+        now = self._entry.clock()
+        if now - self._answer.started_at > SURVIVAL_SECONDS:
+            return
+        if self._entry.limits.is_limited(self._key, now):
+            # A check would count towards the limit.
             return
         if not self._entry.liveness.check(self.heartbeat):
             self._record_crash()
@@ -305,8 +316,21 @@
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", str(len(request.body)).encode()))
         self._sent_at = self._entry.clock()
+        self._check_limit(self._sent_at)
         self._connection.send(request.method, request.target, headers, request.body)
 
+    def _check_limit(self, now: Seconds) -> None:
+        """Check that the endpoint's limit still allows the request.
+
+        The connection may have taken some time, or the process may have been paused.
+        """
+        limits = self._entry.limits
+        allowed_until = self._allowed_until
+        if allowed_until is None or not limits.may_still_send(
+            self._key, allowed_until, now
+        ):
+            raise LimitReachedError(f"{self.heartbeat.address}: limit reached")
+
     def _receive_head(self) -> h11.Event:
         """Return the head, or give up early if the endpoint has gone silent."""
         head_deadline = self._entry.clock() + self._compute_head_timeout()
@@ -337,6 +361,9 @@
             return False
         if not self._entry.placement.is_unresponsive(self.heartbeat, now):
             return False
+        if self._entry.limits.is_limited(self._key, now):
+            # A check would count towards the limit.
+            return False
         return not self._entry.liveness.check(self.heartbeat)
 
     def _check_head(self, head: h11.Response) -> h11.Response | Outcome:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -10,6 +10,7 @@
 from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.latency import LatencyReport
+from bergamotwood_core.gateway.limits import LimitReport, RequestCount
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView
@@ -64,6 +65,8 @@
         self.suspensions_index = LogIndex(-1)
         self.questions: tuple[Cause, ...] = ()
         self.ends: tuple[EndpointCrash, ...] = ()
+        self.endpoint_limits: tuple[LimitReport, ...] = ()
+        self.permits: tuple[RequestCount, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.prefill_rates: dict[ModelName, float] = {}
@@ -143,6 +146,8 @@
             self._update_suspensions(reply.suspensions, reply.suspensions_index)
         self.questions = reply.questions
         self.ends = reply.ends
+        self.endpoint_limits = reply.limits
+        self.permits = reply.permits
         self.requested_at = requested_at
         self._update_rollouts(reply)
         self.silent_endpoints = frozenset(reply.silent)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -172,6 +172,10 @@
         self._refresh_averages()
         return self._latencies
 
+    def compute_share(self) -> float:
+        """Return the fraction of all entries that poll this replica."""
+        return min(len(self.members) / max(len(self.addresses), 1), 1.0)
+
     def list_open_sessions(self) -> tuple[SessionId, ...]:
         """Return the open sessions of all entries without duplicates."""
         sessions = chain(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -86,7 +86,12 @@
         self.pool = ConnectionPool(clock)
         self.loads = LoadTable()
         self.placement = Placement(
-            settings.data_centre, self.health, self.notices, self.loads.find, rng
+            settings.data_centre,
+            self.health,
+            self.notices,
+            self.loads.find,
+            rng,
+            self.limits,
         )
         self.counters = EntryCounters()
         self.latencies = LatencyTable()
@@ -177,6 +182,10 @@
             self.control_state.suspensions, self.control_state.requested_at
         )
         self.suspects.apply_ends(self.control_state.ends, self.clock())
+        self.limits.apply_reports(self.control_state.endpoint_limits, self.clock())
+        self.limits.apply_permits(
+            self.control_state.permits, self.control_state.requested_at
+        )
 
     def record_outcome(
         self,
@@ -212,12 +221,7 @@
         self.pool.expire()
         self.health.retain(set(self.control_state.heartbeats))
         self.notices.expire(self.clock())
-        self.limits.retain(
-            {
-                (heartbeat.endpoint, heartbeat.incarnation)
-                for heartbeat in self.control_state.heartbeats.values()
-            }
-        )
+        self.limits.expire(self.clock())
         self.liveness.expire()
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
 
@@ -233,6 +237,7 @@
             "log_lines_dropped_total": count_dropped_lines(),
             "liveness_checks_total": self.liveness.checks,
             "suspensions": len(self.suspensions),
+            "limited_endpoints": self.limits.count_limited(self.clock()),
             "silent_endpoints": len(self.control_state.silent_endpoints),
         }
 
@@ -253,6 +258,8 @@
             self.suspects.list_crashes(self.clock()),
             self.suspects.list_successes(self.control_state.questions, self.clock()),
             self.suspects.list_refusals(self.clock()),
+            self.limits.list_own(self.clock()),
+            self.limits.list_demands(self.clock()),
             self.notices.list_leaving(self.clock()),
             self.placement.prefill_rate.list_histograms(),
             self.latencies.list_averages(),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -6,6 +6,7 @@
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, Changes
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.latency import LatencyReport
+from bergamotwood_core.gateway.limits import LimitReport, RequestCount
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.prefill import Histogram
@@ -70,6 +71,10 @@
         Last successes with the causes that it was asked about.
     refusals : tuple of CauseReport
         Suspended causes for which it has recently refused a request.
+    limits : tuple of LimitReport
+        Limits that endpoints have recently named in answers to it.
+    demands : tuple of RequestCount
+        Requests that could recently have used permits for limited endpoints.
     leaving : tuple of LeavingEndpoint
         Endpoints that have recently announced in an answer that they leave.
     prefill_times : dict
@@ -89,6 +94,8 @@
     crashes: tuple[EndpointCrash, ...] = ()
     successes: tuple[CauseReport, ...] = ()
     refusals: tuple[CauseReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
+    demands: tuple[RequestCount, ...] = ()
     leaving: tuple[LeavingEndpoint, ...] = ()
     prefill_times: dict[ModelName, Histogram] = {}
     latencies: LatencyReport = {}
@@ -196,6 +203,10 @@
         Causes of which the entry is to report successes.
     ends : tuple of EndpointCrash
         Recent ends of endpoints that entries have noticed, without requests.
+    limits : tuple of LimitReport
+        Limits that endpoints have named.
+    permits : tuple of RequestCount
+        Requests that the entry may send to limited endpoints.
     open_sessions : tuple of SessionId
         Open sessions of all entries.
     silent : tuple of EndpointId
@@ -221,6 +232,8 @@
     suspensions_index: LogIndex = LogIndex(0)
     questions: tuple[Cause, ...] = ()
     ends: tuple[EndpointCrash, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
+    permits: tuple[RequestCount, ...] = ()
     open_sessions: tuple[SessionId, ...] = ()
     silent: tuple[EndpointId, ...] = ()
     prefill_rates: dict[ModelName, float] = {}
@@ -249,6 +262,8 @@
         What these entries have reported of recent crashes.
     refusals : tuple of Refusal
         Their newest refusal for each suspended cause.
+    limits : tuple of LimitReport
+        Limits that endpoints have recently named in answers to them.
     """
 
     replica: InstanceId
@@ -264,6 +279,7 @@
     latencies: LatencyReport = {}
     retry_usage: UsageReport = {}
     refusals: tuple[Refusal, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class SummaryCursor(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -19,6 +19,7 @@
 from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.configuration import find_configuration_errors
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
+from bergamotwood_core.gateway.limits import PermitIssuer, RequestCount
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.state_machine import (
     BeginRollout,
@@ -82,6 +83,9 @@
 # Delay from a change to the answers of the polls that wait for it, so that changes in
 # quick succession wake them once.
 WAKE_DELAY_SECONDS = 0.1
+# Age of the state up to which permits are issued. An older state belongs to a replica
+# that is partitioned from the others, whose shares may have grown meanwhile.
+MAX_PERMIT_STATE_AGE_SECONDS = 0.9
 # Heartbeat intervals without a heartbeat after which an endpoint is silent: one
 # heartbeat may be lost.
 SILENT_AFTER_HEARTBEATS = 2.2
@@ -146,6 +150,7 @@
             self._machine, self.directory, self.entries, clock
         )
         self.suspensions = SuspensionController(self._machine, self.directory, clock)
+        self.limits = PermitIssuer()
         self._leader = LeaderAccess(settings, self.group, self._machine, clock)
         self._relay = ReplicaRelay(
             settings,
@@ -153,6 +158,7 @@
             self.directory,
             self.entries,
             self.suspensions,
+            self.limits,
             self._list_replicas,
             clock,
         )
@@ -382,6 +388,7 @@
         if self.entries.update(request.status):
             self._relay.note_report()
         self.suspensions.record_status(request.status)
+        self.limits.apply_own(request.status.limits, self._clock())
         for leaving in request.status.leaving:
             self._record_leave_notice(leaving)
         self._wait_for_change(request)
@@ -404,6 +411,8 @@
             suspensions_index=state.suspensions_index,
             questions=self.suspensions.list_questions(),
             ends=self.suspensions.list_ends(),
+            limits=self.limits.list_all(self._clock()),
+            permits=self._issue_permits(request),
             open_sessions=self.entries.list_open_sessions(),
             silent=self.directory.list_silent(
                 self._clock(),
@@ -414,6 +423,15 @@
             retry_usage=self.entries.list_retry_usage(),
         )
 
+    def _issue_permits(self, request: SyncRequest) -> tuple[RequestCount, ...]:
+        now = self._clock()
+        # The entry ignores the answer to a report that is not to be held.
+        is_report = request.hold_seconds <= 0.0
+        if is_report or self.group.measure_age(now) > MAX_PERMIT_STATE_AGE_SECONDS:
+            return ()
+        share = self.entries.compute_share()
+        return self.limits.issue(request.status.demands, share, now)
+
     def _record_leave_notice(self, leaving: LeavingEndpoint) -> None:
         """Commit a departure that an endpoint has announced to an entry only."""
         run = (leaving.endpoint, leaving.incarnation)
@@ -496,5 +514,6 @@
             self._notify_if_changed()
             self.rollouts.observe()
             self.suspensions.observe()
+            self.limits.expire(self._clock())
             if self.group.is_leader:
                 self._commit_decisions()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
@@ -14,6 +14,7 @@
 from bergamotwood_core.errors import ReplicationError
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed, Changes
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
+from bergamotwood_core.gateway.limits import PermitIssuer
 from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_daemon.gateway.channels import PeerChannels
 from bergamotwood_daemon.gateway.entries import EntryTable
@@ -54,6 +55,8 @@
         The replica's table of entries.
     suspensions : SuspensionController
         The replica's evidence of crashes.
+    limits : PermitIssuer
+        The replica's limits of endpoints.
     list_replicas : callable
         Returns the members of the control group.
     clock : callable
@@ -67,6 +70,7 @@
         directory: EndpointDirectory,
         entries: EntryTable,
         suspensions: SuspensionController,
+        limits: PermitIssuer,
         list_replicas: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], Seconds],
     ) -> None:
@@ -75,6 +79,7 @@
         self._directory = directory
         self._entries = entries
         self._suspensions = suspensions
+        self._limits = limits
         self._list_replicas = list_replicas
         self._clock = clock
         self._channels = PeerChannels()
@@ -111,6 +116,7 @@
             self._directory.apply_heartbeat(heartbeat, now)
         self._data_centres[relay.summary.replica] = relay.data_centre
         self._suspensions.record_summary(relay.summary)
+        self._limits.apply_relay(relay.summary.limits, now)
         return self._entries.merge_summary(relay.summary)
 
     def list_replica_changes(
@@ -143,7 +149,10 @@
             summary = self._entries.summarize(
                 self._settings.instance, self._boot, self._summary_sequence
             )
-            summary = self._suspensions.complete_summary(summary)
+            summary = replace(
+                self._suspensions.complete_summary(summary),
+                limits=self._limits.list_own(self._clock()),
+            )
             for instance in self._list_replicas():
                 if instance != self._settings.instance:
                     spawn(self._send_relay, instance, summary, heartbeats)
--- a/tests/daemon/gateway/test_endpoint_limits.py
+++ b/tests/daemon/gateway/test_endpoint_limits.py
@@ -110,3 +110,38 @@
     fleet.run(12.0 if not limit else 5.0)
     recent = read_clock() - 1.0
     assert sum(at >= recent for at, _ in limited.arrived) > 3
+
+
+def test_callers_are_refused_at_once_when_every_endpoint_is_at_its_limit(fleet):
+    fleet.run(0.5)
+    for server in fleet.servers:
+        server.limit = 1
+    fleet.run(CONTACT_SECONDS)
+    fleet.replies.clear()
+    since = read_clock()
+    fleet.run(5.0, interval=0.05)
+    served = [reply for reply in fleet.replies if reply.status == 200]
+    refused = [reply for reply in fleet.replies if reply.status == 503]
+    assert len(served) + len(refused) == len(fleet.replies)
+    assert len(served) >= 0.5 * SERVERS * 5.0
+    assert all(0.5 <= float(reply.headers["retry-after"]) <= 2.0 for reply in refused)
+    for server in fleet.servers:
+        assert count_most(server, since) <= allow(1)
+
+
+def test_a_limit_holds_while_entries_restart_and_a_replica_is_lost(fleet):
+    fleet.run(0.5)
+    limited = fleet.servers[0]
+    limited.limit = 1
+    named_at = read_clock()
+    fleet.run(CONTACT_SECONDS)
+    seed, _ = fleet.find(leads=True)
+    fleet.kill(seed)
+    for at, entry in enumerate(fleet.entries):
+        entry.stop()
+        fleet.entries[at] = FleetEntry(fleet, at + 1, incarnation=2)
+        state = fleet.entries[at].entry.control_state
+        fleet.wait_for(lambda state=state: state.routing)
+        fleet.run(0.5)
+    fleet.run(3.0)
+    assert count_most(limited, named_at + CONTACT_SECONDS) <= allow(1)
