Judge open answers in roll-outs, and hold back versions under suspicion

Callers waited several times longer after a version was completed of which half the answers took eight times as long. Cause: only requests that had ended were evidence, so a slower version was judged by its quick answers; and at the end of its time it was completed with whatever was known. Evidence that leaves out what has not ended yet is the class of fault.

Change: a request counts as bad while it is open, as soon as its answer has taken too long; all routes together are tested beside each one; the ends in the time that requests take are compared with those of the old version, as for censored lifetimes. A version under suspicion gets no larger share, and is rolled back if its time ends; open requests delay the last stages. An answer is slow from 2.5 times the usual time between events on (3.5 before), as the rate on the old version is counted by the same rule.

--- a/benchmarks/gateway_rollout.py
+++ b/benchmarks/gateway_rollout.py
@@ -15,7 +15,7 @@
     RouteKind,
     ServiceRoute,
 )
-from bergamotwood_core.gateway.latency import LatencyTable, Timing
+from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
 from bergamotwood_core.gateway.rollout import (
     RegressionDetector,
     choose_outcome,
@@ -29,7 +29,7 @@
     RequestId,
     ServiceName,
 )
-from bergamotwood_daemon.gateway.evidence import EvidenceCounter
+from bergamotwood_daemon.gateway.evidence import EvidenceCounter, OpenRequest
 
 SERVICE = ServiceName("models")
 MODEL = ModelName("small")
@@ -151,15 +151,39 @@
         timing = Timing(head, seconds, count)
         self._open_before += not is_new
         call = make_call(route)
-        self.simulation.schedule(seconds, lambda: self._finish(call, timing, is_new))
+        request = None
+        if elapsed >= 0.0:
+            request = self._evidence.open(
+                self._rollout,
+                "v2" if is_new else "v1",
+                call,
+                lambda: self._measure(timing, now),
+                lambda progress: self._latencies.is_slow_already(
+                    route, MODEL, progress
+                ),
+            )
+        self.simulation.schedule(
+            seconds, lambda: self._finish(call, timing, is_new, request)
+        )
 
-    def _finish(self, call: Call, timing: Timing, is_new: bool) -> None:
+    def _measure(self, timing: Timing, sent_at: Seconds) -> Progress:
+        seconds = self.simulation.now - sent_at
+        has_begun = seconds >= timing.head_seconds
+        since_head = max(seconds - timing.head_seconds, 0.0)
+        return Progress(
+            seconds=seconds,
+            head_seconds=timing.head_seconds if has_begun else None,
+            events=int(since_head / timing.event_seconds),
+            is_stream=True,
+        )
+
+    def _finish(
+        self, call: Call, timing: Timing, is_new: bool, request: OpenRequest | None
+    ) -> None:
         self._open_before -= not is_new
-        is_running = self.simulation.now - ORDER_SECONDS >= 0.0
         is_slow = self._latencies.is_slow(call.route.name, MODEL, timing)
-        if is_running:
-            version = "v2" if is_new else "v1"
-            self._evidence.record(self._rollout, version, call, is_slow)
+        if request is not None:
+            self._evidence.close(request, is_slow)
         if not is_new:
             self._latencies.record(call.route.name, MODEL, timing)
 
@@ -168,13 +192,19 @@
         if elapsed < 0.0 or self.outcome is not RolloutOutcome.IN_PROGRESS:
             return
         evidence = list(self._evidence.list_counts())
-        route = self._detector.find_regressed_route(
-            self._rollout, evidence, Seconds(self.simulation.now)
-        )
+        detector = self._detector
+        detector.update(self._rollout, evidence, Seconds(self.simulation.now))
+        is_suspected = detector.suspected_route is not None
         is_ready = elapsed >= READY_SECONDS
-        share = choose_share(self._rollout, elapsed, evidence, is_ready)
+        share = choose_share(self._rollout, elapsed, evidence, is_ready, is_suspected)
         outcome = choose_outcome(
-            self._rollout, elapsed, route, share, self._open_before
+            self._rollout,
+            elapsed,
+            detector.regressed_route,
+            share,
+            self._open_before,
+            is_suspected,
+            detector.is_undecided,
         )
         self.simulation.schedule(REPORT_SECONDS, lambda: self._apply(share, outcome))
 
--- a/packages/core/src/bergamotwood_core/gateway/latency.py
+++ b/packages/core/src/bergamotwood_core/gateway/latency.py
@@ -21,7 +21,7 @@
 # not cached takes up to five times as long to the first event as a cached one; load
 # has little effect on the time between events.
 SLOW_START_FACTOR = 8.0
-SLOW_EVENT_FACTOR = 3.5
+SLOW_EVENT_FACTOR = 2.5
 SLOW_TOTAL_FACTOR = 4.0
 # Largest weight of one entry in pooled averages: about what its moving averages cover.
 MAX_WEIGHT = 16
@@ -56,6 +56,27 @@
         return (self.total_seconds - self.head_seconds) / max(self.events, 1)
 
 
+class Progress(Struct, frozen=True):
+    """How far an open answer has got.
+
+    Parameters
+    ----------
+    seconds : float
+        Time since the request was sent.
+    head_seconds : float or None
+        Time until the answer started; None if it has not.
+    events : int
+        Number of events of a stream so far.
+    is_stream : bool
+        Whether the answer is a stream.
+    """
+
+    seconds: float
+    head_seconds: float | None = None
+    events: int = 0
+    is_stream: bool = False
+
+
 class RouteLatency(Struct, frozen=True, array_like=True):
     """Averages of one route and model in a report; integers keep it small.
 
@@ -155,6 +176,21 @@
             return False
         return timing.event_seconds > SLOW_EVENT_FACTOR * average.event
 
+    def is_slow_already(self, route: str, model: ModelName, progress: Progress) -> bool:
+        """Whether an open answer has taken several times the average so far."""
+        average = self._find(route, model)
+        if average is None or average.samples < MIN_SAMPLES:
+            return False
+        if not progress.is_stream:
+            return progress.seconds > SLOW_TOTAL_FACTOR * average.total
+        if progress.head_seconds is None:
+            return progress.seconds > SLOW_START_FACTOR * average.head
+        if progress.head_seconds > SLOW_START_FACTOR * average.head:
+            return True
+        events = max(progress.events + 1, MIN_EVENTS)
+        seconds = progress.seconds - progress.head_seconds
+        return seconds > SLOW_EVENT_FACTOR * average.event * events
+
     def list_averages(self) -> LatencyReport:
         """Return the averages of this entry, to report them."""
         report: LatencyReport = {}
--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from math import exp
 
 from msgspec import Struct
 
@@ -26,11 +27,21 @@
 # Fraction of the time at which the roll-out ends. The rest allows the outcome to be
 # committed and read before the deadline.
 END_FRACTION = 0.93
-# Minimum number of finished requests on the new version for the last two stages.
+# Open requests for each judged one above which a version is not completed.
+MAX_OPEN_RATIO = 3.0
+# Minimum number of judged requests on the new version for the last two stages, which
+# also need as many of them as are still open.
 # Shortly before the end, these stages start without it.
 MIN_EVIDENCE_TRIALS = 12
 # Maximum probability that a good version is ever judged to be bad.
 FALSE_STOP_RATE = 0.005
+# The same for a version under suspicion. It gets no larger share, and is rolled back if
+# the time ends before more is known.
+FALSE_SUSPICION_RATE = 0.4
+# Factor by which requests may take longer on the new version, as its endpoints have no
+# prompts cached yet; and probability that such a version is suspected.
+SLOWER_FACTOR = 1.4
+SLOWER_RATE = 0.01
 # Tolerated increase of the rate of bad answers over the previous version, because the
 # rate of one route is measured with few requests.
 TOLERATED_RATE = 0.03
@@ -43,21 +54,33 @@
 # Minimum number of endpoints on the new version, relative to those on other versions,
 # before traffic is moved.
 MIN_CAPACITY_FRACTION = 0.5
+# Stands for all routes of a service in a verdict.
+ALL_ROUTES = "*"
 # Minimum duration of a roll-out, which avoids division by zero.
 MIN_DURATION_SECONDS = 1e-3
 
 
 class VersionEvidence(Struct, frozen=True, array_like=True):
-    """Counts of finished requests of one route on one version of a service.
+    """Counts of judged requests of one route on one version of a service.
+
+    A request is judged once it has ended, or while it is open once its answer has taken
+    too long: otherwise the answers of a slower version would be judged by its quick
+    ones alone.
 
     Parameters
     ----------
     service, version, route : str
         Service, version and route of the requests.
     trials : int
-        Finished requests.
+        Judged requests.
     bad : int
-        Finished requests that failed or were slow.
+        Judged requests that failed or were slow.
+    open : int
+        Requests that are not judged yet.
+    ended : int
+        Requests that have ended.
+    seconds : float
+        Time that all requests have taken so far, ended or not.
     """
 
     service: ServiceName
@@ -65,6 +88,9 @@
     route: str
     trials: int
     bad: int
+    open: int = 0
+    ended: int = 0
+    seconds: float = 0.0
 
 
 class RolloutView(Struct, frozen=True, array_like=True):
@@ -98,6 +124,7 @@
     elapsed_seconds: float,
     evidence: Iterable[VersionEvidence],
     has_capacity: bool,
+    is_suspected: bool = False,
 ) -> float:
     """Return the share of the sessions that is sent to the new version.
 
@@ -111,14 +138,16 @@
         Finished requests on all versions.
     has_capacity : bool
         Whether enough endpoints run the new version.
+    is_suspected : bool
+        Whether the new version is likely to be bad.
     """
     fraction = _compute_elapsed_fraction(rollout, elapsed_seconds)
     reached = [share for start, share in STAGES if fraction >= start]
     if not reached or not has_capacity:
         return 0.0
-    sums = _sum_by_route(evidence, rollout, of_target=True)
-    trials = sum(finished for finished, _ in sums.values())
-    if trials < MIN_EVIDENCE_TRIALS and fraction < END_FRACTION - 0.1:
+    judged, open_requests = _count_on_target(rollout, evidence)
+    lacks_evidence = judged < max(MIN_EVIDENCE_TRIALS, open_requests)
+    if is_suspected or (lacks_evidence and fraction < END_FRACTION - 0.1):
         reached = reached[:2]
     return reached[-1]
 
@@ -153,17 +182,26 @@
 
     A test starts every `TEST_PERIOD_SECONDS`. Each one bets that the rate of bad
     answers exceeds the rate of the previous version plus `TOLERATED_RATE`. The new
-    version is bad if the mean capital of all tests on a route reaches the number of
-    routes divided by `FALSE_STOP_RATE`.
+    version is bad if the mean capital of all tests on a route, or on all routes
+    together, reaches the number of these divided by `FALSE_STOP_RATE`. In the short
+    time of a roll-out a single route may have too few requests.
+
+    Attributes
+    ----------
+    is_undecided : bool
+        Whether far more requests are open on the new version than were judged.
     """
 
     def __init__(self) -> None:
         self._test_starts: list[tuple[Seconds, dict[str, tuple[int, int]]]] = []
+        self._capitals: dict[str, float] = {}
+        self._is_slower = False
+        self.is_undecided = False
 
-    def find_regressed_route(
+    def update(
         self, rollout: ServiceRollout, evidence: Sequence[VersionEvidence], now: Seconds
-    ) -> str | None:
-        """Return a route on which the new version is shown to be bad, if any."""
+    ) -> None:
+        """Apply the newest evidence; to be called several times a second."""
         candidate = _sum_by_route(evidence, rollout, of_target=True)
         current = _sum_by_route(evidence, rollout, of_target=False)
         if (
@@ -171,21 +209,86 @@
             or now - self._test_starts[-1][0] >= TEST_PERIOD_SECONDS
         ):
             self._test_starts.append((now, candidate))
-        limit = max(len(candidate), 1) / FALSE_STOP_RATE
-        for route, (trials, bad) in candidate.items():
-            known_trials, known_bad = current.get(route, (0, 0))
-            rate = (known_bad + PRIOR_BAD) / (known_trials + PRIOR_TRIALS)
-            baseline = min(rate + TOLERATED_RATE, 0.9)
-            capital = 0.0
-            for _, since in self._test_starts:
-                old_trials, old_bad = since.get(route, (0, 0))
-                new_bad = max(bad - old_bad, 0)
-                good = max(trials - old_trials - new_bad, 0)
-                capital += bet_above([Loss(1.0, new_bad), Loss(0.0, good)], baseline)
-            if capital / len(self._test_starts) >= limit:
+        baselines = {route: _find_baseline(current.get(route)) for route in candidate}
+        self._capitals = {
+            route: self._compute_capital([route], candidate, baselines)
+            for route in candidate
+        }
+        self._is_slower = is_slower(rollout, evidence)
+        judged, open_requests = _count_on_target(rollout, evidence)
+        self.is_undecided = open_requests > MAX_OPEN_RATIO * judged
+        self._capitals[ALL_ROUTES] = self._compute_capital(
+            list(candidate), candidate, baselines
+        )
+
+    @property
+    def regressed_route(self) -> str | None:
+        """Route on which the new version is shown to be bad, if any."""
+        return self._find_route(1.0 / FALSE_STOP_RATE)
+
+    @property
+    def suspected_route(self) -> str | None:
+        """Route on which the new version is more likely to be bad than not, if any."""
+        route = self._find_route(1.0 / FALSE_SUSPICION_RATE)
+        return ALL_ROUTES if route is None and self._is_slower else route
+
+    def _find_route(self, limit: float) -> str | None:
+        for route, capital in self._capitals.items():
+            if capital >= limit * len(self._capitals):
                 return route
         return None
 
+    def _compute_capital(
+        self,
+        routes: list[str],
+        candidate: dict[str, tuple[int, int]],
+        baselines: dict[str, float],
+    ) -> float:
+        """Return the mean capital of all tests on the requests of some routes."""
+        total = 0.0
+        for _, since in self._test_starts:
+            good = bad = 0
+            expected = 0.0
+            for route in routes:
+                trials, route_bad = candidate[route]
+                old_trials, old_bad = since.get(route, (0, 0))
+                new_bad = max(route_bad - old_bad, 0)
+                new_good = max(trials - old_trials - new_bad, 0)
+                bad += new_bad
+                good += new_good
+                expected += (new_bad + new_good) * baselines[route]
+            if not bad + good:
+                total += 1.0
+                continue
+            losses = [Loss(1.0, bad), Loss(0.0, good)]
+            total += bet_above(losses, expected / (bad + good))
+        return total / len(self._test_starts)
+
+
+def is_slower(rollout: ServiceRollout, evidence: Iterable[VersionEvidence]) -> bool:
+    """Whether requests end far less often on the new version, for their time.
+
+    The ends in a time are compared, as for lifetimes that are censored: a request that
+    is open counts with the time that it has taken so far. Both versions have the load
+    of the same moments.
+    """
+    current: dict[str, tuple[int, float]] = {}
+    candidate: dict[str, tuple[int, float]] = {}
+    for item in evidence:
+        if item.service != rollout.service:
+            continue
+        table = candidate if item.version == rollout.target else current
+        known_ended, known_seconds = table.get(item.route, (0, 0.0))
+        table[item.route] = (known_ended + item.ended, known_seconds + item.seconds)
+    expected = 0.0
+    total_ended = 0
+    for route, (ended, seconds) in candidate.items():
+        known_ended, known_seconds = current.get(route, (0, 0.0))
+        if known_seconds:
+            expected += seconds * known_ended / known_seconds
+            total_ended += ended
+    return _compute_poisson_tail(total_ended, expected / SLOWER_FACTOR) < SLOWER_RATE
+
 
 def choose_outcome(
     rollout: ServiceRollout,
@@ -193,6 +296,8 @@
     regressed_route: str | None,
     share: float,
     outstanding_before: int,
+    is_suspected: bool = False,
+    is_undecided: bool = False,
 ) -> RolloutOutcome:
     """Return the outcome of a roll-out, or that it is still in progress.
 
@@ -209,10 +314,16 @@
     outstanding_before : int
         Requests that are still open on other versions. Their endpoints stop without
         draining once the roll-out is completed.
+    is_suspected : bool
+        Whether the new version is likely to be bad.
+    is_undecided : bool
+        Whether far more of its requests are open than were judged.
     """
     if regressed_route is not None:
         return RolloutOutcome.ROLLED_BACK
     fraction = _compute_elapsed_fraction(rollout, elapsed_seconds)
+    if (is_suspected or is_undecided) and fraction >= END_FRACTION:
+        return RolloutOutcome.ROLLED_BACK
     if share < 1.0 or fraction < STAGES[-1][0]:
         return RolloutOutcome.IN_PROGRESS
     if fraction >= END_FRACTION:
@@ -227,13 +338,20 @@
     reports: Iterable[Iterable[VersionEvidence]],
 ) -> list[VersionEvidence]:
     """Return the summed evidence of all entries."""
-    totals: dict[tuple[ServiceName, str, str], tuple[int, int]] = {}
+    totals: dict[tuple[ServiceName, str, str], VersionEvidence] = {}
     for report in reports:
         for item in report:
             key = (item.service, item.version, item.route)
-            trials, bad = totals.get(key, (0, 0))
-            totals[key] = (trials + item.trials, bad + item.bad)
-    return [VersionEvidence(*key, trials, bad) for key, (trials, bad) in totals.items()]
+            known = totals.get(key, VersionEvidence(*key, 0, 0))
+            totals[key] = VersionEvidence(
+                *key,
+                known.trials + item.trials,
+                known.bad + item.bad,
+                known.open + item.open,
+                known.ended + item.ended,
+                known.seconds + item.seconds,
+            )
+    return list(totals.values())
 
 
 class SessionVersions:
@@ -289,6 +407,35 @@
     return elapsed_seconds / max(rollout.duration_seconds, MIN_DURATION_SECONDS)
 
 
+def _count_on_target(
+    rollout: ServiceRollout, evidence: Iterable[VersionEvidence]
+) -> tuple[int, int]:
+    """Return the number of judged and of other open requests on the new version."""
+    on_target = [
+        item
+        for item in evidence
+        if item.service == rollout.service and item.version == rollout.target
+    ]
+    judged = sum(item.trials for item in on_target)
+    return judged, sum(item.open for item in on_target)
+
+
+def _compute_poisson_tail(count: int, mean: float) -> float:
+    """Return the probability of at most `count` events where `mean` are expected."""
+    term = total = exp(-mean)
+    for number in range(1, count + 1):
+        term *= mean / number
+        total += term
+    return total
+
+
+def _find_baseline(counts: tuple[int, int] | None) -> float:
+    """Return the rate of bad answers that the new version may have on a route."""
+    trials, bad = counts or (0, 0)
+    rate = (bad + PRIOR_BAD) / (trials + PRIOR_TRIALS)
+    return min(rate + TOLERATED_RATE, 0.9)
+
+
 def _sum_by_route(
     evidence: Iterable[VersionEvidence], rollout: ServiceRollout, of_target: bool
 ) -> dict[str, tuple[int, int]]:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -7,7 +7,7 @@
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import HealthTable
-from bergamotwood_core.gateway.latency import LatencyTable, Timing
+from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
 from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import LoadTable
 from bergamotwood_core.gateway.notices import NoticeTable
@@ -27,7 +27,7 @@
 from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.counters import EntryCounters
 from bergamotwood_daemon.gateway.dialect import Dialect
-from bergamotwood_daemon.gateway.evidence import EvidenceCounter
+from bergamotwood_daemon.gateway.evidence import EvidenceCounter, OpenRequest
 from bergamotwood_daemon.gateway.liveness import LivenessChecker
 from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
@@ -187,10 +187,45 @@
             self.control_state.permits, self.control_state.requested_at
         )
 
+    def open_evidence(
+        self,
+        call: Call,
+        heartbeat: EndpointHeartbeat,
+        measure: Callable[[], Progress],
+    ) -> OpenRequest | None:
+        """Record that a request is sent, as evidence of a roll-out.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        heartbeat : EndpointHeartbeat
+            Its endpoint.
+        measure : callable
+            Returns how far the answer has got.
+
+        Returns
+        -------
+        OpenRequest or None
+            To be passed to `record_outcome`; None if there is no roll-out.
+        """
+        view = self.control_state.rollouts.get(call.service)
+        if view is None or view.rollout.outcome is not RolloutOutcome.IN_PROGRESS:
+            return None
+        route, model = call.route.name, call.model
+        return self.evidence.open(
+            view.rollout,
+            heartbeat.version,
+            call,
+            measure,
+            lambda progress: self.latencies.is_slow_already(route, model, progress),
+        )
+
     def record_outcome(
         self,
         call: Call,
         heartbeat: EndpointHeartbeat,
+        evidence: OpenRequest | None,
         is_bad: bool,
         timing: Timing | None,
     ) -> None:
@@ -202,14 +237,12 @@
         is_slow = timing is not None and self.latencies.is_slow(
             call.route.name, call.model, timing
         )
+        if evidence is not None:
+            self.evidence.close(evidence, is_bad or is_slow)
         view = self.control_state.rollouts.get(call.service)
         in_rollout = (
             view is not None and view.rollout.outcome is RolloutOutcome.IN_PROGRESS
         )
-        if in_rollout:
-            self.evidence.record(
-                view.rollout, heartbeat.version, call, is_bad or is_slow
-            )
         is_baseline = not in_rollout or heartbeat.version != view.rollout.target
         if timing is not None and not is_bad and is_baseline:
             self.latencies.record(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -20,7 +20,7 @@
     ServiceRoute,
 )
 from bergamotwood_core.gateway.health import AttemptResult
-from bergamotwood_core.gateway.latency import Timing
+from bergamotwood_core.gateway.latency import Progress, Timing
 from bergamotwood_core.gateway.models import (
     can_finish_in_time,
     choose_first_model,
@@ -46,6 +46,7 @@
     Outcome,
 )
 from bergamotwood_daemon.gateway.entry import GatewayEntry
+from bergamotwood_daemon.gateway.evidence import OpenRequest
 from bergamotwood_daemon.gateway.message import HttpResponse
 from bergamotwood_daemon.gateway.server import CallerDisconnectedError, Exchange
 from bergamotwood_daemon.gateway.streams import StreamRelay
@@ -271,6 +272,9 @@
         attempt = Attempt(
             entry, call, exchange.request, heartbeat, self._make_forward_metadata
         )
+        evidence = entry.open_evidence(
+            call, heartbeat, lambda: self._measure_progress(call, attempt, relay)
+        )
         outcome: Outcome | None = None
         try:
             outcome = self._run_attempt(call, candidate, attempt, exchange, relay)
@@ -280,7 +284,12 @@
             if outcome is not None:
                 timing = self._measure_timing(outcome, attempt, relay, started_at)
                 call.timing = timing
-                self._record_outcome(call, candidate, attempt, outcome, timing)
+                self._record_outcome(
+                    call, candidate, attempt, evidence, outcome, timing
+                )
+            if evidence is not None:
+                # Without an outcome, as when the caller has left, it tells nothing.
+                entry.evidence.close(evidence, None)
         return outcome
 
     def _run_attempt(
@@ -407,6 +416,18 @@
         unsent = isinstance(outcome, NotRun) and not outcome.was_sent
         return unsent or entry.budget.allows(call.service, now)
 
+    def _measure_progress(
+        self, call: Call, attempt: Attempt, relay: StreamRelay
+    ) -> Progress:
+        started_at = attempt.started_at
+        head_seconds = attempt.head_received_at - started_at
+        return Progress(
+            seconds=self._entry.clock() - started_at,
+            head_seconds=head_seconds if attempt.has_begun else None,
+            events=relay.events if attempt.has_begun else 0,
+            is_stream=call.route.kind is RouteKind.STREAMING,
+        )
+
     def _measure_timing(
         self,
         outcome: Outcome,
@@ -424,6 +445,7 @@
         call: Call,
         candidate: Candidate,
         attempt: Attempt,
+        evidence: OpenRequest | None,
         outcome: Outcome,
         timing: Timing,
     ) -> None:
@@ -440,7 +462,9 @@
         entry.counters.count_attempt(call, result)
         if isinstance(outcome, Answered | Delivered | MayHaveRun):
             is_bad = result is not AttemptResult.OK
-            entry.record_outcome(call, heartbeat, is_bad, None if is_bad else timing)
+            entry.record_outcome(
+                call, heartbeat, evidence, is_bad, None if is_bad else timing
+            )
         if result is AttemptResult.OK:
             return
         log_event(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -82,14 +82,13 @@
 
         To be called on the leader only.
         """
+        self.observe()
         settlements = []
         running = [
             rollout
             for rollout in self._list_rollouts()
             if rollout.outcome is RolloutOutcome.IN_PROGRESS
         ]
-        for index in set(self._detectors) - {rollout.index for rollout in running}:
-            del self._detectors[index]
         for rollout in running:
             outcome = self._decide_outcome(rollout)
             if outcome is not RolloutOutcome.IN_PROGRESS:
@@ -98,15 +97,18 @@
         return settlements
 
     def _decide_outcome(self, rollout: ServiceRollout) -> RolloutOutcome:
-        detector = self._detectors.setdefault(rollout.index, RegressionDetector())
+        detector = self._detectors[rollout.index]
         evidence = self._merge_evidence()
-        regressed_route = detector.find_regressed_route(
-            rollout, evidence, self._clock()
-        )
         view = self._make_view(rollout, evidence)
         outstanding = self._count_old_version_requests(rollout)
         outcome = choose_outcome(
-            rollout, view.elapsed_seconds, regressed_route, view.share, outstanding
+            rollout,
+            view.elapsed_seconds,
+            detector.regressed_route,
+            view.share,
+            outstanding,
+            detector.suspected_route is not None,
+            detector.is_undecided,
         )
         if outcome is not RolloutOutcome.IN_PROGRESS:
             log_event(
@@ -115,11 +117,21 @@
                 service=rollout.service,
                 target=rollout.target,
                 outcome=outcome,
-                harmed_route=regressed_route,
+                harmed_route=detector.regressed_route,
+                suspected_route=detector.suspected_route,
+                is_undecided=detector.is_undecided,
                 elapsed=round(view.elapsed_seconds, 2),
                 outstanding_before=outstanding,
                 evidence=[
-                    (item.version, item.route, item.trials, item.bad)
+                    (
+                        item.version,
+                        item.route,
+                        item.trials,
+                        item.bad,
+                        item.open,
+                        item.ended,
+                        round(item.seconds, 1),
+                    )
                     for item in evidence
                     if item.service == rollout.service
                 ],
@@ -133,12 +145,33 @@
         if rollout.outcome is not RolloutOutcome.IN_PROGRESS:
             share = 1.0 if rollout.outcome is RolloutOutcome.COMPLETED else 0.0
             return RolloutView(rollout, elapsed, share)
-        share = choose_share(rollout, elapsed, evidence, self._has_capacity(rollout))
+        detector = self._detectors.get(rollout.index)
+        share = choose_share(
+            rollout,
+            elapsed,
+            evidence,
+            self._has_capacity(rollout),
+            detector is not None and detector.suspected_route is not None,
+        )
         return RolloutView(rollout, elapsed, share)
 
     def observe(self) -> None:
-        """Note which roll-outs exist; to be called several times a second."""
-        self._list_rollouts()
+        """Note which roll-outs exist, and test them; to be called often.
+
+        Every replica does so, as each computes the shares for its entries.
+        """
+        running = {
+            rollout.index: rollout
+            for rollout in self._list_rollouts()
+            if rollout.outcome is RolloutOutcome.IN_PROGRESS
+        }
+        self._detectors = {
+            index: self._detectors.get(index) or RegressionDetector()
+            for index in running
+        }
+        evidence = self._merge_evidence() if running else []
+        for index, rollout in running.items():
+            self._detectors[index].update(rollout, evidence, self._clock())
 
     def _list_rollouts(self) -> list[ServiceRollout]:
         rollouts = list(self._machine.state.rollouts.values())
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -13,6 +13,7 @@
     choose_outcome,
     choose_share,
     is_on_target,
+    is_slower,
     merge_evidence,
 )
 from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
@@ -100,11 +101,12 @@
     while elapsed < seconds:
         elapsed += 0.25
         evidence = [VersionEvidence(SERVICE, v, "r", *c) for v, c in counts.items()]
-        regressed_route = detector.find_regressed_route(
-            rollout, evidence, Seconds(elapsed)
+        detector.update(rollout, evidence, Seconds(elapsed))
+        is_suspected = detector.suspected_route is not None
+        share = choose_share(rollout, elapsed, evidence, True, is_suspected)
+        outcome = choose_outcome(
+            rollout, elapsed, detector.regressed_route, share, 0, is_suspected
         )
-        share = choose_share(rollout, elapsed, evidence, True)
-        outcome = choose_outcome(rollout, elapsed, regressed_route, share, 0)
         if outcome is not RolloutOutcome.IN_PROGRESS:
             return outcome, counts["v2"][0], bad_answers
         for _ in range(int(rate * 0.25)):
@@ -153,3 +155,45 @@
     one = (VersionEvidence(SERVICE, "v2", "r", 3, 1),)
     other = (VersionEvidence(SERVICE, "v2", "r", 2, 0),)
     assert merge_evidence([one, other]) == [VersionEvidence(SERVICE, "v2", "r", 5, 1)]
+
+
+def make_version(version, ended, seconds, route="r", **changes):
+    return VersionEvidence(
+        SERVICE, version, route, ended, 0, ended=ended, seconds=seconds, **changes
+    )
+
+
+def test_a_version_whose_requests_stay_open_is_slower():
+    rollout = ServiceRollout(
+        SERVICE, "v2", 15.0, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
+    )
+    old = make_version("v1", 190, 250.0)
+    assert is_slower(rollout, [old, make_version("v2", 11, 70.0, open=20)])
+    # As many are open, but for as short a time as on the old version.
+    assert not is_slower(rollout, [old, make_version("v2", 11, 20.0, open=20)])
+    # Too little time to tell, and a route that the old version has not served.
+    assert not is_slower(rollout, [old, make_version("v2", 0, 3.0, open=3)])
+    other = make_version("v2", 0, 500.0, route="other")
+    assert not is_slower(rollout, [old, other])
+
+
+def test_a_suspected_version_gets_no_larger_share_and_is_rolled_back_at_the_end():
+    rollout = ServiceRollout(
+        SERVICE, "v2", 15.0, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
+    )
+    evidence = [make_version("v2", 50, 50.0)]
+    assert choose_share(rollout, 14.0, evidence, True) == 1.0
+    share = choose_share(rollout, 14.0, evidence, True, is_suspected=True)
+    assert share < 0.5
+    outcome = choose_outcome(rollout, 14.4, None, share, 0, is_suspected=True)
+    assert outcome is RolloutOutcome.ROLLED_BACK
+
+
+def test_open_requests_delay_the_last_stages():
+    rollout = ServiceRollout(
+        SERVICE, "v2", 15.0, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
+    )
+    judged = [make_version("v2", 20, 20.0, open=5)]
+    assert choose_share(rollout, 12.0, judged, True) == 1.0
+    undecided = [make_version("v2", 20, 20.0, open=25)]
+    assert choose_share(rollout, 12.0, undecided, True) < 0.5
