Clear a plain request at an entry by the successes of all entries

Replicas send entries the successes with the causes that are asked about, and a complete answer counts at once. The test fails without either.

--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -232,6 +232,10 @@
         """Return the successes that other replicas need to know."""
         return self._own_successes.list_reports(self._asked_at, now)
 
+    def list_successes(self, now: Seconds) -> tuple[CauseReport, ...]:
+        """Return the successes with the causes that entries are asked about."""
+        return self._successes.list_reports(self._asked_at, now)
+
     def list_ends(self, now: Seconds) -> tuple[EndpointCrash, ...]:
         """Return the recent ends that entries need to know, without the requests."""
         return self._all.list_crashes(now, with_requests=False)
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -277,6 +277,12 @@
                 Seconds(now - crash.age_seconds),
             )
 
+    def apply_successes(self, reports: Iterable[CauseReport], now: Seconds) -> None:
+        """Apply the certain successes that other entries have seen."""
+        for report in reports:
+            if report.is_certain:
+                self._put_success(report.cause, Seconds(now - report.age_seconds))
+
     def record_refusal(self, cause: Cause, now: Seconds) -> None:
         """Record that a request was refused because of a cause."""
         self._refused[cause] = now
@@ -336,8 +342,7 @@
 
         It does so until the control group decides, and while that is away.
         """
-        since = self._successes[cause.kind].get(cause, Seconds(float("-inf")))
-        since = max(since, now - LOCAL_SUSPENSION_SECONDS)
+        since = now - LOCAL_SUSPENSION_SECONDS
         crashes = [
             (key, at)
             for crashed, key, at in self._crashes
@@ -345,8 +350,23 @@
         ]
         if len({key for key, _ in crashes}) < MIN_CRASHES:
             return 0.0
+        served_at = self._find_last_served(cause)
+        if len({key for key, at in crashes if at > served_at}) < MIN_CRASHES:
+            return 0.0
         return max(at for _, at in crashes) + LOCAL_SUSPENSION_SECONDS - now
 
+    def _find_last_served(self, cause: Cause) -> Seconds:
+        """Return the time of the last success, certain or not."""
+        served_at = self._successes[cause.kind].get(cause, Seconds(float("-inf")))
+        for key, answer in self._answers:
+            if (
+                answer.is_complete
+                and cause in answer.request.list_causes(answer.service)
+                and not self._is_suspected(key, answer)
+            ):
+                served_at = max(served_at, answer.started_at)
+        return served_at
+
     def _record_end(
         self, key: IncarnationKey, service: ServiceName, at: Seconds
     ) -> EndedIncarnation:
@@ -396,8 +416,11 @@
     def _record_success(self, answer: StartedAnswer) -> None:
         at = Seconds(answer.started_at + SURVIVAL_SECONDS)
         for cause in answer.request.list_causes(answer.service):
-            successes = self._successes[cause.kind]
-            successes[cause] = max(at, successes.get(cause, at))
-            successes.move_to_end(cause)
-            if len(successes) > MAX_SUCCESSES:
-                successes.popitem(last=False)
+            self._put_success(cause, at)
+
+    def _put_success(self, cause: Cause, at: Seconds) -> None:
+        successes = self._successes[cause.kind]
+        successes[cause] = max(at, successes.get(cause, at))
+        successes.move_to_end(cause)
+        if len(successes) > MAX_SUCCESSES:
+            successes.popitem(last=False)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -16,7 +16,7 @@
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
 from bergamotwood_core.gateway.state_machine import decompress_document
-from bergamotwood_core.gateway.suspects import Cause, EndpointCrash
+from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
 from bergamotwood_core.gateway.suspensions import Suspension
 from bergamotwood_core.ids import (
     DataCentre,
@@ -64,6 +64,7 @@
         self.suspensions: tuple[Suspension, ...] = ()
         self.suspensions_index = LogIndex(-1)
         self.questions: tuple[Cause, ...] = ()
+        self.successes: tuple[CauseReport, ...] = ()
         self.ends: tuple[EndpointCrash, ...] = ()
         self.endpoint_limits: tuple[LimitReport, ...] = ()
         self.permits: tuple[RequestCount, ...] = ()
@@ -145,6 +146,7 @@
         ):
             self._update_suspensions(reply.suspensions, reply.suspensions_index)
         self.questions = reply.questions
+        self.successes = reply.successes
         self.ends = reply.ends
         self.endpoint_limits = reply.limits
         self.permits = reply.permits
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -182,6 +182,7 @@
             self.control_state.suspensions, self.control_state.requested_at
         )
         self.suspects.apply_ends(self.control_state.ends, self.clock())
+        self.suspects.apply_successes(self.control_state.successes, self.clock())
         self.limits.apply_reports(self.control_state.endpoint_limits, self.clock())
         self.limits.apply_permits(
             self.control_state.permits, self.control_state.requested_at
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -201,6 +201,8 @@
         Index of the last change of the suspensions.
     questions : tuple of Cause
         Causes of which the entry is to report successes.
+    successes : tuple of CauseReport
+        Last successes with these causes at all entries.
     ends : tuple of EndpointCrash
         Recent ends of endpoints that entries have noticed, without requests.
     limits : tuple of LimitReport
@@ -231,6 +233,7 @@
     suspensions: tuple[Suspension, ...] | None = None
     suspensions_index: LogIndex = LogIndex(0)
     questions: tuple[Cause, ...] = ()
+    successes: tuple[CauseReport, ...] = ()
     ends: tuple[EndpointCrash, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     permits: tuple[RequestCount, ...] = ()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -410,6 +410,7 @@
             else None,
             suspensions_index=state.suspensions_index,
             questions=self.suspensions.list_questions(),
+            successes=self.suspensions.list_successes(),
             ends=self.suspensions.list_ends(),
             limits=self.limits.list_all(self._clock()),
             permits=self._issue_permits(request),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
@@ -18,6 +18,7 @@
 from bergamotwood_core.gateway.suspects import (
     REPORT_SECONDS,
     Cause,
+    CauseReport,
     EndpointCrash,
 )
 from bergamotwood_core.gateway.suspensions import Suspension, compute_trial_delay
@@ -104,6 +105,10 @@
         """Return the recent ends of endpoints, for entries."""
         return self._evidence.list_ends(self._clock())
 
+    def list_successes(self) -> tuple[CauseReport, ...]:
+        """Return the successes with the causes that entries are asked about."""
+        return self._evidence.list_successes(self._clock())
+
     def list_questions(self) -> tuple[Cause, ...]:
         """Return the causes of which entries are to report successes."""
         return self._evidence.list_questions(self._list_suspended(), self._clock())
--- a/tests/core/gateway/test_suspects.py
+++ b/tests/core/gateway/test_suspects.py
@@ -9,6 +9,7 @@
     SURVIVAL_SECONDS,
     Cause,
     CauseKind,
+    CauseReport,
     EndpointCrash,
     ExecutedRequest,
     SuspectTable,
@@ -150,3 +151,20 @@
     causes = [make_part(f"p{at}") for at in range(MAX_ANSWERS + MAX_SUCCESSES)]
     last = Seconds(0.01 * len(causes) + CONCLUDED)
     assert len(table.list_successes(causes, last)) <= MAX_SUCCESSES
+
+
+def test_a_success_at_any_entry_ends_the_suspicion_of_a_plain_request():
+    """Guards against refusing a request that others send with success."""
+    plain = make_request(parts=(), has_begun=False)
+    for clear in ("own", "other"):
+        table = SuspectTable()
+        for at in range(3):
+            key = (EndpointId(f"e-{at}"), Incarnation(1))
+            table.record_crash(key, SERVICE, plain, Seconds(at))
+        assert table.measure_suspension(make_cause(), Seconds(3.0)) > 0.0
+        if clear == "own":
+            answer(table, E2, 3.0, parts=()).is_complete = True
+        else:
+            report = CauseReport(make_cause(), age_seconds=0.5)
+            table.apply_successes([report], Seconds(3.5))
+        assert table.measure_suspension(make_cause(), Seconds(4.0)) == 0.0
