--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -356,16 +356,15 @@
 @command()
 @option("--seed", default=1, help="First seed.")
 @option("--seeds", default=50, help="Number of seeds of each case.")
-@option("--short", is_flag=True, help="Five seeds of the small cases.")
-def main(seed: int, seeds: int, short: bool) -> None:
+@option("--large", is_flag=True, help="Play 390 entries instead of 9.")
+@option("--short", is_flag=True, help="Five seeds of each case.")
+def main(seed: int, seeds: int, large: bool, short: bool) -> None:
     """Find a prompt part that crashes endpoints, among crashes for other reasons."""
-    cases = [case for case in CASES if case.entries < 100] if short else CASES
     rows = []
-    for case in cases:
-        count = 5 if short else seeds
-        # The large cases take far longer, and vary less.
-        count = count if case.entries < 100 else max(count // 5, 1)
-        fleets = [CrashingFleet(case, seed + at) for at in range(count)]
+    for case in CASES:
+        if (case.entries > 100) is not large:
+            continue
+        fleets = [CrashingFleet(case, seed + at) for at in range(5 if short else seeds)]
         for fleet in fleets:
             fleet.run()
         rows.append(summarize(case, fleets))
