--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -261,27 +261,29 @@
         """Return the causes that the evidence names now, besides those suspended."""
         self.list_questions(suspended, now)
         incidents = self._list_unexplained(suspended, now)
-        counts = {
-            cause: count
-            for cause, count in self._count_crashes(incidents).items()
-            if now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
-        }
+        counts = self._count_crashes(incidents)
         repeated = _find_repeated(incidents)
         parts = {cause: count for cause, count in counts.items() if cause in repeated}
         served = self._successes.list_served(parts)
         named = choose_parts(parts, served)
-        if named:
-            return named
-        most = max(
-            (count for cause, count in parts.items() if cause not in served), default=0
-        )
+        if not named:
+            most = max(
+                (count for cause, count in parts.items() if cause not in served),
+                default=0.0,
+            )
+            named = [
+                cause
+                for cause, count in counts.items()
+                if cause.kind is CauseKind.REQUEST
+                and cause not in suspended
+                and count >= MIN_CRASHES
+                and count > most
+            ]
+        # A weaker cause is not named instead of one that is yet to be asked about.
         return [
             cause
-            for cause, count in counts.items()
-            if cause.kind is CauseKind.REQUEST
-            and cause not in suspended
-            and count >= MIN_CRASHES
-            and count > most
+            for cause in named
+            if now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
         ]
 
     def _list_unexplained(
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -206,3 +206,16 @@
     report = CauseReport(make_part("first"), 0.0, is_certain=False)
     complete.apply_report((), [report], Seconds(1.5))
     assert find(complete, 1.5) == ["bad"]
+
+
+def test_a_served_part_is_not_named_while_a_stronger_one_is_asked_about():
+    """Guards against suspending the first part of all prompts of a route."""
+    evidence = CrashEvidence()
+    succeed(evidence, "first", 0.0)
+    for at in range(5):
+        crash(evidence, 1.0 + 0.1 * at, make_request("first"))
+    # The part is seen at six ends within less time than it is asked about.
+    for at in range(6):
+        crash(evidence, 1.7 + 0.1 * at, make_request("bad"), make_request("first"))
+    assert evidence.find_causes(NONE, Seconds(2.3)) == []
+    assert find(evidence, 2.3) == ["bad"]
