--- a/packages/core/src/bergamotwood_core/gateway/limits.py
+++ b/packages/core/src/bergamotwood_core/gateway/limits.py
@@ -27,7 +27,7 @@
 PERMIT_SECONDS = 1.4
 # Permits that a replica saves, as the time in which they accumulate, but at least one.
 BURST_SECONDS = 0.5
-# Initial number of permits, and thus sooner than after a whole interval.
+# Permits that a replica begins with, so that the first one takes half an interval.
 INITIAL_PERMITS = 0.5
 # Requests a second that find out whether a limit still holds, at least.
 PROBE_RATE = 0.1
