Log and count the services that an entry cannot connect to

An entry now logs when connections to several endpoints of a service have failed and none has succeeded since (Service out of reach, Service in reach again), and counts these services in lost_services. No decision uses it yet.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -198,6 +198,7 @@
         except LimitReachedError as error:
             return NotRun(str(error), AttemptResult.FULL, was_sent=False)
         except NotConnectedError as error:
+            self._entry.record_failed_connection(self._call.service, self._key)
             self._record_refused_connection(error)
             return NotRun(str(error), AttemptResult.UNREACHABLE, was_sent=False)
         except ConnectionBrokenError as error:
@@ -309,6 +310,8 @@
             not self._call.route.is_retryable or not self._call.metadata.request
         )
         self._connection = self._entry.pool.acquire(self.heartbeat.address, must_be_new)
+        if not self._connection.is_reused:
+            self._entry.record_connection(self._call.service)
         metadata = self._make_metadata(self._call, self)
         headers = self._entry.dialect.write_forward(
             strip_connection_fields(request.headers), metadata
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -56,10 +56,16 @@
         Host and port.
     clock : callable
         Returns the current time.
+
+    Attributes
+    ----------
+    is_reused : bool
+        Whether it has already carried a request.
     """
 
     def __init__(self, address: str, clock: Callable[[], Seconds]) -> None:
         self.address = address
+        self.is_reused = False
         self.idle_until = Seconds(0.0)
         self._clock = clock
         self._http = h11.Connection(
@@ -151,6 +157,7 @@
             return False
         self._http.start_next_cycle()
         self._sender = None
+        self.is_reused = True
         self.idle_until = Seconds(self._clock() + self._idle_seconds)
         return True
 
@@ -219,6 +226,16 @@
             if connection.idle_until > self._clock() and connection.has_no_input:
                 return connection
             connection.close()
+        return self.open(address)
+
+    def open(self, address: str) -> EndpointConnection:
+        """Return a new connection to an endpoint.
+
+        Raises
+        ------
+        NotConnectedError
+            When it cannot be opened.
+        """
         connection = EndpointConnection(address, self._clock)
         connection.open()
         self.opened_connections += 1
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -10,8 +10,9 @@
 from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
 from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import LoadTable
-from bergamotwood_core.gateway.notices import NoticeTable
+from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
 from bergamotwood_core.gateway.placement import Placement
+from bergamotwood_core.gateway.reachability import ReachTable
 from bergamotwood_core.gateway.retries import RetryBudget
 from bergamotwood_core.gateway.rollout import (
     RolloutView,
@@ -21,7 +22,8 @@
 from bergamotwood_core.gateway.state_machine import RolloutOutcome
 from bergamotwood_core.gateway.suspects import SuspectTable
 from bergamotwood_core.gateway.suspensions import SuspensionTable
-from bergamotwood_core.ids import DataCentre, Incarnation, SessionId
+from bergamotwood_core.ids import DataCentre, Incarnation, ServiceName, SessionId
+from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.gateway.client import ConnectionPool
 from bergamotwood_daemon.gateway.controlpoller import ControlPoller
 from bergamotwood_daemon.gateway.controlstate import ControlState
@@ -31,7 +33,7 @@
 from bergamotwood_daemon.gateway.liveness import LivenessChecker
 from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
-from bergamotwood_daemon.log import count_dropped_lines
+from bergamotwood_daemon.log import count_dropped_lines, log_event
 
 # Maximum number of entries listed in one answer to a caller.
 MAX_ADDRESSES = 64
@@ -85,6 +87,7 @@
         self.liveness = LivenessChecker(dialect.liveness_target, clock)
         self.pool = ConnectionPool(clock)
         self.loads = LoadTable()
+        self.reach = ReachTable()
         self.placement = Placement(
             settings.data_centre,
             self.health,
@@ -250,6 +253,29 @@
                 call.route.name, call.model, timing, call.metadata.expected_tokens
             )
 
+    def record_connection(self, service: ServiceName) -> None:
+        """Record a new connection to an endpoint of a service."""
+        if self.reach.record_connection(service, self.clock()):
+            log_event("entry", "Service in reach again.", service=service)
+
+    def record_failed_connection(
+        self, service: ServiceName, key: IncarnationKey
+    ) -> None:
+        """Record that no connection to an endpoint could be opened."""
+        endpoints = sum(
+            heartbeat.service == service and heartbeat.state is EndpointState.SERVING
+            for heartbeat in self.control_state.heartbeats.values()
+        )
+        if self.reach.record_failure(service, key, endpoints, self.clock()):
+            log_event(
+                "entry",
+                "Service out of reach.",
+                service=service,
+                endpoints=endpoints,
+                silent_endpoints=len(self.control_state.silent_endpoints),
+                age=round(self.control_state.age, 2),
+            )
+
     def maintain(self) -> None:
         """Drop expired connections and state; to be called about every second."""
         self.pool.expire()
@@ -257,6 +283,9 @@
         self.notices.expire(self.clock())
         self.limits.expire(self.clock())
         self.liveness.expire()
+        self.reach.retain(
+            heartbeat.service for heartbeat in self.control_state.heartbeats.values()
+        )
         self.placement.prefix_cache.retain(set(self.control_state.heartbeats))
 
     def list_gauges(self) -> dict[str, float]:
@@ -273,6 +302,7 @@
             "suspensions": len(self.suspensions),
             "limited_endpoints": self.limits.count_limited(self.clock()),
             "silent_endpoints": len(self.control_state.silent_endpoints),
+            "lost_services": len(self.reach.list_lost()),
         }
 
     def _make_status(self) -> EntryStatus:
