--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -85,7 +85,7 @@
         self.notices = NoticeTable(rng)
         self.limits = LimitTable()
         self.liveness = LivenessChecker(dialect.liveness_target, clock)
-        self.pool = ConnectionPool(clock)
+        self.pool = self.make_pool()
         self.loads = LoadTable()
         self.reach = ReachTable()
         self.placement = Placement(
@@ -120,6 +120,10 @@
         self._incarnation = incarnation
         self._sequence = 0
 
+    def make_pool(self) -> ConnectionPool:
+        """Return the pool of connections to endpoints."""
+        return ConnectionPool(self.clock)
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this entry."""
--- a/tests/daemon/gateway/fleet.py
+++ b/tests/daemon/gateway/fleet.py
@@ -152,7 +152,7 @@
 class FleetEntry:
     """An entry that serves callers and polls the replicas of a fleet."""
 
-    def __init__(self, fleet, number, incarnation=1):
+    def __init__(self, fleet, number, incarnation=1, make_entry=GatewayEntry):
         settings = GatewaySettings(
             InstanceId(f"127.0.0.1:{number}"),
             f"entry-{number}",
@@ -160,7 +160,7 @@
             fleet.seeds,
             caller_address=Address("127.0.0.1", 0),
         )
-        self.entry = GatewayEntry(
+        self.entry = make_entry(
             settings,
             fleet.dialect,
             read_clock,
