Split the admission of requests from the forwarder

The forwarder had over 500 lines of two stages: whether a request may be forwarded, and where it goes. Moves only; no behaviour changes. Lint of the new tests.

--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
@@ -0,0 +1,177 @@
+"""Admission of callers' requests: route, key, suspensions and the first model."""
+
+from hashlib import sha256
+
+from bergamotwood_core.clock import Seconds
+from bergamotwood_core.errors import (
+    AuthorizationError,
+    Code,
+    RefusedError,
+    RequestError,
+)
+from bergamotwood_core.gateway.call import Call, RequestMetadata
+from bergamotwood_core.gateway.configuration import GatewayWorkspace, ServiceRoute
+from bergamotwood_core.gateway.models import choose_first_model
+from bergamotwood_core.gateway.placement import list_models
+from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
+from bergamotwood_core.ids import Fingerprint, ModelName
+from bergamotwood_daemon.gateway.entry import GatewayEntry
+from bergamotwood_daemon.gateway.server import Exchange
+from bergamotwood_daemon.log import log_event
+
+# Timeout of callers that state none.
+DEFAULT_CALLER_TIMEOUT_SECONDS = 10.0
+# Retry delay while this entry drains: the caller only has to connect to another one.
+DRAINING_RETRY_SECONDS = 0.02
+# Retry delay when a service has no endpoint: an endpoint that starts announces itself
+# within about one heartbeat.
+NO_ENDPOINT_RETRY_SECONDS = 0.6
+
+
+class RequestAdmission:
+    """Decides whether callers' requests may be forwarded.
+
+    Parameters
+    ----------
+    entry : GatewayEntry
+        Entry whose requests it admits.
+    """
+
+    def __init__(self, entry: GatewayEntry) -> None:
+        self._entry = entry
+
+    def admit(self, exchange: Exchange) -> Call:
+        """Return the call of a request that may be forwarded.
+
+        Raises
+        ------
+        RefusedError
+            When the entry stops, has no current configuration, or no endpoint can
+            serve the request.
+        RequestError
+            When the request is malformed or no route matches it.
+        AuthorizationError
+            When its key is unknown.
+        """
+        entry = self._entry
+        request = exchange.request
+        if entry.rejects_requests:
+            raise RefusedError(
+                "this entry stops",
+                Code.DRAINING,
+                retry_after=DRAINING_RETRY_SECONDS,
+            )
+        routing = entry.control_state.require_routing()
+        metadata = entry.dialect.read_call(request.headers)
+        route = routing.find_route(request.host, request.path)
+        if route is None:
+            raise RequestError(
+                f"no route for {request.host}{request.path}", Code.UNKNOWN_PATH
+            )
+        workspace = self._authorize(routing, route, metadata)
+        caller_timeout = metadata.timeout_seconds or DEFAULT_CALLER_TIMEOUT_SECONDS
+        call = Call(
+            metadata=metadata,
+            route=route,
+            workspace=workspace,
+            service=choose_destination(route, metadata.session or metadata.request),
+            received_at=Seconds(request.received_at),
+            deadline=Seconds(
+                request.received_at + min(caller_timeout, route.timeout_seconds)
+            ),
+            fingerprint=_make_fingerprint(exchange, workspace),
+            last_event_id=metadata.last_event_id,
+            model=metadata.model,
+        )
+        self.check_suspension(call)
+        entry.budget.record_request(call.service, entry.clock())
+        if metadata.accepts_any_model:
+            call.model = self._choose_model(call)
+        return call
+
+    def check_suspension(self, call: Call) -> None:
+        """Refuse a request that is known to crash endpoints, unless it is a trial.
+
+        Raises
+        ------
+        RefusedError
+            When it, or a part of its prompt, has crashed several endpoints.
+        """
+        entry = self._entry
+        if call.is_trial:
+            return
+        now = entry.clock()
+        suspension = entry.suspensions.find_suspended(call.causes)
+        if suspension is not None:
+            if entry.suspensions.take_trial(suspension, now):
+                call.is_trial = True
+                log_event("request", "Suspension tried.", **make_call_fields(call))
+                return
+            cause = suspension.cause
+            entry.suspects.record_refusal(cause, now)
+            seconds = entry.suspensions.measure_left(suspension, now)
+        else:
+            cause = call.causes[0]
+            seconds = entry.suspects.measure_suspension(cause, now)
+            if seconds <= 0.0:
+                return
+        raise RefusedError(
+            f"{cause.kind} {cause.id} crashed several endpoints;"
+            f" suspended for {seconds:.1f} s",
+            Code.SUSPENDED,
+            retry_after=seconds,
+        )
+
+    def _authorize(
+        self, routing: RoutingTable, route: ServiceRoute, metadata: RequestMetadata
+    ) -> GatewayWorkspace | None:
+        if not route.requires_key or not routing.has_workspaces:
+            return None
+        self._entry.control_state.require_lease()
+        workspace = routing.find_workspace(metadata.key)
+        if workspace is None:
+            raise AuthorizationError("unknown key")
+        return workspace
+
+    def _choose_model(self, call: Call) -> ModelName:
+        available = list_models(self._entry.control_state.heartbeats.values(), call)
+        model = choose_first_model(call.route.models, available)
+        if model is None:
+            raise RefusedError(
+                f"{call.service}: no endpoint holds a model of the route",
+                Code.NO_ENDPOINT,
+                retry_after=NO_ENDPOINT_RETRY_SECONDS,
+            )
+        return model
+
+    def recheck_key(self, call: Call) -> None:
+        """Refuse a request whose key was revoked while it waited."""
+        if call.workspace is None:
+            return
+        control_state = self._entry.control_state
+        control_state.require_lease()
+        if control_state.require_routing().find_workspace(call.metadata.key) is None:
+            raise AuthorizationError("the key was taken away")
+
+
+def make_call_fields(call: Call | None) -> dict[str, object]:
+    """Return the fields that log lines about a request have in common."""
+    if call is None:
+        return {}
+    return {
+        "request": call.metadata.request,
+        "route": call.route.name,
+        "workspace": call.workspace.name if call.workspace else None,
+        "service": call.service,
+        "model": call.model,
+    }
+
+
+def _make_fingerprint(
+    exchange: Exchange, workspace: GatewayWorkspace | None
+) -> Fingerprint:
+    request = exchange.request
+    digest = sha256(request.method + b" " + request.target + b"\n")
+    digest.update((workspace.name if workspace else "").encode() + b"\n")
+    digest.update(request.body)
+    return Fingerprint(digest.hexdigest()[:32])
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -1,7 +1,5 @@
 """Forwards callers' requests to endpoints, with retries, and returns the responses."""
 
-from hashlib import sha256
-
 import h11
 
 from bergamotwood_core.clock import Seconds
@@ -11,19 +9,13 @@
     Code,
     EndpointError,
     RefusedError,
-    RequestError,
-)
-from bergamotwood_core.gateway.call import Call, ForwardMetadata, RequestMetadata
-from bergamotwood_core.gateway.configuration import (
-    GatewayWorkspace,
-    RouteKind,
-    ServiceRoute,
 )
+from bergamotwood_core.gateway.call import Call, ForwardMetadata
+from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.health import AttemptResult
 from bergamotwood_core.gateway.latency import Progress, Timing
 from bergamotwood_core.gateway.models import (
     can_finish_in_time,
-    choose_first_model,
     choose_next_model,
 )
 from bergamotwood_core.gateway.notices import compute_return
@@ -33,9 +25,13 @@
     list_models,
 )
 from bergamotwood_core.gateway.retries import may_retry
-from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
-from bergamotwood_core.ids import Fingerprint, ModelName
+from bergamotwood_core.ids import ModelName
 from bergamotwood_core.states import Run
+from bergamotwood_daemon.gateway.admission import (
+    NO_ENDPOINT_RETRY_SECONDS,
+    RequestAdmission,
+    make_call_fields,
+)
 from bergamotwood_daemon.gateway.attempt import (
     Answered,
     Attempt,
@@ -53,15 +49,8 @@
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.web import PROBLEM_JSON, encode_problem
 
-# Timeout of callers that state none.
-DEFAULT_CALLER_TIMEOUT_SECONDS = 10.0
 # Retry delay sent to callers when every endpoint refused the request.
 OVERLOADED_RETRY_SECONDS = 0.3
-# Retry delay when a service has no endpoint: an endpoint that starts announces itself
-# within about one heartbeat.
-NO_ENDPOINT_RETRY_SECONDS = 0.6
-# Retry delay while this entry drains: the caller only has to connect to another one.
-DRAINING_RETRY_SECONDS = 0.02
 # Endpoints accept priorities from 0, the most urgent, to 9; routes seldom exceed 3.
 MAX_PRIORITY = 9
 
@@ -77,116 +66,25 @@
 
     def __init__(self, entry: GatewayEntry) -> None:
         self._entry = entry
+        self._admission = RequestAdmission(entry)
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         call: Call | None = None
         started_at = exchange.request.received_at
         try:
-            call = self._admit(exchange)
+            call = self._admission.admit(exchange)
             self._forward_converting_refusals(call, exchange)
             self._log_answer(call, exchange)
         except BergamotwoodError as error:
             self._answer_error(exchange, error)
         except CallerDisconnectedError:
-            log_event("request", "Caller disconnected.", **_make_call_fields(call))
+            log_event("request", "Caller disconnected.", **make_call_fields(call))
             raise
         finally:
             seconds = self._entry.clock() - started_at
             self._entry.counters.count_request(call, exchange, seconds)
 
-    def _admit(self, exchange: Exchange) -> Call:
-        entry = self._entry
-        request = exchange.request
-        if entry.rejects_requests:
-            raise RefusedError(
-                "this entry stops",
-                Code.DRAINING,
-                retry_after=DRAINING_RETRY_SECONDS,
-            )
-        routing = entry.control_state.require_routing()
-        metadata = entry.dialect.read_call(request.headers)
-        route = routing.find_route(request.host, request.path)
-        if route is None:
-            raise RequestError(
-                f"no route for {request.host}{request.path}", Code.UNKNOWN_PATH
-            )
-        workspace = self._authorize(routing, route, metadata)
-        caller_timeout = metadata.timeout_seconds or DEFAULT_CALLER_TIMEOUT_SECONDS
-        call = Call(
-            metadata=metadata,
-            route=route,
-            workspace=workspace,
-            service=choose_destination(route, metadata.session or metadata.request),
-            received_at=Seconds(request.received_at),
-            deadline=Seconds(
-                request.received_at + min(caller_timeout, route.timeout_seconds)
-            ),
-            fingerprint=_make_fingerprint(exchange, workspace),
-            last_event_id=metadata.last_event_id,
-            model=metadata.model,
-        )
-        self._check_suspension(call)
-        entry.budget.record_request(call.service, entry.clock())
-        if metadata.accepts_any_model:
-            call.model = self._choose_model(call)
-        return call
-
-    def _check_suspension(self, call: Call) -> None:
-        """Refuse a request that is known to crash endpoints, unless it is a trial.
-
-        Raises
-        ------
-        RefusedError
-            When it, or a part of its prompt, has crashed several endpoints.
-        """
-        entry = self._entry
-        if call.is_trial:
-            return
-        now = entry.clock()
-        suspension = entry.suspensions.find_suspended(call.causes)
-        if suspension is not None:
-            if entry.suspensions.take_trial(suspension, now):
-                call.is_trial = True
-                log_event("request", "Suspension tried.", **_make_call_fields(call))
-                return
-            cause = suspension.cause
-            entry.suspects.record_refusal(cause, now)
-            seconds = entry.suspensions.measure_left(suspension, now)
-        else:
-            cause = call.causes[0]
-            seconds = entry.suspects.measure_suspension(cause, now)
-            if seconds <= 0.0:
-                return
-        raise RefusedError(
-            f"{cause.kind} {cause.id} crashed several endpoints;"
-            f" suspended for {seconds:.1f} s",
-            Code.SUSPENDED,
-            retry_after=seconds,
-        )
-
-    def _authorize(
-        self, routing: RoutingTable, route: ServiceRoute, metadata: RequestMetadata
-    ) -> GatewayWorkspace | None:
-        if not route.requires_key or not routing.has_workspaces:
-            return None
-        self._entry.control_state.require_lease()
-        workspace = routing.find_workspace(metadata.key)
-        if workspace is None:
-            raise AuthorizationError("unknown key")
-        return workspace
-
-    def _choose_model(self, call: Call) -> ModelName:
-        available = list_models(self._entry.control_state.heartbeats.values(), call)
-        model = choose_first_model(call.route.models, available)
-        if model is None:
-            raise RefusedError(
-                f"{call.service}: no endpoint holds a model of the route",
-                Code.NO_ENDPOINT,
-                retry_after=NO_ENDPOINT_RETRY_SECONDS,
-            )
-        return model
-
     def _forward_converting_refusals(self, call: Call, exchange: Exchange) -> None:
         """Forward a request, and convert refusals after an attempt that may have run.
 
@@ -316,7 +214,7 @@
             log_event(
                 "attempt",
                 "Answer dropped for a larger model.",
-                **_make_call_fields(call),
+                **make_call_fields(call),
                 endpoint=attempt.heartbeat.endpoint,
                 confidence=call.confidence,
                 larger=larger,
@@ -365,7 +263,7 @@
         log_event(
             "attempt",
             "No time for a larger model.",
-            **_make_call_fields(call),
+            **make_call_fields(call),
             larger=model,
             expected_tokens=call.metadata.expected_tokens,
             expected_seconds=round(seconds, 2),
@@ -374,8 +272,8 @@
         return False
 
     def _make_forward_metadata(self, call: Call, attempt: Attempt) -> ForwardMetadata:
-        self._recheck_key(call)
-        self._check_suspension(call)
+        self._admission.recheck_key(call)
+        self._admission.check_suspension(call)
         return ForwardMetadata(
             endpoint=attempt.heartbeat.endpoint,
             timeout_seconds=call.deadline - self._entry.clock(),
@@ -387,15 +285,6 @@
             last_event_id=call.last_event_id,
         )
 
-    def _recheck_key(self, call: Call) -> None:
-        """Refuse a request whose key was revoked while it waited."""
-        if call.workspace is None:
-            return
-        control_state = self._entry.control_state
-        control_state.require_lease()
-        if control_state.require_routing().find_workspace(call.metadata.key) is None:
-            raise AuthorizationError("the key was taken away")
-
     def _should_retry_answer(self, call: Call, outcome: Answered) -> bool:
         if outcome.response.status < 500:
             return False
@@ -470,7 +359,7 @@
         log_event(
             "attempt",
             "Attempt failed.",
-            **_make_call_fields(call),
+            **make_call_fields(call),
             endpoint=heartbeat.endpoint,
             address=heartbeat.address,
             number=len(call.tried_endpoints),
@@ -514,7 +403,7 @@
         log_event(
             "request",
             "Answered.",
-            **_make_call_fields(call),
+            **make_call_fields(call),
             status=exchange.status,
             endpoints=call.tried_endpoints,
             confidence=call.confidence,
@@ -552,16 +441,6 @@
         exchange.answer(HttpResponse(error.status, headers, encode_problem(error)))
 
 
-def _make_fingerprint(
-    exchange: Exchange, workspace: GatewayWorkspace | None
-) -> Fingerprint:
-    request = exchange.request
-    digest = sha256(request.method + b" " + request.target + b"\n")
-    digest.update((workspace.name if workspace else "").encode() + b"\n")
-    digest.update(request.body)
-    return Fingerprint(digest.hexdigest()[:32])
-
-
 def _make_timing_fields(timing: Timing | None) -> dict[str, object]:
     if timing is None or not timing.events:
         return {}
@@ -570,15 +449,3 @@
         "head_milliseconds": round(1000 * timing.head_seconds, 1),
         "event_milliseconds": round(1000 * timing.event_seconds, 1),
     }
-
-
-def _make_call_fields(call: Call | None) -> dict[str, object]:
-    if call is None:
-        return {}
-    return {
-        "request": call.metadata.request,
-        "route": call.route.name,
-        "workspace": call.workspace.name if call.workspace else None,
-        "service": call.service,
-        "model": call.model,
-    }
--- a/tests/daemon/gateway/partitions.py
+++ b/tests/daemon/gateway/partitions.py
@@ -33,7 +33,7 @@
         self._sock = Socket(AF_INET, SOCK_STREAM)
         self._sock.bind(("127.0.0.1", 0))
         self._sock.listen(0)
-        self.address = "127.0.0.1:%d" % self._sock.getsockname()[1]
+        self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
         self._waiting = []
         for _ in range(4):
             waiting = Socket(AF_INET, SOCK_STREAM)
@@ -85,7 +85,7 @@
             case Partition.HANG:
                 return self._deaf.address
             case Partition.RESET | Partition.REFUSE_NEW:
-                return "127.0.0.1:%d" % self._refusing.getsockname()[1]
+                return f"127.0.0.1:{self._refusing.getsockname()[1]}"
         if address not in self._links:
             link = StreamServer(
                 ("127.0.0.1", 0), lambda sock, _: self._serve(sock, address)
--- a/tests/daemon/gateway/test_partitioned_entries.py
+++ b/tests/daemon/gateway/test_partitioned_entries.py
@@ -54,8 +54,7 @@
         self._callers = []
         self._sent = 0
         for entry in self.entries:
-            state = entry.entry.control_state
-            self.wait_for(lambda: state.routing and len(state.heartbeats) >= SERVERS)
+            self._wait_for_endpoints(entry.entry.control_state)
 
     def partition(self, entries, partition):
         for entry in entries:
@@ -98,6 +97,9 @@
             entry.entry.pool.stop()
         super().stop()
 
+    def _wait_for_endpoints(self, state):
+        self.wait_for(lambda: state.routing and len(state.heartbeats) >= SERVERS)
+
     def _call(self, entry, path):
         self._sent += 1
         at = read_clock()
