Split outcomes and the reading of responses from attempts

An entry is to read responses of other entries like those of endpoints. Tests patch the constants where they are now.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -1,7 +1,6 @@
 """One attempt to get a response to a request from one endpoint."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import h11
 
@@ -13,24 +12,21 @@
 from bergamotwood_core.gateway.suspects import SURVIVAL_SECONDS, StartedAnswer
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
-    EndpointConnection,
     NotConnectedError,
     ResponseTimeoutError,
 )
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.message import (
     HttpRequest,
-    HttpResponse,
-    is_framed,
     read_retry_after,
     strip_connection_fields,
 )
+from bergamotwood_daemon.gateway.outcome import MayHaveRun, NotRun, Outcome
+from bergamotwood_daemon.gateway.reader import ResponseReader
 from bergamotwood_daemon.log import log_event
 
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
-# Time after the deadline for which bytes that have arrived are still read.
-DEADLINE_SLACK_SECONDS = 0.25
 # Interim responses accepted before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
 # Time without a response head after which a retryable request is retried at another
@@ -39,68 +35,13 @@
 MIN_HEAD_TIMEOUT_SECONDS = 0.4
 # Interval of the check whether the endpoint has stopped sending heartbeats.
 SILENCE_CHECK_SECONDS = 0.5
-# Largest response that is buffered until it is complete.
-MAX_RESPONSE_BYTES = 4 * 1024 * 1024
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """The endpoint sent a complete response."""
-
-    response: HttpResponse
-
-    @property
-    def result(self) -> AttemptResult:
-        """Result to record in the endpoint's health."""
-        return AttemptResult.ERROR if self.response.status >= 500 else AttemptResult.OK
-
-    @property
-    def reason(self) -> str:
-        """Status of the response, as the reason of a failure."""
-        return f"status {self.response.status}"
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The endpoint has certainly not run the request."""
-
-    reason: str
-    result: AttemptResult
-    was_sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class MayHaveRun:
-    """The endpoint may have run the request."""
-
-    reason: str
-    result: AttemptResult
-
-
-@dataclass(frozen=True, slots=True)
-class Discarded:
-    """The response was discarded, because a larger model is to answer."""
-
-    reason: str
-    result: AttemptResult = AttemptResult.OK
-
-
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    """The complete response was streamed to the caller."""
-
-    reason: str = ""
-    result: AttemptResult = AttemptResult.OK
-
-
-Outcome = Answered | NotRun | MayHaveRun | Discarded | Delivered
 
 
 class LimitReachedError(Exception):
     """The endpoint's limit allows no further request now; nothing was sent."""
 
 
-class Attempt:
+class Attempt(ResponseReader):
     """Sends a request to an endpoint and reads the response.
 
     Parameters
@@ -134,6 +75,7 @@
         heartbeat: EndpointHeartbeat,
         make_metadata: Callable[[Call, "Attempt"], ForwardMetadata],
     ) -> None:
+        super().__init__(entry, call, entry.pool)
         self.heartbeat = heartbeat
         self.started_at = entry.clock()
         self.head_received_at = self.started_at
@@ -141,11 +83,8 @@
         self.has_begun = False
         self._key = (heartbeat.endpoint, heartbeat.incarnation)
         self._allowed_until = entry.limits.take_permit(self._key, self.started_at)
-        self._entry = entry
-        self._call = call
         self._request = request
         self._make_metadata = make_metadata
-        self._connection: EndpointConnection | None = None
 
     def fetch(self) -> Outcome:
         """Send the request and return the complete response, or why there is none."""
@@ -154,43 +93,6 @@
             return head
         return self.read_body(head, self._compute_time_left)
 
-    def read_body(
-        self, head: h11.Response, compute_timeout: Callable[[], float]
-    ) -> Outcome:
-        """Read the body of a response and return the complete response.
-
-        Parameters
-        ----------
-        head : h11.Response
-            Head of the response.
-        compute_timeout : callable
-            Returns the seconds to wait for the next chunk.
-        """
-        pieces = []
-        size = 0
-        try:
-            while True:
-                event = self.receive(compute_timeout())
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                self.check_deadline()
-                pieces.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_RESPONSE_BYTES:
-                    return MayHaveRun(
-                        "answer too large",
-                        AttemptResult.BROKEN,
-                    )
-        except ConnectionBrokenError as error:
-            return MayHaveRun(str(error), AttemptResult.BROKEN)
-        except ResponseTimeoutError as error:
-            return MayHaveRun(str(error), AttemptResult.SILENT)
-        self.release_connection()
-        if not is_framed(list(head.headers)):
-            self.record_unframed_end()
-        headers = strip_connection_fields(list(head.headers))
-        return Answered(HttpResponse(head.status_code, headers, b"".join(pieces)))
-
     def send_request(self) -> h11.Response | Outcome:
         """Send the request and return the response's head, or why none is valid."""
         try:
@@ -226,7 +128,7 @@
             As for `EndpointConnection.receive`.
         """
         try:
-            event = self._connection.receive(max(seconds, 0.0))
+            event = super().receive(seconds)
         except ConnectionBrokenError:
             self._record_crash()
             raise
@@ -235,24 +137,9 @@
         )
         return event
 
-    def check_deadline(self) -> None:
-        """Check that the request's deadline has not passed for some time.
-
-        An endpoint that sends bytes without end would otherwise never time out. An
-        answer that is complete is delivered whenever its end is read.
-
-        Raises
-        ------
-        ResponseTimeoutError
-            When the deadline has passed.
-        """
-        if self._compute_time_left() < -DEADLINE_SLACK_SECONDS:
-            raise ResponseTimeoutError(f"{self.heartbeat.address}: past the deadline")
-
     def release_connection(self) -> None:
         """Return the connection to the pool for another request."""
-        self._entry.pool.release(self._connection)
-        self._connection = None
+        super().release_connection()
         if self._answer is not None:
             self._answer.is_complete = True
 
@@ -275,11 +162,9 @@
 
     def close(self) -> None:
         """Close the connection, so that the endpoint stops running the request."""
-        if self._connection is not None:
-            if self._answer is not None:
-                self._answer.is_conclusive = False
-            self._connection.close()
-            self._connection = None
+        if self._connection is not None and self._answer is not None:
+            self._answer.is_conclusive = False
+        super().close()
 
     def _record_crash(self) -> None:
         entry, call = self._entry, self._call
@@ -437,6 +322,3 @@
             MIN_HEAD_TIMEOUT_SECONDS,
         )
         return min(timeout, left)
-
-    def _compute_time_left(self) -> float:
-        return self._call.deadline - self._entry.clock()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -12,6 +12,7 @@
 from bergamotwood_core.gateway.latency import LatencyReport
 from bergamotwood_core.gateway.limits import LimitReport, RequestCount
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
@@ -28,7 +29,7 @@
     SessionId,
 )
 from bergamotwood_daemon.gateway.dialect import Dialect
-from bergamotwood_daemon.gateway.peermessages import Cursors, EntryAddress, SyncReply
+from bergamotwood_daemon.gateway.peermessages import Cursors, SyncReply
 from bergamotwood_daemon.log import log_event
 
 # Retry delay sent to callers of an entry without a current configuration. After a
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -13,12 +13,12 @@
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.latency import LatencyReport, merge_latencies
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.gateway.retries import UsageReport, merge_usage
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
 from bergamotwood_core.ids import EndpointId, InstanceId, ModelName, SessionId
 from bergamotwood_daemon.gateway.peermessages import (
-    EntryAddress,
     EntryMember,
     EntryStatus,
     ReplicaSummary,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -10,6 +10,7 @@
 from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
 from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import LoadTable
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
 from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.gateway.reachability import ReachTable
@@ -31,7 +32,7 @@
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.evidence import EvidenceCounter, OpenRequest
 from bergamotwood_daemon.gateway.liveness import LivenessChecker
-from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
+from bergamotwood_daemon.gateway.peermessages import EntryStatus
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import count_dropped_lines, log_event
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -32,18 +32,18 @@
     RequestAdmission,
     make_call_fields,
 )
-from bergamotwood_daemon.gateway.attempt import (
+from bergamotwood_daemon.gateway.attempt import Attempt
+from bergamotwood_daemon.gateway.entry import GatewayEntry
+from bergamotwood_daemon.gateway.evidence import OpenRequest
+from bergamotwood_daemon.gateway.message import HttpResponse
+from bergamotwood_daemon.gateway.outcome import (
     Answered,
-    Attempt,
     Delivered,
     Discarded,
     MayHaveRun,
     NotRun,
     Outcome,
 )
-from bergamotwood_daemon.gateway.entry import GatewayEntry
-from bergamotwood_daemon.gateway.evidence import OpenRequest
-from bergamotwood_daemon.gateway.message import HttpResponse
 from bergamotwood_daemon.gateway.server import CallerDisconnectedError, Exchange
 from bergamotwood_daemon.gateway.streams import StreamRelay
 from bergamotwood_daemon.log import log_event
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -8,6 +8,7 @@
 from bergamotwood_core.gateway.latency import LatencyReport
 from bergamotwood_core.gateway.limits import LimitReport, RequestCount
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.notices import LeavingEndpoint
 from bergamotwood_core.gateway.prefill import Histogram
 from bergamotwood_core.gateway.retries import UsageReport
@@ -26,27 +27,6 @@
 )
 
 
-class EntryAddress(Struct, frozen=True, array_like=True):
-    """Address of an entry for callers.
-
-    Parameters
-    ----------
-    instance : InstanceId
-        Address of the entry for other daemons.
-    address : str
-        Address that callers connect to.
-    data_centre : DataCentre
-        Data centre in which it runs.
-    is_ready : bool
-        Whether callers should connect to it.
-    """
-
-    instance: InstanceId
-    address: str
-    data_centre: DataCentre
-    is_ready: bool
-
-
 class EntryStatus(Struct, frozen=True, array_like=True):
     """Status report of an entry.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -9,19 +9,19 @@
     StreamEvent,
 )
 from bergamotwood_core.gateway.health import AttemptResult
-from bergamotwood_daemon.gateway.attempt import (
-    Answered,
-    Attempt,
-    Delivered,
-    MayHaveRun,
-    Outcome,
-)
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     ResponseTimeoutError,
 )
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.message import is_framed, strip_connection_fields
+from bergamotwood_daemon.gateway.outcome import (
+    Answered,
+    Delivered,
+    MayHaveRun,
+    Outcome,
+)
+from bergamotwood_daemon.gateway.reader import ResponseReader
 from bergamotwood_daemon.gateway.server import Exchange
 
 # Idle time after which a stream resumes at another endpoint, in multiples of the
@@ -62,7 +62,7 @@
         # Only decimal ids are ordered; of the others, those sent are remembered.
         self._sent_ids: set[str] = set()
 
-    def forward(self, attempt: Attempt, head: h11.Response) -> Outcome:
+    def forward(self, attempt: ResponseReader, head: h11.Response) -> Outcome:
         """Forward an endpoint's response until it ends or fails."""
         if not 200 <= head.status_code < 300:
             return self._read_error(attempt, head)
@@ -94,7 +94,7 @@
             return Delivered()
         return MayHaveRun("ended within an event", AttemptResult.BROKEN)
 
-    def _read_error(self, attempt: Attempt, head: h11.Response) -> Outcome:
+    def _read_error(self, attempt: ResponseReader, head: h11.Response) -> Outcome:
         outcome = attempt.read_body(head, self._compute_read_timeout)
         if self.has_started and isinstance(outcome, Answered):
             return MayHaveRun(outcome.reason, AttemptResult.ERROR)
--- a/tests/daemon/gateway/fleet.py
+++ b/tests/daemon/gateway/fleet.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.errors import BergamotwoodError, ReplicationError
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.ids import Incarnation, InstanceId, Sequence
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
@@ -18,7 +19,7 @@
 from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
-from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
+from bergamotwood_daemon.gateway.peermessages import EntryStatus
 from bergamotwood_daemon.gateway.replica import GatewayReplica
 from bergamotwood_daemon.gateway.server import HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
--- a/tests/daemon/gateway/test_endpoint_trouble.py
+++ b/tests/daemon/gateway/test_endpoint_trouble.py
@@ -9,7 +9,8 @@
 from gevent import sleep
 
 from bergamotwood_core.gateway.configuration import RouteKind
-from bergamotwood_daemon.gateway import attempt as attempt_module
+from bergamotwood_daemon.gateway import reader as reader_module
+from bergamotwood_daemon.gateway.attempt import Attempt
 
 PLAIN_ROUTE = make_route(requires_key=False, max_attempts=3)
 STREAM_ROUTE = make_route(
@@ -154,7 +155,7 @@
 def test_a_body_without_end_is_given_up_within_its_limit(
     make_harness, monkeypatch, kind
 ):
-    monkeypatch.setattr(attempt_module, "MAX_RESPONSE_BYTES", 1_000_000)
+    monkeypatch.setattr(reader_module, "MAX_RESPONSE_BYTES", 1_000_000)
     sent = []
 
     def act(arrival):
@@ -302,9 +303,9 @@
 def test_a_complete_answer_is_delivered_however_late_its_end_is_read(
     make_harness, monkeypatch
 ):
-    monkeypatch.setattr(attempt_module, "DEADLINE_SLACK_SECONDS", 0.0)
+    monkeypatch.setattr(reader_module, "DEADLINE_SLACK_SECONDS", 0.0)
     harness = make_harness(configure(PLAIN_ROUTE), one=answer)
-    attempt = attempt_module.Attempt
+    attempt = Attempt
     monkeypatch.setattr(attempt, "_compute_time_left", lambda self: 1.0)
     receive = attempt.receive
 
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -6,6 +6,7 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -18,7 +19,7 @@
     SUMMARY_EXPIRY_SECONDS,
     EntryTable,
 )
-from bergamotwood_daemon.gateway.peermessages import EntryAddress, EntryStatus
+from bergamotwood_daemon.gateway.peermessages import EntryStatus
 
 ENDPOINT = EndpointId("e-1")
 
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -10,6 +10,7 @@
     RequestError,
 )
 from bergamotwood_core.gateway.load import EndpointLoad
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.state_machine import RolloutOutcome
 from bergamotwood_core.ids import (
     DataCentre,
@@ -25,7 +26,6 @@
     ENCODER,
     SYNC_REPLY,
     Cursors,
-    EntryAddress,
     EntryStatus,
     SyncRequest,
 )
