Relay requests of an entry that cannot connect to a service to entries that can

Cause: an entry took its own view of the endpoints for the fleet's. Where no connection succeeded it refused, though it reached entries that reach the endpoints. Class: one's own view taken for everybody's.

Change: once new connections to two endpoints of a service (or its only one) have failed and none succeeded since, the service is lost for this entry. An entry that cannot serve one declines, and up to three are asked. Entries report what they have lost, so nobody relays to them, callers are sent elsewhere, and when all have lost a service requests are refused at once. Probes of the entry, bounded over all entries, find the way back; no request is tried for it. What a partitioned entry takes for ends of endpoints is not reported, and an entry trusts newer bytes of its own more than another's report.

More tests: nothing is passed on when all are partitioned, requests go straight again within 1.5 s, addresses, no false ends or suspensions at others, nothing runs twice and no refused request has run.

--- a/packages/core/src/bergamotwood_core/errors.py
+++ b/packages/core/src/bergamotwood_core/errors.py
@@ -31,6 +31,7 @@
     DRAINING = 1304
     QUARANTINED = 1305
     SUSPENDED = 1306
+    OUT_OF_REACH = 1307
     KEY_CONFLICT = 1401
     IN_PROGRESS = 1402
     OUTCOME_UNKNOWN = 1403
@@ -78,6 +79,7 @@
     Code.DRAINING: 503,
     Code.QUARANTINED: 422,
     Code.SUSPENDED: 503,
+    Code.OUT_OF_REACH: 503,
     Code.KEY_CONFLICT: 409,
     Code.IN_PROGRESS: 409,
     Code.OUTCOME_UNKNOWN: 502,
--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -9,6 +9,7 @@
 from bergamotwood_core.ids import (
     EndpointId,
     Fingerprint,
+    InstanceId,
     ModelName,
     PromptPartId,
     RequestId,
@@ -160,6 +161,15 @@
     is_trial : bool
         Whether it is sent although a cause that it has is suspended. It is sent to
         one endpoint only.
+    relayed_by : InstanceId or None
+        Entry that has relayed it to this one; it is not relayed again.
+    relayed_to : InstanceId or None
+        Entry that it was relayed to last.
+    relayed_executions : int
+        Possible executions before it was relayed to this entry.
+    has_fixed_model : bool
+        Whether a part of the answer was delivered before it was relayed, so that no
+        other model may answer.
     """
 
     metadata: RequestMetadata
@@ -176,6 +186,10 @@
     confidence: float | None = None
     timing: Timing | None = None
     is_trial: bool = False
+    relayed_by: InstanceId | None = None
+    relayed_to: InstanceId | None = None
+    relayed_executions: int = 0
+    has_fixed_model: bool = False
 
     @property
     def causes(self) -> list[Cause]:
--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -114,6 +114,19 @@
         last_received_at = self.find(endpoint, incarnation).last_received_at
         return now - last_received_at > MAX_TRAFFIC_GAP_SECONDS
 
+    def forgive_failed_connections(self, endpoint: EndpointId) -> None:
+        """End the pause of an endpoint to which connections have failed."""
+        known = self._health.get(endpoint)
+        if known is not None and known.failures:
+            known.failures = 0
+            known.paused_until = Seconds(0.0)
+
+    def has_received_since(
+        self, endpoint: EndpointId, incarnation: Incarnation, at: Seconds
+    ) -> bool:
+        """Whether data was received from an endpoint after some time."""
+        return self.find(endpoint, incarnation).last_received_at > at
+
     def retain(self, endpoints: set[EndpointId]) -> None:
         """Remove all endpoints except the given ones."""
         for endpoint in set(self._health) - endpoints:
--- a/packages/core/src/bergamotwood_core/gateway/reachability.py
+++ b/packages/core/src/bergamotwood_core/gateway/reachability.py
@@ -9,10 +9,12 @@
 """
 
 from collections.abc import Iterable
+from random import Random
 
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.notices import IncarnationKey
 from bergamotwood_core.ids import ServiceName
 
@@ -21,6 +23,12 @@
 # Time for which a failed connection counts; longer than any pause of an endpoint after
 # a failed connection.
 FAILURE_SECONDS = 6.0
+# Time between two probes of a lost service by one entry, and the number of probes a
+# second that all entries together send to a service.
+PROBE_INTERVAL_SECONDS = 0.3
+MAX_PROBES_PER_SECOND = 100.0
+# Probes at a time of endpoints to which no connection has failed yet.
+MAX_FIRST_PROBES = 3
 NEVER = Seconds(float("-inf"))
 
 
@@ -74,13 +82,13 @@
             Time at which the connection failed.
         """
         reach = self._services.setdefault(service, ServiceReach())
+        reach.failures[key] = now
+        if reach.lost_at is not None:
+            return False
         for other in [
             other for other, at in reach.failures.items() if now - at > FAILURE_SECONDS
         ]:
             del reach.failures[other]
-        reach.failures[key] = now
-        if reach.lost_at is not None:
-            return False
         if len(reach.failures) < min(MIN_FAILED_ENDPOINTS, max(endpoints, 1)):
             return False
         reach.lost_at = min(reach.failures.values())
@@ -91,6 +99,13 @@
         reach = self._services.get(service)
         return reach is not None and reach.lost_at is not None
 
+    def has_failed(self, service: ServiceName, key: IncarnationKey) -> bool:
+        """Whether connections to an endpoint have failed in the loss of its service.
+
+        Only probes are sent there until one succeeds.
+        """
+        return self.is_lost(service) and key in self._services[service].failures
+
     def is_doubtful(self, service: ServiceName) -> bool:
         """Whether the service is lost, or another one was lost since it was reached."""
         reach = self._services.get(service, ServiceReach())
@@ -109,3 +124,33 @@
         """Remove all services except those that have endpoints."""
         for service in self._services.keys() - set(services):
             del self._services[service]
+
+
+def choose_probes(
+    heartbeats: list[EndpointHeartbeat], table: ReachTable, rng: Random
+) -> list[EndpointHeartbeat]:
+    """Return the endpoints of one service to probe next.
+
+    Those come first to which no connection has failed yet.
+    """
+    untried = [
+        heartbeat
+        for heartbeat in heartbeats
+        if not table.has_failed(
+            heartbeat.service, (heartbeat.endpoint, heartbeat.incarnation)
+        )
+    ]
+    if untried:
+        return rng.sample(untried, min(len(untried), MAX_FIRST_PROBES))
+    return [rng.choice(heartbeats)] if heartbeats else []
+
+
+def compute_probe_interval(entries: int) -> float:
+    """Return the seconds between an entry's probes of a lost service.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries that probe at the same time.
+    """
+    return max(PROBE_INTERVAL_SECONDS, entries / MAX_PROBES_PER_SECOND)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
@@ -13,6 +13,7 @@
 from bergamotwood_core.gateway.configuration import GatewayWorkspace, ServiceRoute
 from bergamotwood_core.gateway.models import choose_first_model
 from bergamotwood_core.gateway.placement import list_models
+from bergamotwood_core.gateway.relays import RelayedRequest
 from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
 from bergamotwood_core.ids import Fingerprint, ModelName
 from bergamotwood_daemon.gateway.entry import GatewayEntry
@@ -40,9 +41,16 @@
     def __init__(self, entry: GatewayEntry) -> None:
         self._entry = entry
 
-    def admit(self, exchange: Exchange) -> Call:
+    def admit(self, exchange: Exchange, relayed: RelayedRequest | None = None) -> Call:
         """Return the call of a request that may be forwarded.
 
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        relayed : RelayedRequest or None
+            What the entry says that has relayed it; None if it came from a caller.
+
         Raises
         ------
         RefusedError
@@ -62,6 +70,10 @@
                 retry_after=DRAINING_RETRY_SECONDS,
             )
         routing = entry.control_state.require_routing()
+        if relayed is not None and relayed.configuration > routing.number:
+            raise RefusedError(
+                f"admitted by configuration {relayed.configuration}", Code.CONFIG_STALE
+            )
         metadata = entry.dialect.read_call(request.headers)
         route = routing.find_route(request.host, request.path)
         if route is None:
@@ -83,12 +95,36 @@
             last_event_id=metadata.last_event_id,
             model=metadata.model,
         )
+        if relayed is not None:
+            self._apply_relay(call, relayed)
         self.check_suspension(call)
-        entry.budget.record_request(call.service, entry.clock())
-        if metadata.accepts_any_model:
+        if relayed is None:
+            entry.budget.record_request(call.service, entry.clock())
+        if metadata.accepts_any_model and not call.has_fixed_model:
             call.model = self._choose_model(call)
         return call
 
+    def _apply_relay(self, call: Call, relayed: RelayedRequest) -> None:
+        """Continue a call as the entry has left it that relays it.
+
+        Raises
+        ------
+        RefusedError
+            When this entry does not reach the endpoints either.
+        """
+        call.relayed_by = relayed.entry
+        call.deadline = min(
+            call.deadline, Seconds(call.received_at + relayed.timeout_seconds)
+        )
+        call.possible_executions = call.relayed_executions = relayed.executions
+        call.is_trial = relayed.is_trial
+        call.last_event_id = relayed.last_event_id
+        if relayed.model:
+            call.model = relayed.model
+            call.has_fixed_model = True
+        if self._entry.reach.is_lost(call.service):
+            raise RefusedError(f"{call.service}: out of reach", Code.OUT_OF_REACH)
+
     def check_suspension(self, call: Call) -> None:
         """Refuse a request that is known to crash endpoints, unless it is a trial.
 
@@ -164,6 +200,7 @@
         "workspace": call.workspace.name if call.workspace else None,
         "service": call.service,
         "model": call.model,
+        **_list_relays(call),
     }
 
 
@@ -175,3 +212,8 @@
     digest.update((workspace.name if workspace else "").encode() + b"\n")
     digest.update(request.body)
     return Fingerprint(digest.hexdigest()[:32])
+
+
+def _list_relays(call: Call) -> dict[str, object]:
+    relays = {"relayed_by": call.relayed_by, "relayed_to": call.relayed_to}
+    return {name: entry for name, entry in relays.items() if entry}
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -241,15 +241,17 @@
         self.opened_connections += 1
         return connection
 
+    def keep(self, connection: EndpointConnection) -> None:
+        """Keep a new connection that has carried no request yet."""
+        connection.idle_until = Seconds(self._clock() + MAX_IDLE_SECONDS)
+        self._store(connection)
+
     def release(self, connection: EndpointConnection) -> None:
         """Keep a connection after an exchange if it can be reused; else close it."""
         if not connection.finish():
             connection.close()
             return
-        idle = self._idle.setdefault(connection.address, deque())
-        idle.append(connection)
-        if len(idle) > MAX_IDLE_CONNECTIONS:
-            idle.popleft().close()
+        self._store(connection)
 
     def expire(self) -> None:
         """Close connections whose idle time is over."""
@@ -259,3 +261,9 @@
                 idle.popleft().close()
             if not idle:
                 del self._idle[address]
+
+    def _store(self, connection: EndpointConnection) -> None:
+        idle = self._idle.setdefault(connection.address, deque())
+        idle.append(connection)
+        if len(idle) > MAX_IDLE_CONNECTIONS:
+            idle.popleft().close()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
@@ -32,6 +32,14 @@
         """Count an attempt by service and result."""
         self._increment("attempts_total", f'service="{call.service}",result="{result}"')
 
+    def count_relay(self, result: AttemptResult) -> None:
+        """Count a request that was offered to another entry, by result."""
+        self._increment("relays_total", f'result="{result}"')
+
+    def count(self, name: str, labels: str) -> int:
+        """Return the value of a counter; 0 before it has counted anything."""
+        return self._counts.get((name, labels), 0)
+
     def render(self, gauges: dict[str, float]) -> str:
         """Return gauges, counters and histograms in the Prometheus text format."""
         lines = render_gauges(gauges)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -16,6 +16,7 @@
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
+from bergamotwood_daemon.gateway.relay import extend_limits
 from bergamotwood_daemon.gateway.server import Handler, HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import log_event, log_failure
@@ -57,6 +58,7 @@
         self._is_stopping = False
         self._servers: list[HttpServer] = []
         self._caller_server: HttpServer | None = None
+        self._relay_server: HttpServer | None = None
         self._peer_server: PeerServer | None = None
         if settings.caller_address is not None:
             self._make_entry(dialect)
@@ -79,7 +81,8 @@
         if self.entry is not None:
             self.entry.poller.start()
             spawn(self._maintain)
-            self._caller_server.start()
+            for server in self._list_request_servers():
+                server.start()
         for server in self._servers:
             server.start()
         log_event(
@@ -122,6 +125,13 @@
             lambda: self.entry.control_state.limits,
             read_clock,
         )
+        if self.settings.relay_address is not None:
+            self._relay_server = HttpServer(
+                self.settings.relay_address,
+                forwarder.handle_relayed,
+                lambda: extend_limits(self.entry.control_state.limits),
+                read_clock,
+            )
 
     def _make_replica(self, dialect: Dialect) -> None:
         # Entries, of which there are many, start without the modules of the log.
@@ -161,14 +171,24 @@
         """Serve until callers' address lists expire, then finish open requests."""
         self.entry.is_draining = True
         self.entry.poller.report_now()
-        self._caller_server.is_closing = True
+        servers = self._list_request_servers()
+        for server in servers:
+            server.is_closing = True
         sleep(DRAIN_TTLS * self.settings.bounds.address_ttl_seconds)
         self.entry.rejects_requests = True
-        self._caller_server.stop_listening()
-        self._caller_server.close_idle()
-        self._wait_until(lambda: not self._caller_server.open_requests, deadline)
+        for server in servers:
+            server.stop_listening()
+            server.close_idle()
+        self._wait_until(
+            lambda: not any(server.open_requests for server in servers), deadline
+        )
+        self.entry.prober.stop()
         self.entry.poller.stop()
 
+    def _list_request_servers(self) -> list[HttpServer]:
+        servers = (self._caller_server, self._relay_server)
+        return [server for server in servers if server is not None]
+
     def _wait_until(self, is_met: Callable[[], bool], deadline: float) -> None:
         while not is_met() and read_clock() < deadline:
             sleep(POLL_INTERVAL_SECONDS)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -10,10 +10,11 @@
 from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
 from bergamotwood_core.gateway.limits import LimitTable
 from bergamotwood_core.gateway.load import LoadTable
-from bergamotwood_core.gateway.members import EntryAddress
+from bergamotwood_core.gateway.members import EntryAddress, list_reaching
 from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
 from bergamotwood_core.gateway.placement import Placement
-from bergamotwood_core.gateway.reachability import ReachTable
+from bergamotwood_core.gateway.reachability import ReachTable, choose_probes
+from bergamotwood_core.gateway.relays import RelayTable
 from bergamotwood_core.gateway.retries import RetryBudget
 from bergamotwood_core.gateway.rollout import (
     RolloutView,
@@ -21,7 +22,7 @@
     is_on_target,
 )
 from bergamotwood_core.gateway.state_machine import RolloutOutcome
-from bergamotwood_core.gateway.suspects import SuspectTable
+from bergamotwood_core.gateway.suspects import EndpointCrash, SuspectTable
 from bergamotwood_core.gateway.suspensions import SuspensionTable
 from bergamotwood_core.ids import DataCentre, Incarnation, ServiceName, SessionId
 from bergamotwood_core.states import EndpointState
@@ -33,6 +34,7 @@
 from bergamotwood_daemon.gateway.evidence import EvidenceCounter, OpenRequest
 from bergamotwood_daemon.gateway.liveness import LivenessChecker
 from bergamotwood_daemon.gateway.peermessages import EntryStatus
+from bergamotwood_daemon.gateway.reachprober import ReachProber
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import count_dropped_lines, log_event
 
@@ -89,6 +91,16 @@
         self.pool = self.make_pool()
         self.loads = LoadTable()
         self.reach = ReachTable()
+        self.relays = RelayTable(settings.instance, settings.data_centre, rng)
+        self.relay_pool = ConnectionPool(clock)
+        self.prober = ReachProber(
+            self.pool,
+            self._list_probe_targets,
+            self._count_affected_entries,
+            lambda heartbeat: self.record_connection(heartbeat.service),
+            self._record_failed_probe,
+            rng,
+        )
         self.placement = Placement(
             settings.data_centre,
             self.health,
@@ -133,22 +145,16 @@
     def list_addresses(self, data_centre: DataCentre) -> list[str]:
         """Return the addresses of ready entries for a caller in a data centre.
 
-        Entries of other data centres are listed only if this one has no ready entry.
+        Entries of other data centres are listed only if this one has no ready entry
+        that reaches the endpoints.
         """
-        entries = [
-            entry for entry in self.control_state.entries.values() if entry.is_ready
-        ]
-        own_address = self._format_address()
-        addresses = {entry.address: entry.data_centre for entry in entries}
-        addresses.pop(own_address, None)
-        if self.is_ready:
-            addresses[own_address] = self.settings.data_centre
-        near = [
-            address
-            for address, location in addresses.items()
-            if location == data_centre
-        ]
-        listed = near or list(addresses)
+        own = self._describe()
+        others = self.control_state.entries.values()
+        entries = [entry for entry in others if entry.instance != own.instance]
+        entries.append(own)
+        usable = list_reaching(entry for entry in entries if entry.is_ready)
+        near = [entry.address for entry in usable if entry.data_centre == data_centre]
+        listed = near or [entry.address for entry in usable]
         if len(listed) <= MAX_ADDRESSES:
             return listed
         return self.rng.sample(listed, MAX_ADDRESSES)
@@ -159,6 +165,9 @@
             heartbeat
             for heartbeat in self.control_state.heartbeats.values()
             if heartbeat.service == call.service
+            and not self.reach.has_failed(
+                call.service, (heartbeat.endpoint, heartbeat.incarnation)
+            )
         ]
         view = self.control_state.rollouts.get(call.service)
         if view is None:
@@ -176,11 +185,7 @@
     def apply_reports(self) -> None:
         """Apply the newest reports of the control group and of other entries."""
         self.placement.silent_endpoints = self.control_state.silent_endpoints
-        self.placement.ended = frozenset(
-            (crash.endpoint, crash.incarnation)
-            for crash in self.control_state.ends
-            if crash.is_certain
-        )
+        self.placement.ended = self._find_ended()
         self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.placement.prefill_rate.pooled = self.control_state.prefill_rates
         self.latencies.pooled = self.control_state.latencies
@@ -260,17 +265,19 @@
 
     def record_connection(self, service: ServiceName) -> None:
         """Record a new connection to an endpoint of a service."""
-        if self.reach.record_connection(service, self.clock()):
-            log_event("entry", "Service in reach again.", service=service)
+        if not self.reach.record_connection(service, self.clock()):
+            return
+        log_event("entry", "Service in reach again.", service=service)
+        for heartbeat in self.control_state.heartbeats.values():
+            if heartbeat.service == service:
+                self.health.forgive_failed_connections(heartbeat.endpoint)
+        self.poller.report_soon()
 
     def record_failed_connection(
         self, service: ServiceName, key: IncarnationKey
     ) -> None:
         """Record that no connection to an endpoint could be opened."""
-        endpoints = sum(
-            heartbeat.service == service and heartbeat.state is EndpointState.SERVING
-            for heartbeat in self.control_state.heartbeats.values()
-        )
+        endpoints = len(self._list_serving(service))
         if self.reach.record_failure(service, key, endpoints, self.clock()):
             log_event(
                 "entry",
@@ -280,10 +287,13 @@
                 silent_endpoints=len(self.control_state.silent_endpoints),
                 age=round(self.control_state.age, 2),
             )
+            self.prober.start()
+            self.poller.report_soon()
 
     def maintain(self) -> None:
         """Drop expired connections and state; to be called about every second."""
         self.pool.expire()
+        self.relay_pool.expire()
         self.health.retain(set(self.control_state.heartbeats))
         self.notices.expire(self.clock())
         self.limits.expire(self.clock())
@@ -308,23 +318,19 @@
             "limited_endpoints": self.limits.count_limited(self.clock()),
             "silent_endpoints": len(self.control_state.silent_endpoints),
             "lost_services": len(self.reach.list_lost()),
+            "reach_probes_total": self.prober.probes,
         }
 
     def _make_status(self) -> EntryStatus:
         self._sequence += 1
         return EntryStatus(
-            EntryAddress(
-                self.settings.instance,
-                self._format_address(),
-                self.settings.data_centre,
-                self.is_ready,
-            ),
+            self._describe(),
             self._incarnation,
             self._sequence,
             self.loads.list_own(),
             self.evidence.list_counts(),
             self._list_open_sessions(),
-            self.suspects.list_crashes(self.clock()),
+            self._list_crashes(),
             self.suspects.list_successes(self.control_state.questions, self.clock()),
             self.suspects.list_refusals(self.clock()),
             self.limits.list_own(self.clock()),
@@ -354,5 +360,61 @@
             for session in self.sessions.list_open(view.rollout, now)
         )
 
-    def _format_address(self) -> str:
-        return str(self.settings.caller_address)
+    def _describe(self) -> EntryAddress:
+        settings = self.settings
+        return EntryAddress(
+            settings.instance,
+            str(settings.caller_address),
+            settings.data_centre,
+            self.is_ready,
+            str(settings.relay_address) if settings.relay_address else "",
+            self.reach.list_lost(),
+        )
+
+    def _list_crashes(self) -> tuple[EndpointCrash, ...]:
+        """Return the ends of endpoints that this entry can tell from lost ways."""
+        return tuple(
+            crash
+            for crash in self.suspects.list_crashes(self.clock())
+            if not self.reach.is_lost(crash.service)
+        )
+
+    def _find_ended(self) -> frozenset[IncarnationKey]:
+        """Return the incarnations that have ended, as far as this entry knows."""
+        now = self.clock()
+        return frozenset(
+            (crash.endpoint, crash.incarnation)
+            for crash in self.control_state.ends
+            if crash.is_certain
+            and not self.health.has_received_since(
+                crash.endpoint, crash.incarnation, Seconds(now - crash.age_seconds)
+            )
+        )
+
+    def _list_serving(self, service: ServiceName) -> list[EndpointHeartbeat]:
+        return [
+            heartbeat
+            for heartbeat in self.control_state.heartbeats.values()
+            if heartbeat.service == service and heartbeat.state is EndpointState.SERVING
+        ]
+
+    def _list_probe_targets(self) -> list[EndpointHeartbeat]:
+        services = {
+            heartbeat.service for heartbeat in self.control_state.heartbeats.values()
+        }
+        return [
+            heartbeat
+            for service in sorted(services)
+            if self.reach.is_doubtful(service)
+            for heartbeat in choose_probes(
+                self._list_serving(service), self.reach, self.rng
+            )
+        ]
+
+    def _count_affected_entries(self) -> int:
+        entries = self.control_state.entries.values()
+        return sum(bool(entry.lost_services) for entry in entries)
+
+    def _record_failed_probe(self, heartbeat: EndpointHeartbeat) -> None:
+        key = (heartbeat.endpoint, heartbeat.incarnation)
+        self.record_failed_connection(heartbeat.service, key)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -9,6 +9,7 @@
     Code,
     EndpointError,
     RefusedError,
+    RequestError,
 )
 from bergamotwood_core.gateway.call import Call, ForwardMetadata
 from bergamotwood_core.gateway.configuration import RouteKind
@@ -24,6 +25,7 @@
     find_affinity_key,
     list_models,
 )
+from bergamotwood_core.gateway.relays import RelayedRequest, RelayOrigin
 from bergamotwood_core.gateway.retries import may_retry
 from bergamotwood_core.ids import ModelName
 from bergamotwood_core.states import Run
@@ -44,6 +46,12 @@
     NotRun,
     Outcome,
 )
+from bergamotwood_daemon.gateway.relay import (
+    RELAY_FIELD,
+    RequestRelay,
+    drop_relay_field,
+    read_relayed_request,
+)
 from bergamotwood_daemon.gateway.server import CallerDisconnectedError, Exchange
 from bergamotwood_daemon.gateway.streams import StreamRelay
 from bergamotwood_daemon.log import log_event
@@ -51,6 +59,8 @@
 
 # Retry delay sent to callers when every endpoint refused the request.
 OVERLOADED_RETRY_SECONDS = 0.3
+# Refusals of an entry after which another one may still serve a relayed request.
+DECLINED_CODES = frozenset((Code.DRAINING, Code.CONFIG_STALE, Code.OUT_OF_REACH))
 # Endpoints accept priorities from 0, the most urgent, to 9; routes seldom exceed 3.
 MAX_PRIORITY = 9
 
@@ -67,16 +77,36 @@
     def __init__(self, entry: GatewayEntry) -> None:
         self._entry = entry
         self._admission = RequestAdmission(entry)
+        self._relay = RequestRelay(entry)
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer one request."""
+        """Answer one request of a caller."""
+        self._handle(exchange, None)
+
+    def handle_relayed(self, exchange: Exchange) -> None:
+        """Answer one request that another entry relays."""
+        request = exchange.request
+        relayed = read_relayed_request(request.headers)
+        if relayed is None:
+            self._answer_error(exchange, RequestError("not a relayed request"))
+            return
+        request.headers = drop_relay_field(request.headers)
+        _set_origin(exchange, RelayOrigin.ENDPOINT)
+        self._handle(exchange, relayed)
+
+    def _handle(self, exchange: Exchange, relayed: RelayedRequest | None) -> None:
         call: Call | None = None
         started_at = exchange.request.received_at
         try:
-            call = self._admission.admit(exchange)
+            call = self._admission.admit(exchange, relayed)
             self._forward_converting_refusals(call, exchange)
             self._log_answer(call, exchange)
         except BergamotwoodError as error:
+            if relayed is not None:
+                is_declined = error.code in DECLINED_CODES
+                _set_origin(
+                    exchange, RelayOrigin.DECLINED if is_declined else RelayOrigin.ENTRY
+                )
             self._answer_error(exchange, error)
         except CallerDisconnectedError:
             log_event("request", "Caller disconnected.", **make_call_fields(call))
@@ -93,7 +123,8 @@
         try:
             self._forward(call, exchange)
         except (RefusedError, AuthorizationError) as error:
-            if call.possible_executions == 0:
+            if call.possible_executions == call.relayed_executions:
+                # An entry that has relayed the request judges what it has done itself.
                 raise
             raise EndpointError(error.detail, Code.ENDPOINT_FAILED) from error
 
@@ -101,8 +132,10 @@
         relay = StreamRelay(self._entry, call, exchange)
         last_outcome: Outcome | None = None
         while True:
+            if self._should_relay(call) and self._relay.forward(call, exchange, relay):
+                return
             candidate = self._choose_endpoint(call, last_outcome, relay)
-            if call.tried_endpoints:
+            if call.tried_endpoints or call.relayed_executions:
                 self._entry.budget.record_retry(call.service, self._entry.clock())
             call.tried_endpoints.append(candidate.heartbeat.endpoint)
             self._record_session(call, candidate)
@@ -114,6 +147,9 @@
             self._finish_exchange(call, exchange, last_outcome, relay)
             return
 
+    def _should_relay(self, call: Call) -> bool:
+        return call.relayed_by is None and self._entry.reach.is_doubtful(call.service)
+
     def _choose_endpoint(
         self, call: Call, last_outcome: Outcome | None, relay: StreamRelay
     ) -> Candidate:
@@ -128,10 +164,14 @@
             raise EndpointError("no endpoint to go on at", Code.STREAM_BROKEN)
         raise RefusedError(
             f"{call.service}: no endpoint takes requests",
-            Code.NO_ENDPOINT,
+            self._choose_refusal_code(call, Code.NO_ENDPOINT),
             retry_after=self._choose_retry_after(call),
         )
 
+    def _choose_refusal_code(self, call: Call, code: Code) -> Code:
+        is_lost = self._entry.reach.is_lost(call.service)
+        return Code.OUT_OF_REACH if is_lost else code
+
     def _choose_retry_after(self, call: Call) -> float:
         """Return the seconds until a refused request is likely to find an endpoint."""
         entry = self._entry
@@ -238,6 +278,8 @@
     ) -> ModelName | None:
         if not call.metadata.accepts_any_model or relay.has_started:
             return None
+        if call.has_fixed_model:
+            return None
         call.confidence = self._entry.dialect.read_answer(list(head.headers)).confidence
         if call.possible_executions >= call.route.max_attempts:
             return None
@@ -386,7 +428,7 @@
                     raise EndpointError(reason, Code.STREAM_BROKEN)
                 raise RefusedError(
                     reason,
-                    Code.OVERLOADED,
+                    self._choose_refusal_code(call, Code.OVERLOADED),
                     retry_after=self._choose_retry_after(call),
                 )
             case _:
@@ -449,3 +491,7 @@
         "head_milliseconds": round(1000 * timing.head_seconds, 1),
         "event_milliseconds": round(1000 * timing.event_seconds, 1),
     }
+
+
+def _set_origin(exchange: Exchange, origin: RelayOrigin) -> None:
+    exchange.extra_headers = [(RELAY_FIELD, origin.value.encode())]
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -118,12 +118,15 @@
         Status of the response; 0 before its head is sent.
     is_finished : bool
         Whether the complete response was sent.
+    extra_headers : list of (bytes, bytes)
+        Fields that are added to the head of the response.
     """
 
     def __init__(self, connection: "CallerConnection", request: HttpRequest) -> None:
         self.request = request
         self.status = 0
         self.is_finished = False
+        self.extra_headers: Headers = []
         self._connection = connection
 
     def answer(self, response: HttpResponse) -> None:
@@ -153,6 +156,7 @@
 
     def _prepare_head(self, status: int, headers: Headers) -> None:
         self.status = status
+        headers = [*headers, *self.extra_headers]
         if self._connection.closes_after_response:
             headers = [*headers, (b"connection", b"close")]
         self._head = self._connection.encode(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -62,6 +62,9 @@
         Time limits and retry ratios.
     caller_address : Address or None
         Address at which an entry accepts requests; None if it is no entry.
+    relay_address : Address or None
+        Address at which an entry accepts requests that other entries relay; None if
+        it accepts none.
     readiness_address : Address or None
         Address at which an entry serves readiness checks and metrics.
     control_address : Address or None
@@ -80,6 +83,7 @@
     seeds: tuple[InstanceId, ...]
     bounds: GatewayBounds = GatewayBounds()
     caller_address: Address | None = None
+    relay_address: Address | None = None
     readiness_address: Address | None = None
     control_address: Address | None = None
     data_folder: Path | None = None
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -71,7 +71,7 @@
         self._last_event_at = self._entry.clock()
         try:
             while True:
-                event = attempt.receive(self._compute_read_timeout())
+                event = attempt.receive(self._compute_read_timeout(attempt.idle_factor))
                 if isinstance(event, h11.EndOfMessage):
                     break
                 attempt.check_deadline()
@@ -95,7 +95,9 @@
         return MayHaveRun("ended within an event", AttemptResult.BROKEN)
 
     def _read_error(self, attempt: ResponseReader, head: h11.Response) -> Outcome:
-        outcome = attempt.read_body(head, self._compute_read_timeout)
+        outcome = attempt.read_body(
+            head, lambda: self._compute_read_timeout(attempt.idle_factor)
+        )
         if self.has_started and isinstance(outcome, Answered):
             return MayHaveRun(outcome.reason, AttemptResult.ERROR)
         return outcome
@@ -130,11 +132,11 @@
         headers = strip_connection_fields(list(head.headers))
         self._exchange.start_stream(head.status_code, headers)
 
-    def _compute_read_timeout(self) -> float:
+    def _compute_read_timeout(self, idle_factor: float) -> float:
         left = self._call.deadline - self._entry.clock()
         if not self._call.route.resumable:
             return left
-        timeout = max(
+        timeout = idle_factor * max(
             IDLE_TIMEOUT_GAPS * self._call.route.event_gap_seconds,
             MIN_IDLE_TIMEOUT_SECONDS,
         )
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -1,7 +1,16 @@
-from core.gateway.samples import MODELS, PLAIN
+from random import Random
+
+from core.gateway.samples import MODELS, PLAIN, make_heartbeat
 
 from bergamotwood_core.clock import Seconds
-from bergamotwood_core.gateway.reachability import FAILURE_SECONDS, ReachTable
+from bergamotwood_core.gateway.reachability import (
+    FAILURE_SECONDS,
+    MAX_PROBES_PER_SECOND,
+    PROBE_INTERVAL_SECONDS,
+    ReachTable,
+    choose_probes,
+    compute_probe_interval,
+)
 from bergamotwood_core.ids import EndpointId, Incarnation
 
 
@@ -67,3 +76,33 @@
     record_failures(table, "a", "b")
     table.retain([MODELS])
     assert not table.is_lost(PLAIN)
+
+
+def test_the_probes_of_many_entries_together_are_bounded():
+    assert compute_probe_interval(1) == PROBE_INTERVAL_SECONDS
+    for entries in (9, 100, 195):
+        rate = entries / compute_probe_interval(entries)
+        assert rate <= MAX_PROBES_PER_SECOND
+
+
+def test_endpoints_without_a_failed_connection_are_probed_first():
+    table = ReachTable()
+    record_failures(table, "e-1", "e-2")
+    heartbeats = [make_heartbeat(f"e-{at}") for at in range(1, 5)]
+    chosen = choose_probes(heartbeats, table, Random(1))
+    assert {heartbeat.endpoint for heartbeat in chosen} == {"e-3", "e-4"}
+    record_failures(table, "e-3", "e-4")
+    assert len(choose_probes(heartbeats, table, Random(1))) == 1
+    assert choose_probes([], table, Random(1)) == []
+
+
+def test_an_endpoint_with_a_failed_connection_gets_none_until_one_succeeds():
+    table = ReachTable()
+    record_failures(table, "a")
+    assert not table.has_failed(PLAIN, make_key("a"))
+    record_failures(table, "b", now=1.0 + FAILURE_SECONDS)
+    record_failures(table, "c", now=9.0 + FAILURE_SECONDS)
+    assert table.has_failed(PLAIN, make_key("a"))
+    assert not table.has_failed(PLAIN, make_key("d"))
+    table.record_connection(PLAIN, Seconds(30.0))
+    assert not table.has_failed(PLAIN, make_key("a"))
--- a/tests/daemon/gateway/fleet.py
+++ b/tests/daemon/gateway/fleet.py
@@ -2,7 +2,7 @@
 
 from contextlib import suppress
 from random import Random
-from socket import SHUT_RDWR
+from socket import SHUT_RDWR, create_server
 
 from core.gateway.samples import make_configuration, make_heartbeat
 from daemon.gateway.harness import Caller, FakeEndpoint, PlainDialect
@@ -20,6 +20,7 @@
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
 from bergamotwood_daemon.gateway.peermessages import EntryStatus
+from bergamotwood_daemon.gateway.relay import extend_limits
 from bergamotwood_daemon.gateway.replica import GatewayReplica
 from bergamotwood_daemon.gateway.server import HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
@@ -150,6 +151,11 @@
             self.kill(seed)
 
 
+def find_free_port():
+    with create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
 class FleetEntry:
     """An entry that serves callers and polls the replicas of a fleet."""
 
@@ -160,6 +166,7 @@
             "karen",
             fleet.seeds,
             caller_address=Address("127.0.0.1", 0),
+            relay_address=Address("127.0.0.1", find_free_port()),
         )
         self.entry = make_entry(
             settings,
@@ -168,13 +175,21 @@
             Random(number),
             Incarnation(incarnation),
         )
+        forwarder = Forwarder(self.entry)
         self.server = HttpServer(
             Address("127.0.0.1", 0),
-            Forwarder(self.entry).handle,
+            forwarder.handle,
             lambda: self.entry.control_state.limits,
             read_clock,
         )
+        self.relay_server = HttpServer(
+            settings.relay_address,
+            forwarder.handle_relayed,
+            lambda: extend_limits(self.entry.control_state.limits),
+            read_clock,
+        )
         self.server.start()
+        self.relay_server.start()
         self.entry.poller.start()
 
     def call(self, **changes):
@@ -186,8 +201,10 @@
             caller.close()
 
     def stop(self):
+        self.entry.prober.stop()
         self.entry.poller.stop()
         self.server.stop_listening()
+        self.relay_server.stop_listening()
 
 
 class ModelServer:
@@ -199,6 +216,8 @@
     def __init__(self, fleet, name, bad_part="bad", answer_seconds=0.4):
         self.crashed_at = []
         self.arrived = []
+        # Id and path of each request.
+        self.ran = []
         self.is_sound = False
         # Requests a second that it names in its answers.
         self.limit = None
@@ -249,6 +268,7 @@
         endpoint = self._endpoint
         parts = arrival.headers.get("prompt", "").split()
         self.arrived.append((read_clock(), parts))
+        self.ran.append((arrival.headers["id"], arrival.target))
         sleep(0.03)
         if self._endpoint is not endpoint:
             return False
--- a/tests/daemon/gateway/test_partitioned_entries.py
+++ b/tests/daemon/gateway/test_partitioned_entries.py
@@ -1,10 +1,12 @@
 """Entries that are partitioned from all endpoints, while everything else works."""
 
+from dataclasses import dataclass
 from itertools import cycle
 
 import pytest
 from core.gateway.samples import make_configuration, make_route
 from daemon.gateway.fleet import DirectChannel, Fleet, FleetEntry, ModelServer
+from daemon.gateway.harness import Reply
 from daemon.gateway.partitions import Partition, PartitionedEntry
 from gevent import sleep, spawn
 
@@ -35,6 +37,22 @@
 WAYS = [Partition.HANG, Partition.RESET, Partition.REFUSE_NEW]
 
 
+@dataclass
+class Try:
+    """A request that was sent once, with its reply."""
+
+    at: float
+    entry: FleetEntry
+    name: str
+    reply: Reply | None
+    seconds: float
+
+    @property
+    def is_served(self):
+        reply = self.reply
+        return reply is not None and reply.status == 200 and reply.is_whole
+
+
 class PartitionedFleet(Fleet):
     """Entries that can be partitioned from endpoints, and callers that try once."""
 
@@ -49,8 +67,7 @@
         self.servers = [
             ModelServer(self, f"m{at}", answer_seconds=0.2) for at in range(SERVERS)
         ]
-        # Time, entry and reply of each request.
-        self.replies = []
+        self.tries = []
         self._callers = []
         self._sent = 0
         for entry in self.entries:
@@ -75,18 +92,20 @@
 
     def measure_served(self, entries, since):
         """Return the share of the requests since then that entries served."""
-        replies = [
-            reply
-            for at, entry, reply in self.replies
-            if entry in entries and at > since
-        ]
-        assert len(replies) > 20
-        served = [
-            reply
-            for reply in replies
-            if reply is not None and reply.status == 200 and reply.is_whole
-        ]
-        return len(served) / len(replies)
+        tries = [item for item in self.list_since(since) if item.entry in entries]
+        assert len(tries) > 20
+        return sum(item.is_served for item in tries) / len(tries)
+
+    def list_since(self, since):
+        """Return the requests since some time."""
+        return [item for item in self.tries if item.at > since]
+
+    def count_relayed(self):
+        """Return the number of requests that other entries have taken."""
+        return sum(
+            entry.entry.counters.count("relays_total", 'result="ok"')
+            for entry in self.entries
+        )
 
     def stop(self):
         for caller in self._callers:
@@ -105,7 +124,7 @@
         at = read_clock()
         name = f"q-{self._sent}"
         reply = entry.call(method="POST", path=f"{path}x", id=name, timeout="3")
-        self.replies.append((at, entry, reply))
+        self.tries.append(Try(at, entry, name, reply, read_clock() - at))
 
 
 @pytest.fixture
@@ -130,3 +149,78 @@
     elsewhere = fleet.measure_served(others, since)
     assert elsewhere > 1.0 - TOLERANCE
     assert fleet.measure_served(partitioned, since) >= elsewhere - TOLERANCE
+
+
+def test_entries_without_any_endpoint_refuse_at_once_and_do_not_pass_requests_on(
+    fleet,
+):
+    fleet.run(1.0)
+    fleet.partition(fleet.entries, Partition.HANG)
+    fleet.run(CONTACT_SECONDS)
+    fleet.finish()
+    relayed = fleet.count_relayed()
+    since = read_clock()
+    fleet.run(2.0)
+    fleet.finish()
+    assert fleet.count_relayed() == relayed
+    late = fleet.list_since(since)
+    assert {item.reply.status for item in late} == {503}
+    assert max(item.seconds for item in late) < 1.0
+
+
+def test_requests_go_straight_to_endpoints_soon_after_a_partition(fleet):
+    partitioned = fleet.entries[: ENTRIES - 1]
+    fleet.partition(partitioned, Partition.HANG)
+    fleet.run(CONTACT_SECONDS)
+    fleet.partition(partitioned, Partition.NONE)
+    since = read_clock()
+    fleet.run(1.5)
+    fleet.finish()
+    relayed = fleet.count_relayed()
+    fleet.run(1.0)
+    fleet.finish()
+    assert fleet.count_relayed() == relayed
+    assert fleet.measure_served(partitioned, since) > 1.0 - TOLERANCE
+
+
+def test_callers_are_sent_to_entries_that_reach_the_endpoints(fleet):
+    fleet.run(0.5)
+    fleet.partition(fleet.entries[:2], Partition.RESET)
+    fleet.run(2.0)
+    for entry in fleet.entries:
+        listed = entry.entry.list_addresses("karen")
+        assert len(listed) == ENTRIES - 2
+    fleet.partition(fleet.entries[:2], Partition.NONE)
+    fleet.run(2.0)
+    assert len(fleet.entries[0].entry.list_addresses("karen")) == ENTRIES
+
+
+@pytest.mark.parametrize("way", WAYS, ids=[way.value for way in WAYS])
+def test_partitioned_entries_make_others_take_no_endpoint_for_ended(fleet, way):
+    fleet.run(1.0)
+    fleet.partition(fleet.entries[: ENTRIES - 1], way)
+    other = fleet.entries[-1].entry
+    until = read_clock() + CONTACT_SECONDS
+    while read_clock() < until:
+        fleet.run(0.2)
+        assert other.placement.ended == frozenset()
+    replica = next(iter(fleet.replicas.values()))
+    assert replica.suspensions.list_suspensions() == ()
+
+
+def test_no_request_that_runs_once_at_most_runs_twice_in_a_partition(fleet):
+    fleet.run(0.5)
+    for way, count in zip(WAYS, (3, ENTRIES, ENTRIES - 1), strict=True):
+        fleet.partition(fleet.entries[:count], way)
+        fleet.run(1.0)
+        fleet.partition(fleet.entries, Partition.NONE)
+        fleet.run(0.5)
+    fleet.finish()
+    ran = [
+        name for server in fleet.servers for name, path in server.ran if path == "/b/x"
+    ]
+    assert len(ran) > 50
+    assert len(ran) == len(set(ran))
+    refused = {item.name for item in fleet.tries if item.reply.status == 503}
+    assert refused
+    assert not refused.intersection(ran)
