Count the requests that an endpoint leaves unanswered at the same time as one failure

A sound endpoint may stop for about a second and go on. Every request that was given up in that time counted as a failure of its own, so that a pause under ten requests a second put the failure rate above the threshold (0.65 after ten) and the endpoint got no traffic for many seconds. Silence now counts once in 0.75 s, unless the endpoint has sent something since.

--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -23,6 +23,9 @@
 # unresponsive. An endpoint that still sends data may only have lost its connection to
 # the control group.
 MAX_TRAFFIC_GAP_SECONDS = 1.5
+# Time for which requests without an answer count as one failure: a sound endpoint may
+# stop for about a second, with all of its requests.
+SILENCE_SECONDS = 0.75
 # Failure rate above which an endpoint is considered failing. Healthy services fail
 # up to one request in seven.
 FAILING_RATE = 0.3
@@ -77,6 +80,8 @@
         Whether another endpoint now uses its address.
     last_received_at : Seconds
         Time at which data was last received from the endpoint.
+    silent_at : Seconds
+        Time at which it was last counted that the endpoint sent nothing in time.
     """
 
     incarnation: Incarnation
@@ -86,6 +91,7 @@
     response_seconds: float = 0.0
     is_replaced: bool = False
     last_received_at: Seconds = Seconds(float("-inf"))
+    silent_at: Seconds = Seconds(float("-inf"))
 
 
 class HealthTable:
@@ -162,8 +168,10 @@
             case AttemptResult.ERROR:
                 health.failures = 0
                 _update_failure_rate(health, 1.0)
-            case AttemptResult.BROKEN | AttemptResult.SILENT:
+            case AttemptResult.BROKEN:
                 _update_failure_rate(health, 1.0)
+            case AttemptResult.SILENT:
+                _record_silence(health, now)
             case AttemptResult.FULL:
                 _pause(health, now, FULL_PAUSE_SECONDS)
             case AttemptResult.REPLACED:
@@ -179,6 +187,13 @@
     health.paused_until = max(Seconds(now + seconds), health.paused_until)
 
 
+def _record_silence(health: EndpointHealth, now: Seconds) -> None:
+    has_answered_since = health.last_received_at > health.silent_at
+    if has_answered_since or now - health.silent_at >= SILENCE_SECONDS:
+        health.silent_at = now
+        _update_failure_rate(health, 1.0)
+
+
 def _update_failure_rate(health: EndpointHealth, value: float) -> None:
     health.failure_rate += SMOOTHING_FACTOR * (value - health.failure_rate)
 
