Wait for a silent endpoint where a request could not be sent elsewhere

A request that may be repeated was given up at the first endpoint after a fraction of its time. Where no other endpoint was left, or the retry budget was used up, its caller got 504 at once although the endpoint only paused for about a second and the deadline was far. It now waits until its deadline there. Both new tests failed before (one endpoint that pauses for 1.2 s; three under thirty requests).

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -235,8 +235,22 @@
                 return self.receive(min(head_deadline - now, SILENCE_CHECK_SECONDS))
             except ResponseTimeoutError:
                 now = self._entry.clock()
-                if now >= head_deadline or self._should_abandon(now):
+                if self._should_abandon(now):
                     raise
+                if now < head_deadline:
+                    continue
+                if now >= self._call.deadline or self._has_alternative(now):
+                    raise
+                head_deadline = self._call.deadline
+
+    def _has_alternative(self, now: Seconds) -> bool:
+        """Whether the request could be sent to another endpoint now."""
+        entry, call = self._entry, self._call
+        return entry.budget.allows(call.service, now) and any(
+            heartbeat.endpoint not in call.tried_endpoints
+            for group in entry.list_eligible_endpoints(call)
+            for heartbeat in group
+        )
 
     def _should_abandon(self, now: Seconds) -> bool:
         route = self._call.route
