Keep refusals within what endpoints bear that break when they refuse too many

New on the platform: endpoints may state (Server-Brittle) how many requests a second they may turn away for want of room before they fall over. Entries see each other's load half a second late, so that at three times the capacity nine entries together made an endpoint of six slots refuse more than twice the ten a second that it bears (the test without shares). What endpoints state is read, pooled, timed out and ended by the mechanism that keeps their limits on requests. While any endpoint of a service states it, its slots are shared out among the entries by rendezvous hashing, a few entries more may use idle slots, and an entry that was refused stays away for its part.

--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -119,6 +119,9 @@
     requests_per_second : float or None
         Limit that the endpoint names on the requests of all entries; None if it names
         none.
+    refusals_per_second : float or None
+        Refusals of requests of all entries that the endpoint bears; None if it
+        states none.
     """
 
     request: RequestId
@@ -127,6 +130,7 @@
     confidence: float | None = None
     is_leaving: bool = False
     requests_per_second: float | None = None
+    refusals_per_second: float | None = None
 
 
 class Call(Struct):
--- a/packages/core/src/bergamotwood_core/gateway/health.py
+++ b/packages/core/src/bergamotwood_core/gateway/health.py
@@ -127,6 +127,16 @@
             known.failures = 0
             known.paused_until = Seconds(0.0)
 
+    def pause(
+        self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        now: Seconds,
+        seconds: float,
+    ) -> None:
+        """Send no request to an endpoint for some time."""
+        _pause(self.find(endpoint, incarnation), now, seconds)
+
     def has_received_since(
         self, endpoint: EndpointId, incarnation: Incarnation, at: Seconds
     ) -> bool:
--- a/packages/core/src/bergamotwood_core/gateway/limits.py
+++ b/packages/core/src/bergamotwood_core/gateway/limits.py
@@ -1,4 +1,7 @@
-"""Limits that endpoints name on the requests a second which all entries may send.
+"""Limits that endpoints name on what all entries together may send.
+
+A limit is a number of requests a second, or of refusals a second that the endpoint
+bears. This module keeps both; refusals are bounded by `brittle`.
 
 An endpoint in need names its limit in its answers for as long as it holds, whatever its
 heartbeats say. The control replicas issue permits for single requests, each replica its
@@ -50,12 +53,15 @@
         Its limit; None if it no longer has one.
     age_seconds : float
         Time since it was named.
+    refusals_per_second : float or None
+        Refusals that it bears; None if it states none.
     """
 
     endpoint: EndpointId
     incarnation: Incarnation
     requests_per_second: float | None
     age_seconds: float
+    refusals_per_second: float | None = None
 
 
 class RequestCount(Struct, frozen=True, array_like=True):
@@ -67,18 +73,27 @@
 
 
 class KnownLimit(Struct):
-    """Newest statement of an incarnation about its limit.
+    """Newest statement of an incarnation about its limits.
 
     Parameters
     ----------
     requests_per_second : float or None
-        The limit; None if it no longer has one.
+        Requests that it takes; None if it no longer has a limit.
     stated_at : Seconds
         Time of the statement.
+    refusals_per_second : float or None
+        Refusals that it bears; None if it no longer states any.
     """
 
     requests_per_second: float | None
     stated_at: Seconds
+    refusals_per_second: float | None = None
+
+    @property
+    def has_limit(self) -> bool:
+        """Whether it limits anything."""
+        limits = self.requests_per_second, self.refusals_per_second
+        return any(limit is not None for limit in limits)
 
 
 class StatementTable:
@@ -100,18 +115,24 @@
         return True
 
     def find_limit(self, key: IncarnationKey, now: Seconds) -> float | None:
-        """Return the limit of an incarnation; None if it has none now."""
-        known = self._limits.get(key)
-        if known is None or now - known.stated_at > LIMIT_RETENTION_SECONDS:
-            return None
-        return known.requests_per_second
+        """Return the limit on requests; None if it has none now."""
+        known = self._find_current(key, now)
+        return known.requests_per_second if known else None
+
+    def find_refusal_limit(self, key: IncarnationKey, now: Seconds) -> float | None:
+        """Return the limit on refusals; None if it has none now."""
+        known = self._find_current(key, now)
+        return known.refusals_per_second if known else None
 
     def apply(self, reports: Iterable[LimitReport], now: Seconds) -> None:
         """Apply reports of statements."""
         for report in reports:
             key = (report.endpoint, report.incarnation)
             at = Seconds(now - report.age_seconds)
-            self.put(key, KnownLimit(report.requests_per_second, at))
+            self.put(
+                key,
+                KnownLimit(report.requests_per_second, at, report.refusals_per_second),
+            )
 
     def list_reports(self, now: Seconds, max_age: float) -> tuple[LimitReport, ...]:
         """Return the statements up to an age, and drop those that no longer hold."""
@@ -120,12 +141,21 @@
             del self._limits[key]
         return tuple(
             LimitReport(
-                *key, known.requests_per_second, round(now - known.stated_at, 3)
+                *key,
+                known.requests_per_second,
+                round(now - known.stated_at, 3),
+                known.refusals_per_second,
             )
             for key, known in self._limits.items()
             if now - known.stated_at <= max_age
         )
 
+    def _find_current(self, key: IncarnationKey, now: Seconds) -> KnownLimit | None:
+        known = self._limits.get(key)
+        if known is None or now - known.stated_at > LIMIT_RETENTION_SECONDS:
+            return None
+        return known
+
 
 class LimitTable:
     """Limits that an entry knows of, and its permits."""
@@ -142,8 +172,9 @@
         requests_per_second: float | None,
         sent_at: Seconds,
         now: Seconds,
+        refusals_per_second: float | None = None,
     ) -> bool:
-        """Record what an answer says of its endpoint's limit.
+        """Record what an answer says of its endpoint's limits.
 
         Parameters
         ----------
@@ -156,19 +187,25 @@
             than the newest statement does not end the limit.
         now : Seconds
             Time of the answer.
+        refusals_per_second : float or None
+            The limit on refusals in the answer; None if there is none.
 
         Returns
         -------
         bool
-            Whether the limit has changed.
+            Whether a limit has changed.
         """
         known = self._all.find(key)
-        if requests_per_second is None and (known is None or sent_at < known.stated_at):
+        statement = KnownLimit(requests_per_second, now, refusals_per_second)
+        if not statement.has_limit and (known is None or sent_at < known.stated_at):
             return False
-        statement = KnownLimit(requests_per_second, now)
         self._own.put(key, statement)
         self._all.put(key, statement)
-        return known is None or known.requests_per_second != requests_per_second
+        return (
+            known is None
+            or known.requests_per_second != requests_per_second
+            or known.refusals_per_second != refusals_per_second
+        )
 
     def apply_reports(self, reports: Iterable[LimitReport], now: Seconds) -> None:
         """Apply the statements that other entries have got."""
@@ -187,6 +224,10 @@
         """Whether an incarnation has a limit."""
         return self._all.find_limit(key, now) is not None
 
+    def find_refusal_limit(self, key: IncarnationKey, now: Seconds) -> float | None:
+        """Return the refusals a second that an incarnation bears; None if unstated."""
+        return self._all.find_refusal_limit(key, now)
+
     def may_send(self, key: IncarnationKey, now: Seconds) -> bool:
         """Whether a request may be sent: there is no limit, or there is a permit."""
         return not self.is_limited(key, now) or self._count_permits(key, now) > 0
--- a/packages/core/src/bergamotwood_core/gateway/load.py
+++ b/packages/core/src/bergamotwood_core/gateway/load.py
@@ -117,6 +117,10 @@
         own = EndpointLoad(len(requests), sum(requests.values()))
         return add_loads(own, self._others.get(endpoint, NO_LOAD))
 
+    def count_own(self, endpoint: EndpointId) -> int:
+        """Return the number of this entry's open requests at an endpoint."""
+        return len(self._own.get(endpoint, {}))
+
     def count_requests(self) -> int:
         """Return the number of open requests of this entry."""
         return sum(len(requests) for requests in self._own.values())
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.brittle import BrittleAdmission
 from bergamotwood_core.gateway.call import Call, PromptPart
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import FAILING_RATE, EndpointHealth, HealthTable
@@ -103,6 +104,8 @@
         Source of randomness for jitter and probes.
     limits : LimitTable or None
         Limits that endpoints have named; None for no limits.
+    admission : BrittleAdmission or None
+        Room at endpoints that bear few refusals; None to send to any.
 
     Attributes
     ----------
@@ -120,6 +123,7 @@
         find_load: Callable[[EndpointId], EndpointLoad],
         rng: Random,
         limits: LimitTable | None = None,
+        admission: BrittleAdmission | None = None,
     ) -> None:
         self.prefill_rate = PrefillRate()
         self.prefix_cache = PrefixCacheIndex()
@@ -131,6 +135,7 @@
         self._find_load = find_load
         self._rng = rng
         self._limits = limits or LimitTable()
+        self._admission = admission
 
     def choose(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
@@ -208,14 +213,19 @@
     def _find_eligible(
         self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
     ) -> list[tuple[EndpointHeartbeat, EndpointHealth]]:
+        usable = self._find_usable(heartbeats, call)
+        refusals = None
+        if self._admission is not None:
+            refusals = self._admission.find_limit((item for item, _ in usable), now)
         return [
             (heartbeat, health)
-            for heartbeat, health in self._find_usable(heartbeats, call)
+            for heartbeat, health in usable
             if heartbeat.endpoint not in call.tried_endpoints
             and health.paused_until <= now
             and not self._notices.measure_pause(
                 heartbeat.endpoint, heartbeat.incarnation, now
             )
+            and (refusals is None or self._admission.has_room(heartbeat, refusals, now))
             and self._is_within_limit(heartbeat, now)
         ]
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -305,13 +305,18 @@
         if metadata.is_leaving and notices.record_leaving(endpoint, incarnation, now):
             log_event("entry", "Endpoint announces that it leaves.", endpoint=endpoint)
         if self._entry.limits.record_answer(
-            self._key, metadata.requests_per_second, self._sent_at, now
+            self._key,
+            metadata.requests_per_second,
+            self._sent_at,
+            now,
+            metadata.refusals_per_second,
         ):
             log_event(
                 "entry",
                 "Endpoint's limit changed.",
                 endpoint=endpoint,
                 requests_per_second=metadata.requests_per_second,
+                refusals_per_second=metadata.refusals_per_second,
             )
         if head.status_code != SERVICE_UNAVAILABLE:
             return
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.brittle import BrittleAdmission
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import HealthTable
@@ -101,6 +102,7 @@
             self._record_failed_probe,
             rng,
         )
+        self.admission = BrittleAdmission(settings.instance, self.limits, self.loads)
         self.placement = Placement(
             settings.data_centre,
             self.health,
@@ -108,6 +110,7 @@
             self.loads.find,
             rng,
             self.limits,
+            self.admission,
         )
         self.counters = EntryCounters()
         self.latencies = LatencyTable()
@@ -186,6 +189,9 @@
         """Apply the newest reports of the control group and of other entries."""
         self.placement.silent_endpoints = self.control_state.silent_endpoints
         self.placement.ended = self._find_ended()
+        self.admission.entries = frozenset(
+            self.control_state.entries.keys() | {self.settings.instance}
+        )
         self.budget.entry_count = max(len(self.control_state.entries), 1)
         self.placement.prefill_rate.pooled = self.control_state.prefill_rates
         self.latencies.pooled = self.control_state.latencies
@@ -263,6 +269,18 @@
                 call.route.name, call.model, timing, call.metadata.expected_tokens
             )
 
+    def record_refusal(self, heartbeat: EndpointHeartbeat) -> None:
+        """Record that an endpoint refused a request for want of room."""
+        now = self.clock()
+        limit = self.admission.find_limit(self._list_serving(heartbeat.service), now)
+        if limit is not None:
+            self.health.pause(
+                heartbeat.endpoint,
+                heartbeat.incarnation,
+                now,
+                self.admission.measure_pause(limit),
+            )
+
     def record_connection(self, service: ServiceName) -> None:
         """Record a new connection to an endpoint of a service."""
         if not self.reach.record_connection(service, self.clock()):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -390,6 +390,9 @@
             timing.total_seconds,
             entry.clock(),
         )
+        is_refusal = isinstance(outcome, NotRun) and outcome.was_sent
+        if is_refusal and result is AttemptResult.FULL:
+            entry.record_refusal(heartbeat)
         entry.counters.count_attempt(call, result)
         if isinstance(outcome, Answered | Delivered | MayHaveRun):
             is_bad = result is not AttemptResult.OK
--- a/tests/core/gateway/test_limits.py
+++ b/tests/core/gateway/test_limits.py
@@ -275,3 +275,17 @@
     assert most <= 1.5 * 4.0 * limit + 5
     if limit >= 1.0 and not events:
         assert len(times) >= 0.5 * limit * 12.0
+
+
+def test_a_limit_on_refusals_is_kept_reported_and_ended_like_one_on_requests():
+    table, other = LimitTable(), LimitTable()
+    assert table.record_answer(E1, None, Seconds(0.0), Seconds(1.0), 8.0)
+    assert not table.is_limited(E1, Seconds(1.0))
+    other.apply_reports(table.list_own(Seconds(2.0)), Seconds(2.0))
+    assert other.find_refusal_limit(E1, Seconds(2.0)) == 8.0
+    # A new incarnation has stated nothing, and a later answer ends the statement.
+    assert other.find_refusal_limit(E2, Seconds(2.0)) is None
+    assert table.record_answer(E1, None, Seconds(1.5), Seconds(2.0))
+    assert table.find_refusal_limit(E1, Seconds(2.0)) is None
+    late = Seconds(3.0 + LIMIT_RETENTION_SECONDS)
+    assert other.find_refusal_limit(E1, late) is None
--- a/tests/daemon/gateway/harness.py
+++ b/tests/daemon/gateway/harness.py
@@ -87,6 +87,7 @@
     def read_answer(self, headers):
         confidence = find_field(headers, b"confidence")
         limit = find_field(headers, b"limit")
+        refusals = find_field(headers, b"refusals")
         return ResponseMetadata(
             request=self.read_id(headers),
             is_signed=find_field(headers, b"signed") is not None,
@@ -94,6 +95,7 @@
             confidence=float(confidence) if confidence else None,
             is_leaving=find_field(headers, b"leaving") is not None,
             requests_per_second=float(limit) if limit else None,
+            refusals_per_second=float(refusals) if refusals else None,
         )
 
     def decode_configuration(self, document):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -114,3 +114,5 @@
 def test_an_endpoints_limit_is_read_unless_it_is_nonsense(text, limit):
     metadata = read_response_metadata([(b"server-limit", text)])
     assert metadata.requests_per_second == limit
+    metadata = read_response_metadata([(b"server-brittle", text)])
+    assert metadata.refusals_per_second == limit
