--- a/tests/daemon/gateway/test_partitioned_entries.py
+++ b/tests/daemon/gateway/test_partitioned_entries.py
@@ -6,9 +6,10 @@
 import pytest
 from core.gateway.samples import make_configuration, make_route
 from daemon.gateway.fleet import DirectChannel, Fleet, FleetEntry, ModelServer
-from daemon.gateway.harness import Reply
+from daemon.gateway.harness import Caller, Reply
 from daemon.gateway.partitions import Partition, PartitionedEntry
 from gevent import sleep, spawn
+from msgspec.structs import replace
 
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_daemon.clock import read_clock
@@ -224,3 +225,78 @@
     refused = {item.name for item in fleet.tries if item.reply.status == 503}
     assert refused
     assert not refused.intersection(ran)
+
+
+def make_slow(fleet, seconds):
+    for server in fleet.servers:
+        server._answer_seconds = seconds
+
+
+@pytest.mark.parametrize("way", WAYS, ids=[way.value for way in WAYS])
+def test_a_stream_that_is_cut_goes_on_through_another_entry(fleet, way):
+    entry = fleet.entries[0]
+    make_slow(fleet, 2.0)
+    call = spawn(entry.call, method="POST", path="/a/x", id="long", timeout="8")
+    sleep(0.8)
+    fleet.partition([entry], way)
+    reply = call.get(timeout=9.0)
+    assert reply.status == 200
+    assert reply.is_whole
+    ids = [line for line in reply.body.splitlines() if line.startswith("id:")]
+    assert ids == [f"id: {at}" for at in range(1, 10)]
+
+
+def test_a_caller_that_leaves_ends_the_work_behind_another_entry(fleet):
+    entry = fleet.entries[0]
+    fleet.partition([entry], Partition.REFUSE_NEW)
+    fleet.run(1.0)
+    fleet.finish()
+    make_slow(fleet, 6.0)
+    caller = Caller(entry.server.port)
+    caller.send(method="POST", path="/a/x", id="gone", timeout="8")
+    sleep(0.5)
+    others = [other.entry.loads for other in fleet.entries[1:]]
+    assert sum(loads.count_requests() for loads in others) == 1
+    caller.close()
+    sleep(0.5)
+    assert sum(loads.count_requests() for loads in others) == 0
+
+
+def test_a_relayed_request_is_counted_once_by_all_entries(fleet):
+    entry = fleet.entries[0]
+    fleet.partition([entry], Partition.REFUSE_NEW)
+    fleet.run(1.0)
+    fleet.finish()
+    count = sum(
+        usage.requests
+        for other in fleet.entries
+        for usage in other.entry.budget.list_usage(read_clock()).values()
+    )
+    assert count == len(fleet.tries)
+
+
+def test_requests_are_served_while_entries_that_take_them_stop(fleet):
+    partitioned, stopping, rest = fleet.entries[0], fleet.entries[1:3], fleet.entries[3]
+    fleet.partition([partitioned], Partition.HANG)
+    fleet.run(CONTACT_SECONDS)
+    for entry in stopping:
+        # Stops at once, and declines until the others have heard of it.
+        entry.entry.is_draining = entry.entry.rejects_requests = True
+    since = read_clock()
+    fleet.entries = [partitioned, rest]
+    fleet.run(3.0)
+    fleet.finish()
+    fleet.entries += stopping
+    assert fleet.measure_served([partitioned], since) > 1.0 - TOLERANCE
+
+
+def test_an_entry_does_not_serve_a_relayed_request_by_an_older_configuration(fleet):
+    entry = fleet.entries[0]
+    fleet.partition([entry], Partition.REFUSE_NEW)
+    fleet.run(1.0)
+    fleet.finish()
+    routing = entry.entry.control_state.routing
+    routing.configuration = replace(routing.configuration, number=8)
+    relayed = fleet.count_relayed()
+    assert entry.call(method="POST", path="/c/x", id="newer").status == 503
+    assert fleet.count_relayed() == relayed
