Bound the direct checks of silent endpoints over all entries

The interval now grows with the number of entries, so that all together send at most six a second. The test with 195 entries failed before; with 1 and 9 nothing changes.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -88,7 +88,9 @@
         self.health = HealthTable()
         self.notices = NoticeTable(rng)
         self.limits = LimitTable()
-        self.liveness = LivenessChecker(dialect.liveness_target, clock)
+        self.liveness = LivenessChecker(
+            dialect.liveness_target, clock, lambda: len(self.control_state.entries)
+        )
         self.pool = self.make_pool()
         self.loads = LoadTable()
         self.reach = ReachTable()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
@@ -21,19 +21,26 @@
 
 # Time within which a running endpoint answers a check: it needs no slot.
 CHECK_TIMEOUT_SECONDS = 0.6
-# Time for which a result holds, so that many waiting requests share one check.
+# Shortest time for which a result holds, so that many waiting requests share one check.
 CHECK_INTERVAL_SECONDS = 1.5
+# Checks of one endpoint by all entries together, in a second.
+MAX_CHECKS_PER_SECOND = 6.0
 
 
 class LivenessChecker:
     """Checks endpoints, at most once in each interval.
 
+    The interval grows with the number of entries, so that all of them together do not
+    burden an endpoint.
+
     Parameters
     ----------
     target : bytes
         Request target that an endpoint answers without a free slot.
     clock : callable
         Returns the current time.
+    count_entries : callable
+        Returns the number of all entries.
 
     Attributes
     ----------
@@ -41,8 +48,14 @@
         Number of checks that were sent.
     """
 
-    def __init__(self, target: bytes, clock: Callable[[], Seconds]) -> None:
+    def __init__(
+        self,
+        target: bytes,
+        clock: Callable[[], Seconds],
+        count_entries: Callable[[], int],
+    ) -> None:
         self.checks = 0
+        self._count_entries = count_entries
         self._target = target
         self._clock = clock
         self._results: dict[tuple[EndpointId, Incarnation], AsyncResult] = {}
@@ -53,7 +66,7 @@
         key = (heartbeat.endpoint, heartbeat.incarnation)
         now = self._clock()
         result = self._results.get(key)
-        if result is None or now - self._checked_at[key] > CHECK_INTERVAL_SECONDS:
+        if result is None or now - self._checked_at[key] > self._find_interval():
             result = self._results[key] = AsyncResult()
             self._checked_at[key] = now
             self.checks += 1
@@ -67,11 +80,16 @@
 
     def expire(self) -> None:
         """Remove results that no longer hold."""
-        limit = self._clock() - CHECK_INTERVAL_SECONDS - CHECK_TIMEOUT_SECONDS
+        limit = self._clock() - self._find_interval() - CHECK_TIMEOUT_SECONDS
         for key in [key for key, at in self._checked_at.items() if at < limit]:
             del self._results[key]
             del self._checked_at[key]
 
+    def _find_interval(self) -> float:
+        return max(
+            CHECK_INTERVAL_SECONDS, self._count_entries() / MAX_CHECKS_PER_SECOND
+        )
+
     def _send_check(self, heartbeat: EndpointHeartbeat) -> bool:
         connection = EndpointConnection(heartbeat.address, self._clock)
         reason = ""
