--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,7 @@
     assert settings.instance == "10.1.0.40:7340"
     assert settings.seeds == ("10.1.0.42:7340", "10.2.0.31:7340")
     assert settings.caller_address == Address("10.1.0.40", 8227)
+    assert settings.relay_address == Address("10.1.0.40", 7341)
     assert settings.control_address is None
     assert settings.data_centre == "karen"
     assert settings.bounds.key_lease_seconds == 4.0
@@ -81,3 +82,18 @@
 def test_platform_folder_does_not_shadow_the_standard_module():
     code = "import platform; platform.python_version()"
     assert run([executable, "-c", code], check=False).returncode == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("[7340, 7355]", "[7340, 7340]"),
+        ('frontend = "10.1.0.40:8227"\n', 'control_plane = "10.1.0.40:8229"\n'),
+    ],
+)
+def test_only_an_entry_with_a_second_port_takes_requests_of_others(tmp_path, old, new):
+    text = ENTRY.replace(old, new)
+    if "control_plane" in new:
+        text = 'data_path = "/data"\n' + text
+    loaded = load_settings(write_settings(tmp_path, text))
+    assert loaded.gateway.relay_address is None
