Relay requests of an entry that has no free slot at endpoints which bear few refusals

With 195 entries and 30 endpoints of six slots, one entry in three had no slot of its own: at a tenth of the load 356 of 457 requests were served (KNOWN-RED 0d), and the few entries that might use idle slots beyond their own made more refusals than allowed once requests were relayed. No entry uses more than its own slots now; one without a free slot offers its request to up to five others while endpoints are idle, over the hop that partitions use.

--- a/packages/core/src/bergamotwood_core/gateway/brittle.py
+++ b/packages/core/src/bergamotwood_core/gateway/brittle.py
@@ -3,9 +3,9 @@
 Such an endpoint states how many requests a second it may refuse for want of room, from
 all entries together. Entries see each other's load with a delay, so that several could
 fill the same free slots at once. The slots are therefore shared out among the entries,
-which need not talk for it. While most slots are idle, a few entries at a time may use
-one more. An entry that was refused stays away for its part of the refusals.
-It answers bursts and overload of a whole service.
+which need not talk for it. An entry whose slots are taken, or that has none, relays its
+requests to others while endpoints are idle. An entry that was refused stays away for
+its part of the refusals. It answers bursts and overload of a whole service.
 """
 
 from collections.abc import Collection, Iterable
@@ -17,12 +17,8 @@
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
 from bergamotwood_core.ids import EndpointId, InstanceId
 
-# Fraction of an endpoint's slots up to which entries may use more than their own, and
-# the time after which it is drawn again which entries may.
+# Fraction of an endpoint's slots below which it counts as idle.
 IDLE_FRACTION = 0.5
-DRAW_SECONDS = 1.0
-# Part of the refusals that an endpoint bears by which such entries may be too many.
-EXTRA_FRACTION = 0.25
 # Fraction of the refusals that an endpoint allows which the entries use together. The
 # rest covers requests that were sent before a refusal was known.
 REFUSAL_FRACTION = 0.5
@@ -72,32 +68,15 @@
         )
         return min((limit for limit in limits if limit is not None), default=None)
 
-    def has_room(
-        self, heartbeat: EndpointHeartbeat, limit: float, now: Seconds
-    ) -> bool:
-        """Whether an endpoint has a free slot that this entry may use.
+    def has_room(self, heartbeat: EndpointHeartbeat) -> bool:
+        """Whether this entry has a free slot at an endpoint."""
+        own = self._loads.count_own(heartbeat.endpoint)
+        return own < self._find_share(heartbeat.endpoint, heartbeat.slots)
 
-        Parameters
-        ----------
-        heartbeat : EndpointHeartbeat
-            The endpoint.
-        limit : float
-            Refusals a second that it bears.
-        now : Seconds
-            Current time.
-        """
-        endpoint = heartbeat.endpoint
-        own = self._loads.count_own(endpoint)
-        share = self._find_share(endpoint, heartbeat.slots)
-        if own != share:
-            return own < share
-        idle = IDLE_FRACTION * heartbeat.slots - self._loads.find(endpoint).requests
-        if idle <= 0.0:
-            return False
-        draw = hash_to_unit_interval(
-            f"{endpoint}/{self._instance}/{int(now / DRAW_SECONDS)}"
-        )
-        return draw < (idle + EXTRA_FRACTION * limit) / len(self.entries)
+    def is_idle(self, heartbeat: EndpointHeartbeat) -> bool:
+        """Whether most slots of an endpoint are free, as far as is known."""
+        known = self._loads.find(heartbeat.endpoint).requests
+        return known < IDLE_FRACTION * heartbeat.slots
 
     def measure_pause(self, limit: float) -> float:
         """Return the seconds for which this entry stays away after a refusal.
--- a/packages/core/src/bergamotwood_core/gateway/placement.py
+++ b/packages/core/src/bergamotwood_core/gateway/placement.py
@@ -183,6 +183,17 @@
             default=None,
         )
 
+    def lacks_share(
+        self, heartbeats: Iterable[EndpointHeartbeat], call: Call, now: Seconds
+    ) -> bool:
+        """Whether only this entry's shares keep a request from idle endpoints."""
+        admission = self._admission
+        usable = [item for item, _ in self._find_usable(heartbeats, call)]
+        refusals = admission.find_limit(usable, now) if admission else None
+        if refusals is None or self._find_eligible(usable, call, now):
+            return False
+        return any(admission.is_idle(heartbeat) for heartbeat in usable)
+
     def is_unresponsive(self, heartbeat: EndpointHeartbeat, now: Seconds) -> bool:
         """Whether an endpoint sends neither heartbeats nor answers to this entry."""
         return (
@@ -225,7 +236,7 @@
             and not self._notices.measure_pause(
                 heartbeat.endpoint, heartbeat.incarnation, now
             )
-            and (refusals is None or self._admission.has_room(heartbeat, refusals, now))
+            and (refusals is None or self._admission.has_room(heartbeat))
             and self._is_within_limit(heartbeat, now)
         ]
 
--- a/packages/core/src/bergamotwood_core/gateway/relays.py
+++ b/packages/core/src/bergamotwood_core/gateway/relays.py
@@ -1,8 +1,8 @@
 """Choice of the entries that handle requests for an entry without a way to endpoints.
 
-An entry that is partitioned from all endpoints of a service still reaches other
-entries. It sends them its callers' requests, each over one hop at most. It answers
-partitions of any share of the entries.
+An entry that is partitioned from all endpoints of a service, or that has no slot of its
+own at any, still reaches other entries. It sends them its callers' requests, each over
+one hop at most. It answers partitions of any share of the entries.
 """
 
 from collections.abc import Iterable
@@ -17,7 +17,7 @@
 
 # Entries that a request is offered to, one after the other. Those that decline have
 # not heard of a partition of their own yet.
-MAX_OFFERS = 3
+MAX_OFFERS = 5
 # Time for which an entry that could not be reached is avoided.
 AVOID_SECONDS = 2.0
 # Fraction of the entries of the own data centre that must be able to take requests.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -271,6 +271,15 @@
                 call.route.name, call.model, timing, call.metadata.expected_tokens
             )
 
+    def lacks_share(self, call: Call) -> bool:
+        """Whether only this entry's shares keep a request from idle endpoints."""
+        heartbeats = [
+            heartbeat
+            for group in self.list_eligible_endpoints(call)
+            for heartbeat in group
+        ]
+        return self.placement.lacks_share(heartbeats, call, self.clock())
+
     def record_refusal(self, heartbeat: EndpointHeartbeat) -> None:
         """Record that an endpoint refused a request for want of room."""
         now = self.clock()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -148,7 +148,10 @@
             return
 
     def _should_relay(self, call: Call) -> bool:
-        return call.relayed_by is None and self._entry.reach.is_doubtful(call.service)
+        if call.relayed_by is not None:
+            return False
+        entry = self._entry
+        return entry.reach.is_doubtful(call.service) or entry.lacks_share(call)
 
     def _choose_endpoint(
         self, call: Call, last_outcome: Outcome | None, relay: StreamRelay
@@ -169,8 +172,9 @@
         )
 
     def _choose_refusal_code(self, call: Call, code: Code) -> Code:
-        is_lost = self._entry.reach.is_lost(call.service)
-        return Code.OUT_OF_REACH if is_lost else code
+        entry = self._entry
+        has_no_way = entry.reach.is_lost(call.service) or entry.lacks_share(call)
+        return Code.OUT_OF_REACH if has_no_way else code
 
     def _choose_retry_after(self, call: Call) -> float:
         """Return the seconds until a refused request is likely to find an endpoint."""
--- a/tests/core/gateway/test_brittle.py
+++ b/tests/core/gateway/test_brittle.py
@@ -16,6 +16,7 @@
 from bergamotwood_core.gateway.load import EndpointLoad, LoadTable, add_loads
 from bergamotwood_core.gateway.notices import NoticeTable
 from bergamotwood_core.gateway.placement import Placement
+from bergamotwood_core.gateway.relays import MAX_OFFERS
 from bergamotwood_core.ids import EndpointId, InstanceId, RequestId
 
 # Age of what entries know of each other's load.
@@ -83,7 +84,7 @@
             if now - viewed_at > VIEW_SECONDS:
                 viewed_at = now
                 self._exchange_views()
-            self._send(self.rng.choice(self.entries), Seconds(now))
+            self._send(Seconds(now))
 
     def count_most_refused(self):
         """Return the most refusals of one endpoint in any second."""
@@ -93,10 +94,22 @@
             for index, start in enumerate(times or [0.0])
         )
 
-    def _send(self, entry, now):
+    def _send(self, now):
+        """Send a request to one entry, which relays it if only its share is used up."""
         self.sent += 1
         request = RequestId(f"q-{self.sent}")
         call = make_call(metadata=RequestMetadata(request))
+        entry, *others = self.rng.sample(
+            self.entries, min(1 + MAX_OFFERS, len(self.entries))
+        )
+        if not entry.placement.lacks_share(self.heartbeats, call, now):
+            others.clear()
+        for handler in (entry, *others):
+            self._handle(handler, call, request, now)
+            if call.tried_endpoints:
+                return
+
+    def _handle(self, entry, call, request, now):
         for _ in range(SENDS):
             chosen = entry.placement.choose(self.heartbeats, call, now)
             if chosen is None:
@@ -155,11 +168,12 @@
     assert fleet.count_most_refused() <= REFUSALS
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize(("entries", "endpoints", "slots"), SIZES)
 def test_few_requests_are_turned_away_while_most_slots_are_idle(
-    entries, endpoints, slots
+    entries, endpoints, slots, seed
 ):
-    fleet = BrittleFleet(entries, endpoints, slots, seed=2)
+    fleet = BrittleFleet(entries, endpoints, slots, seed)
     fleet.run(0.1 * fleet.capacity, 2.0)
     assert fleet.served >= 0.95 * fleet.sent
 
--- a/tests/daemon/gateway/fleet.py
+++ b/tests/daemon/gateway/fleet.py
@@ -221,6 +221,8 @@
         self.is_sound = False
         # Requests a second that it names in its answers.
         self.limit = None
+        # Refusals a second that it states to bear.
+        self.refusals = None
         self._fleet = fleet
         self._name = name
         self._bad_part = bad_part
@@ -273,7 +275,10 @@
         if self._endpoint is not endpoint:
             return False
         try:
-            fields = {} if self.limit is None else {"limit": str(self.limit)}
+            stated = {"limit": self.limit, "refusals": self.refusals}
+            fields = {
+                name: str(value) for name, value in stated.items() if value is not None
+            }
             arrival.begin_events(**fields)
             arrival.send_events(1, 1)
             if self._bad_part in parts and not self.is_sound:
--- a/tests/daemon/gateway/test_partitioned_entries.py
+++ b/tests/daemon/gateway/test_partitioned_entries.py
@@ -91,10 +91,10 @@
         for caller in self._callers:
             caller.join(10.0)
 
-    def measure_served(self, entries, since):
+    def measure_served(self, entries, since, least=20):
         """Return the share of the requests since then that entries served."""
         tries = [item for item in self.list_since(since) if item.entry in entries]
-        assert len(tries) > 20
+        assert len(tries) > least
         return sum(item.is_served for item in tries) / len(tries)
 
     def list_since(self, since):
@@ -300,3 +300,16 @@
     relayed = fleet.count_relayed()
     assert entry.call(method="POST", path="/c/x", id="newer").status == 503
     assert fleet.count_relayed() == relayed
+
+
+def test_an_entry_without_a_slot_of_its_own_relays_while_endpoints_are_idle(fleet):
+    for server in fleet.servers:
+        server.refusals = 8
+    fleet.run(1.0)
+    entry = fleet.entries[0]
+    entry.entry.admission.has_room = lambda heartbeat: False
+    since = read_clock()
+    fleet.run(1.5, interval=0.05)
+    fleet.finish()
+    assert fleet.measure_served([entry], since, least=4) > 1.0 - TOLERANCE
+    assert fleet.count_relayed() > 0
