Look for shares of slots only while an endpoint states limits

Whether an entry lacks a share was worked out for every request, over all endpoints. It is now asked only while any endpoint has named a limit. Documents an attribute; no other behaviour changes.

--- a/packages/core/src/bergamotwood_core/gateway/brittle.py
+++ b/packages/core/src/bergamotwood_core/gateway/brittle.py
@@ -62,6 +62,8 @@
         None if none of them states it. One that has just started has not stated it
         yet, so what any of them states holds for all.
         """
+        if not self._limits.has_statements:
+            return None
         limits = (
             self._limits.find_refusal_limit((item.endpoint, item.incarnation), now)
             for item in heartbeats
--- a/packages/core/src/bergamotwood_core/gateway/limits.py
+++ b/packages/core/src/bergamotwood_core/gateway/limits.py
@@ -102,6 +102,9 @@
     def __init__(self) -> None:
         self._limits: dict[IncarnationKey, KnownLimit] = {}
 
+    def __len__(self) -> int:
+        return len(self._limits)
+
     def find(self, key: IncarnationKey) -> KnownLimit | None:
         """Return the newest statement of an incarnation; None if there is none."""
         return self._limits.get(key)
@@ -166,6 +169,11 @@
         self._permits: dict[IncarnationKey, deque[Seconds]] = {}
         self._wanted: dict[IncarnationKey, deque[Seconds]] = {}
 
+    @property
+    def has_statements(self) -> bool:
+        """Whether any endpoint has named a limit lately."""
+        return len(self._all) > 0
+
     def record_answer(
         self,
         key: IncarnationKey,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -273,6 +273,8 @@
 
     def lacks_share(self, call: Call) -> bool:
         """Whether only this entry's shares keep a request from idle endpoints."""
+        if not self.limits.has_statements:
+            return False
         heartbeats = [
             heartbeat
             for group in self.list_eligible_endpoints(call)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/reachprober.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/reachprober.py
@@ -31,6 +31,11 @@
         Called with the endpoint that was probed.
     rng : Random
         Varies the intervals.
+
+    Attributes
+    ----------
+    probes : int
+        Number of connections that it has tried to open.
     """
 
     def __init__(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
@@ -16,6 +16,7 @@
 from bergamotwood_core.gateway.health import AttemptResult
 from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.relays import RelayedRequest, RelayOrigin
+from bergamotwood_core.ids import ModelName
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     NotConnectedError,
@@ -131,7 +132,7 @@
             entry.control_state.number,
             call.possible_executions,
             call.is_trial,
-            call.model if self._has_started else "",
+            call.model if self._has_started else ModelName(""),
             call.last_event_id,
         )
         headers = drop_relay_field(strip_connection_fields(self._request.headers))
