--- a/review/4/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
