--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,21 +1,22 @@
-"""Sessions with long requests move to a version in the first half of its roll-out."""
+"""A request that crashes servers reaches them again and again."""
 
-import json
+import random
+import socket
+import struct
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import (  # noqa: E402
     BOUNDS,
-    CONTROL,
     FRONTEND,
     TROUBLE,
-    CaseError,
     Client,
     Reader,
     Server,
-    call,
+    make_answer,
     make_configuration,
     make_request,
     make_route,
@@ -23,150 +24,152 @@
     spawn,
 )
 
-# The sheet of the head office: `chapter-guide`.
-ROUTE = {
-    "timeout_ms": 25_000,
-    "target_latency_ms": 4_000,
-    "itl_target_ms": 800,
-    "max_attempts": 3,
-    "resumable": True,
-    "session_affinity": True,
-}
-SESSIONS = 150
-# The first request of a session takes 5.5 s, longer than `session_s`.
-FIRST_EVENTS, FIRST_EVENT_SECONDS = 11, 0.5
-SECOND_EVENTS, SECOND_EVENT_SECONDS = 3, 0.05
-# Time from the end of the first request of a session to its second one.
-PAUSE_SECONDS = 1.5
-ROLLOUT_SECONDS = 16.0
-# Requests on another version that the rule allows.
+ENTRIES = 6
+SERVERS = 4
+# Time from the request's arrival at a server to its crash, and from that to its return.
+CRASH_SECONDS = 0.03
+RETURN_SECONDS = 3.0
+RUN_SECONDS = 40.0
+# Time after which the request comes again; a refusal's Retry-After counts up to a third
+# of its deadline.
+REPEAT_SECONDS = 1.0
+DEADLINE_MS = 3_000
+CALLERS = 8
+# Longest work of a sound request, and the pause between two of one caller.
+MAX_WORK_SECONDS = 0.18
+CALLER_PAUSE_SECONDS = 0.2
+# Later retries that the rule allows.
 ALLOWED = 3
+# A close with this option resets the connection.
+RESET = struct.pack("ii", 1, 0)
 
 
-class ModelServer(Server):
-    """A model server of one version, which streams events."""
+class Crashes:
+    """Crashes of servers, and arrivals of the request that causes them."""
 
-    def __init__(self, fleet, name, version, runs):
-        self._version = version
-        self._runs = runs
-        super().__init__(fleet, name, "models", type(self).serve)
+    def __init__(self):
+        self.times = []
+        self.arrivals = []
+        self.lock = threading.Lock()
 
-    def make_heartbeat(self):
-        """Return the next heartbeat."""
-        return {**super().make_heartbeat(), "version": self._version, "slots": 64}
+
+class BrittleServer(Server):
+    """A server that crashes when it begins to run one request, and comes back."""
+
+    def __init__(self, fleet, number, generation, crashes):
+        self._number = number
+        self._generation = generation
+        self._crashes = crashes
+        self._sockets = set()
+        name = f"i-plain-{number}-{generation}"
+        super().__init__(fleet, name, "plain", type(self).serve)
 
     def serve(self, sock):
         """Serve one connection."""
+        self._sockets.add(sock)
         reader = Reader(sock)
         while (head := reader.read_head()) is not None:
             line, fields = head
-            reader.read_body(fields)
+            body = reader.read_body(fields)
             if "/healthz" in line or "/bergamotwood/report" in line:
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
                 continue
-            self._stream(sock, fields)
+            if body == b"crash" and TROUBLE:
+                request = fields["x-request-id"]
+                self.fleet.record.write(f"{self.name}: begins to run {request}")
+                self._crashes.arrivals.append((time.monotonic(), request))
+                time.sleep(CRASH_SECONDS)
+                self._crash()
+                return
+            time.sleep(random.uniform(0.02, MAX_WORK_SECONDS))
+            sock.sendall(make_answer(fields))
+
+    def _crash(self):
+        with self._crashes.lock:
+            if self._is_stopped:
+                return
+            self._is_stopped = True
+            self._crashes.times.append(time.monotonic())
+        self.fleet.record.write(f"{self.name}: crashes")
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        for sock in list(self._sockets):
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                sock.shutdown(socket.SHUT_RDWR)
+                sock.close()
+            except OSError:
+                # It has been closed before.
+                continue
+        spawn(self._return)
 
-    def _stream(self, sock, fields):
-        request = fields["x-request-id"]
-        self._runs.append((request, self._version))
-        self.fleet.record.write(
-            f"{self.name} ({self._version}): runs {request} of {fields['session']}"
+    def _return(self):
+        time.sleep(RETURN_SECONDS)
+        generation = self._generation + 1
+        self.fleet.add(
+            BrittleServer(self.fleet, self._number, generation, self._crashes)
         )
-        sock.sendall(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"X-Server-Signature: 1.2.3\r\nTransfer-Encoding: chunked\r\n"
-            + f"X-Request-Id: {request}\r\n\r\n".encode()
-        )
-        events, seconds = SECOND_EVENTS, SECOND_EVENT_SECONDS
-        if request.startswith("q-a"):
-            events, seconds = FIRST_EVENTS, FIRST_EVENT_SECONDS
-        first = int(fields.get("last-event-id", 0)) + 1
-        for number in range(first, events + 1):
-            time.sleep(seconds)
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        sock.sendall(b"0\r\n\r\n")
-
-
-def ask(entry, record, session, request):
-    """Make one request of a session; return the time of its end."""
-    client = Client(entry.host, FRONTEND, seconds=25.0)
+
+
+def ask(entry, request, body):
+    """Make one request; return its status."""
     try:
-        client.send(
-            make_request(
-                "POST", "/guide/x", request, b"prompt", 25_000, Session=session
-            )
-        )
-        status = client.read()[0]
+        client = Client(entry.host, FRONTEND, seconds=DEADLINE_MS / 1000 + 1.0)
+    except OSError as error:
+        return repr(error)
+    try:
+        client.send(make_request("POST", "/pay/x", request, body, DEADLINE_MS))
+        return client.read()[0]
     except OSError as error:
-        status = repr(error)
+        return repr(error)
     finally:
         client.close()
-    record.write(f"client: {request} of {session} at {entry.name}: {status}")
-    return time.monotonic()
-
-
-def use_session(entry, record, number, times):
-    """Make two requests of one session, and store their end and beginning."""
-    session = f"session-{number}"
-    ended_at = ask(entry, record, session, f"q-a{number}")
-    time.sleep(PAUSE_SECONDS)
-    times[number] = (ended_at, time.monotonic())
-    ask(entry, record, session, f"q-b{number}")
 
 
-def begin_rollout(fleet):
-    """Order the roll-out until it is acknowledged; return the time of that."""
-    order = {"service": "models", "target": "v2", "duration_s": ROLLOUT_SECONDS}
-    body = json.dumps(order).encode()
-    for _ in range(4):
-        for program in fleet.controls:
-            address = (program.host, CONTROL)
-            if call(address, "POST", "/bergamotwood/rollouts/begin", body)[0] == 200:
-                fleet.record.write(f"operator: {order} acknowledged")
-                return time.monotonic()
-    raise CaseError("the roll-out is not acknowledged")
+def use_service(fleet, caller, stopped, statuses):
+    """Make sound requests until the case ends."""
+    number = 0
+    while not stopped.wait(CALLER_PAUSE_SECONDS):
+        number += 1
+        body = f"sound {caller} {number}".encode()
+        entry = random.choice(fleet.entries)
+        statuses.append(ask(entry, f"q-{caller}-{number}", body))
 
 
 def case(fleet, record):
     """Return whether the rule held."""
-    routes = [make_route("r-guide", "/guide/", "models", "streaming", **ROUTE)]
-    fleet.replace_configuration(make_configuration(1, routes, ["models"]))
-    runs = []
-    for number in (1, 2, 3):
-        fleet.add(ModelServer(fleet, f"i-old-{number}", "v1", runs))
+    routes = [make_route("r-pay", "/pay/", "plain", "non_idempotent", max_attempts=1)]
+    fleet.replace_configuration(make_configuration(1, routes, ["plain"]))
+    crashes = Crashes()
+    for number in range(SERVERS):
+        fleet.add(BrittleServer(fleet, number, 0, crashes))
     fleet.wait_until_ready()
     time.sleep(BOUNDS["contact_ms"] / 1000 + 1.0)
-    times = {}
-    threads = []
-    for number in range(SESSIONS):
-        entry = fleet.entries[number % 2]
-        threads.append(spawn(use_session, entry, record, number, times))
-        time.sleep(0.005)
-    time.sleep(0.5)
-    ordered_at = time.monotonic()
-    if TROUBLE:
-        ordered_at = begin_rollout(fleet)
-        for number in (1, 2, 3):
-            fleet.add(ModelServer(fleet, f"i-new-{number}", "v2", runs))
-    for thread in threads:
-        thread.join(30.0)
-    versions = {}
-    for request, version in runs:
-        versions.setdefault(request, []).append(version)
-    moved = []
-    for number, (ended_at, began_at) in times.items():
-        is_open = began_at - ended_at < BOUNDS["session_s"]
-        is_first_half = began_at - ordered_at < ROLLOUT_SECONDS / 2
-        before = versions.get(f"q-a{number}", ["-"])[-1]
-        after = versions.get(f"q-b{number}", ["-"])[0]
-        if is_open and is_first_half and (before, after) == ("v1", "v2"):
-            moved.append(f"q-b{number}")
+    stopped = threading.Event()
+    statuses = []
+    for caller in range(CALLERS):
+        spawn(use_service, fleet, caller, stopped, statuses)
+    time.sleep(2.0)
+    deadline = time.monotonic() + RUN_SECONDS
+    number = 0
+    while time.monotonic() < deadline:
+        number += 1
+        entry = fleet.entries[number % len(fleet.entries)]
+        status = ask(entry, f"q-crash-{number}", b"crash")
+        record.write(f"client: q-crash-{number} at {entry.name}: {status}")
+        time.sleep(REPEAT_SECONDS)
+    stopped.set()
+    late = set()
+    if len(crashes.times) >= 3:
+        since = crashes.times[2] + BOUNDS["contact_ms"] / 1000
+        late = {request for at, request in crashes.arrivals if at > since}
+    failed = sum(status != 200 for status in statuses)
     record.write(
-        f"check: {len(moved)} of {SESSIONS} sessions that were open on v1 went on at v2"
-        f" in the first half of its roll-out, allowed are {ALLOWED}: {moved}"
+        f"check: {len(crashes.times)} crashes; {len(late)} retries reached servers"
+        f" later than contact_ms after the third crash, allowed are {ALLOWED};"
+        f" {failed} of {len(statuses)} sound requests failed or were refused"
     )
-    return len(moved) <= ALLOWED
+    return len(late) <= ALLOWED
 
 
-run_case(Path(__file__).resolve().parent, case)
+run_case(Path(__file__).resolve().parent, case, entries=ENTRIES)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,24 +1,26 @@
-"""A stream whose server pauses is cut while its entry is stopped as planned."""
+"""Sessions with long requests move to a version in the first half of its roll-out."""
 
-import signal
+import json
 import sys
-import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import (  # noqa: E402
     BOUNDS,
+    CONTROL,
     FRONTEND,
     TROUBLE,
+    CaseError,
     Client,
     Reader,
     Server,
-    is_readable,
+    call,
     make_configuration,
     make_request,
     make_route,
     run_case,
+    spawn,
 )
 
 # The sheet of the head office: `chapter-guide`.
@@ -30,27 +32,30 @@
     "resumable": True,
     "session_affinity": True,
 }
-EVENTS = 12
-EVENT_SECONDS = 0.1
-# The server preempts the stream after this event, and reads it in again meanwhile.
-PREEMPTED_AFTER = 4
-PREEMPTION_SECONDS = 3.0 if TROUBLE else 0.0
-# A client leaves a stream after a gap of 2 s, four times the objective or eight times
-# the pause of the sheet, whichever is longest.
-CLIENT_GAP_SECONDS = max(2.0, 4 * 4.0, 8 * 0.8)
-# The last sixth of the grace period is left out.
-JUDGED_SECONDS = BOUNDS["grace_period_s"] * 5 / 6
-
-
-class StreamServer:
-    """A model server with one stream at a time."""
-
-    def __init__(self, record):
-        self.record = record
-        self.started = threading.Event()
-        self.cut_at = None
-
-    def serve(self, server, sock):
+SESSIONS = 150
+# The first request of a session takes 5.5 s, longer than `session_s`.
+FIRST_EVENTS, FIRST_EVENT_SECONDS = 11, 0.5
+SECOND_EVENTS, SECOND_EVENT_SECONDS = 3, 0.05
+# Time from the end of the first request of a session to its second one.
+PAUSE_SECONDS = 1.5
+ROLLOUT_SECONDS = 16.0
+# Requests on another version that the rule allows.
+ALLOWED = 3
+
+
+class ModelServer(Server):
+    """A model server of one version, which streams events."""
+
+    def __init__(self, fleet, name, version, runs):
+        self._version = version
+        self._runs = runs
+        super().__init__(fleet, name, "models", type(self).serve)
+
+    def make_heartbeat(self):
+        """Return the next heartbeat."""
+        return {**super().make_heartbeat(), "version": self._version, "slots": 64}
+
+    def serve(self, sock):
         """Serve one connection."""
         reader = Reader(sock)
         while (head := reader.read_head()) is not None:
@@ -63,71 +68,105 @@
 
     def _stream(self, sock, fields):
         request = fields["x-request-id"]
-        first = int(fields.get("last-event-id", 0)) + 1
-        self.record.write(f"server: runs {request} from event {first}")
+        self._runs.append((request, self._version))
+        self.fleet.record.write(
+            f"{self.name} ({self._version}): runs {request} of {fields['session']}"
+        )
         sock.sendall(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"X-Server-Signature: 1.2.3\r\nTransfer-Encoding: chunked\r\n"
             + f"X-Request-Id: {request}\r\n\r\n".encode()
         )
-        for number in range(first, EVENTS + 1):
-            pause = EVENT_SECONDS
-            if number == PREEMPTED_AFTER + 1:
-                pause += PREEMPTION_SECONDS
-            if is_readable(sock, pause) and not sock.recv(1):
-                self.cut_at = time.monotonic()
-                self.record.write(
-                    f"server: the entry has closed {request} before event {number}"
-                )
-                return
+        events, seconds = SECOND_EVENTS, SECOND_EVENT_SECONDS
+        if request.startswith("q-a"):
+            events, seconds = FIRST_EVENTS, FIRST_EVENT_SECONDS
+        first = int(fields.get("last-event-id", 0)) + 1
+        for number in range(first, events + 1):
+            time.sleep(seconds)
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            self.started.set()
         sock.sendall(b"0\r\n\r\n")
-        self.record.write(f"server: {request} has ended with event {EVENTS}")
+
+
+def ask(entry, record, session, request):
+    """Make one request of a session; return the time of its end."""
+    client = Client(entry.host, FRONTEND, seconds=25.0)
+    try:
+        client.send(
+            make_request(
+                "POST", "/guide/x", request, b"prompt", 25_000, Session=session
+            )
+        )
+        status = client.read()[0]
+    except OSError as error:
+        status = repr(error)
+    finally:
+        client.close()
+    record.write(f"client: {request} of {session} at {entry.name}: {status}")
+    return time.monotonic()
+
+
+def use_session(entry, record, number, times):
+    """Make two requests of one session, and store their end and beginning."""
+    session = f"session-{number}"
+    ended_at = ask(entry, record, session, f"q-a{number}")
+    time.sleep(PAUSE_SECONDS)
+    times[number] = (ended_at, time.monotonic())
+    ask(entry, record, session, f"q-b{number}")
+
+
+def begin_rollout(fleet):
+    """Order the roll-out until it is acknowledged; return the time of that."""
+    order = {"service": "models", "target": "v2", "duration_s": ROLLOUT_SECONDS}
+    body = json.dumps(order).encode()
+    for _ in range(4):
+        for program in fleet.controls:
+            address = (program.host, CONTROL)
+            if call(address, "POST", "/bergamotwood/rollouts/begin", body)[0] == 200:
+                fleet.record.write(f"operator: {order} acknowledged")
+                return time.monotonic()
+    raise CaseError("the roll-out is not acknowledged")
 
 
 def case(fleet, record):
     """Return whether the rule held."""
     routes = [make_route("r-guide", "/guide/", "models", "streaming", **ROUTE)]
     fleet.replace_configuration(make_configuration(1, routes, ["models"]))
-    behaviour = StreamServer(record)
-    fleet.add(Server(fleet, "i-model-1", "models", behaviour.serve))
+    runs = []
+    for number in (1, 2, 3):
+        fleet.add(ModelServer(fleet, f"i-old-{number}", "v1", runs))
     fleet.wait_until_ready()
-    # Later than `contact_ms` after the start.
     time.sleep(BOUNDS["contact_ms"] / 1000 + 1.0)
-    entry = fleet.entries[0]
-    client = Client(entry.host, FRONTEND, seconds=CLIENT_GAP_SECONDS)
-    record.write(f"client: q-1 POST /guide/x at {entry.name}")
-    client.send(make_request("POST", "/guide/x", "q-1", b"prompt", 25_000))
-    behaviour.started.wait(5.0)
-    stopped_at = time.monotonic()
-    entry.signal(signal.SIGTERM)
-    text = b""
-    ended_at = None
-    try:
-        while not text.endswith(b"0\r\n\r\n"):
-            more = client.sock.recv(65536)
-            if not more:
-                ended_at = time.monotonic()
-                break
-            text += more
-            record.write(f"client: q-1 received {more!r}")
-    except TimeoutError:
-        record.write("client: q-1 leaves after too long a gap")
-    except OSError as error:
-        ended_at = time.monotonic()
-        record.write(f"client: q-1: {error!r}")
-    if ended_at is None:
-        record.write("check: the answer of q-1 is complete")
-        return True
-    seconds = ended_at - stopped_at
+    times = {}
+    threads = []
+    for number in range(SESSIONS):
+        entry = fleet.entries[number % 2]
+        threads.append(spawn(use_session, entry, record, number, times))
+        time.sleep(0.005)
+    time.sleep(0.5)
+    ordered_at = time.monotonic()
+    if TROUBLE:
+        ordered_at = begin_rollout(fleet)
+        for number in (1, 2, 3):
+            fleet.add(ModelServer(fleet, f"i-new-{number}", "v2", runs))
+    for thread in threads:
+        thread.join(30.0)
+    versions = {}
+    for request, version in runs:
+        versions.setdefault(request, []).append(version)
+    moved = []
+    for number, (ended_at, began_at) in times.items():
+        is_open = began_at - ended_at < BOUNDS["session_s"]
+        is_first_half = began_at - ordered_at < ROLLOUT_SECONDS / 2
+        before = versions.get(f"q-a{number}", ["-"])[-1]
+        after = versions.get(f"q-b{number}", ["-"])[0]
+        if is_open and is_first_half and (before, after) == ("v1", "v2"):
+            moved.append(f"q-b{number}")
     record.write(
-        f"check: the connection of q-1 has ended without a complete answer,"
-        f" {seconds:.2f} s after SIGTERM to its entry; its server was still at work,"
-        f" its deadline and the route's time-out are 25 s"
+        f"check: {len(moved)} of {SESSIONS} sessions that were open on v1 went on at v2"
+        f" in the first half of its roll-out, allowed are {ALLOWED}: {moved}"
     )
-    return seconds > JUDGED_SECONDS
+    return len(moved) <= ALLOWED
 
 
 run_case(Path(__file__).resolve().parent, case)
