--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,12 +20,14 @@
     run_case,
 )
 
-# Longer than what the buffers of a loopback connection hold; behind the small windows
-# of the users' links a shorter body does the same.
-BODY_BYTES = 16_000_000
-MAX_BODY_BYTES = 32_000_000
+# Longer than what the small window of the server and the entry's own buffer hold.
+BODY_BYTES = 1_000_000
+# Of the server's connections: segments as on an Ethernet link, and a small window. The
+# segments of a loopback link would make the buffers some MB long.
+SEGMENT_BYTES = 1_460
+WINDOW_BYTES = 16_384
 # The server reads at most this much each second, and answers before it has the body.
-STEP_BYTES = 1_000_000
+STEP_BYTES = 100_000
 STEP_SECONDS = 1.0
 STEPS = 4
 # How long after its early answer the server reads on.
@@ -112,12 +114,17 @@
 def case(fleet, record):
     """Return whether the rule held."""
     routes = [make_route("r-up", "/up/", "plain", "idempotent", timeout_ms=8000)]
-    fleet.replace_configuration(
-        make_configuration(1, routes, ["plain"], {"max_body_bytes": MAX_BODY_BYTES})
-    )
+    fleet.replace_configuration(make_configuration(1, routes, ["plain"]))
     behaviour = EarlyServer(record)
     fleet.add(
-        Server(fleet, "i-plain-1", "plain", behaviour.serve, receive_bytes=16_384)
+        Server(
+            fleet,
+            "i-plain-1",
+            "plain",
+            behaviour.serve,
+            receive_bytes=WINDOW_BYTES,
+            segment_bytes=SEGMENT_BYTES,
+        )
     )
     fleet.wait_until_ready()
     time.sleep(2.0)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,9 +35,10 @@
 REPEAT_SECONDS = 1.0
 DEADLINE_MS = 3_000
 CALLERS = 8
-# Longest work of a sound request, and the pause between two of one caller.
+# Longest work of a sound request, and the pause between two of one caller: together as
+# many a second as the sheet has for the service (8).
 MAX_WORK_SECONDS = 0.18
-CALLER_PAUSE_SECONDS = 0.2
+CALLER_PAUSE_SECONDS = 0.9
 # Later retries that the rule allows.
 ALLOWED = 3
 # A close with this option resets the connection.
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -32,7 +32,7 @@
     "resumable": True,
     "session_affinity": True,
 }
-SESSIONS = 150
+SESSIONS = 60
 # The first request of a session takes 5.5 s, longer than `session_s`.
 FIRST_EVENTS, FIRST_EVENT_SECONDS = 11, 0.5
 SECOND_EVENTS, SECOND_EVENT_SECONDS = 3, 0.05
--- a/review/standins.py
+++ b/review/standins.py
@@ -198,7 +198,9 @@
     `handle(server, sock, buffer)` serves one connection.
     """
 
-    def __init__(self, fleet, name, service, handle, receive_bytes=None):
+    def __init__(
+        self, fleet, name, service, handle, receive_bytes=None, segment_bytes=None
+    ):
         self.fleet = fleet
         self.name = name
         self.service = service
@@ -212,6 +214,10 @@
             self._listener.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
             )
+        if segment_bytes:
+            self._listener.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes
+            )
         self._listener.bind(("127.0.0.1", 0))
         self._listener.listen(128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
