Keep serving others while a peer sends bytes without end

Cause: the splitter searched and copied an incomplete event anew for each chunk, which is quadratic; and gevent's recv switches to no other greenlet while bytes wait, so that a peer that sends faster than the entry reads is read for ever.

The metric longest_turn_seconds and a log line show a held loop.

--- a/packages/core/src/bergamotwood_core/gateway/events.py
+++ b/packages/core/src/bergamotwood_core/gateway/events.py
@@ -8,9 +8,21 @@
 # Two line ends in a row end an event; a line ends with CRLF, LF or CR. The groups are
 # atomic, so that a CRLF is never read as two line ends.
 EVENT_END = compile_pattern(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+# Bytes of an event's end that may already be in the buffer when the rest arrives.
+MAX_PARTIAL_END_BYTES = 3
+# Fields after a line end; a field without a colon has an empty value.
+ID_FIELD = compile_pattern(rb"[\r\n]id(?::([^\r\n]*))?[\r\n]")
+DATA_FIELD = compile_pattern(rb"[\r\n]data[:\r\n]")
+# The id of the last event is sent on in a header field.
+MAX_ID_BYTES = 256
+CONTROL_CHARACTERS = compile_pattern(rb"[\x00-\x1f\x7f]")
 
 
-class EventTooLargeError(Exception):
+class InvalidEventError(Exception):
+    """The bytes are not an event that can be passed on."""
+
+
+class EventTooLargeError(InvalidEventError):
     """An event has exceeded the size limit before its end."""
 
 
@@ -35,6 +47,9 @@
 class EventSplitter:
     """Splits a stream of bytes into events (HTML Living Standard, 9.2).
 
+    The time that it takes is linear in the number of bytes, however they are divided
+    into events and calls.
+
     Parameters
     ----------
     max_bytes : int
@@ -43,7 +58,9 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Offset in the buffer before which no event ends.
+        self._searched = 0
         self._ended_with_cr = False
 
     @property
@@ -56,8 +73,9 @@
 
         Raises
         ------
-        EventTooLargeError
-            When an incomplete event exceeds the size limit.
+        InvalidEventError
+            When an incomplete event exceeds the size limit, or the id of a complete
+            one cannot be sent in a header field.
         """
         events = []
         if self._ended_with_cr and data[:1] == b"\n":
@@ -67,22 +85,38 @@
         if data:
             self._ended_with_cr = False
         self._buffer += data
-        while (end := EVENT_END.search(self._buffer)) is not None:
+        start = 0
+        position = self._searched
+        self._searched = max(0, len(self._buffer) - MAX_PARTIAL_END_BYTES)
+        while (end := EVENT_END.search(self._buffer, position)) is not None:
             if _may_continue(end):
+                self._searched = end.start()
                 break
-            block = self._buffer[: end.end()]
-            self._buffer = self._buffer[end.end() :]
-            self._ended_with_cr = not self._buffer and block.endswith(b"\r")
-            events.append(_parse_event(block))
+            events.append(_parse_event(bytes(self._buffer[start : end.end()])))
+            start = position = end.end()
+        if start:
+            self._ended_with_cr = (
+                start == len(self._buffer) and events[-1].data[-1:] == b"\r"
+            )
+            del self._buffer[:start]
+            self._searched = max(0, self._searched - start)
         if len(self._buffer) > self._max_bytes:
             raise EventTooLargeError(f"event of more than {self._max_bytes} bytes")
         return events
 
     def finish(self) -> list[StreamEvent]:
-        """Return the event that was held back because its last line end may go on."""
-        if not EVENT_END.search(self._buffer):
+        """Return the event that was held back because its last line end may go on.
+
+        Raises
+        ------
+        InvalidEventError
+            When its id cannot be sent in a header field.
+        """
+        if not EVENT_END.search(self._buffer, self._searched):
             return []
-        block, self._buffer = self._buffer, b""
+        block = bytes(self._buffer)
+        self._buffer.clear()
+        self._searched = 0
         return [_parse_event(block)]
 
 
@@ -97,11 +131,16 @@
 
 
 def _parse_event(block: bytes) -> StreamEvent:
-    id_ = None
-    has_data = False
-    for line in block.splitlines():
-        name, _, value = line.partition(b":")
-        if name == b"id" and id_ is None:
-            id_ = value.strip().decode("latin-1")
-        has_data = has_data or name == b"data"
-    return StreamEvent(block, id_, has_data)
+    if not block.strip(b"\r\n"):
+        return StreamEvent(block, None)
+    lines = b"\n" + block
+    field = ID_FIELD.search(lines)
+    id_ = _parse_id(field[1] or b"") if field is not None else None
+    return StreamEvent(block, id_, DATA_FIELD.search(lines) is not None)
+
+
+def _parse_id(value: bytes) -> str:
+    value = value.strip()
+    if len(value) > MAX_ID_BYTES or CONTROL_CHARACTERS.search(value):
+        raise InvalidEventError("event id that is too long or not printable")
+    return value.decode("latin-1")
--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -11,6 +11,7 @@
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
 from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.eventloop import Pauser
 
 RECEIVE_BYTES = 65_536
 EVENT_END = b"\n\n"
@@ -179,16 +180,20 @@
         """
         buffered = bytearray()
         carried = b""
+        pauser = Pauser()
         deadline = read_clock() + first_timeout
         while piece := self.read(deadline - read_clock()):
             piece = carried + piece
             # The rest of a CRLF may come with the next piece.
             carried = b"\r" if piece.endswith(b"\r") else b""
             piece = piece.removesuffix(carried)
+            searched = max(0, len(buffered) - len(EVENT_END) + 1)
             buffered += piece.replace(b"\r\n", b"\n")
-            while (end := buffered.find(EVENT_END)) >= 0:
+            while (end := buffered.find(EVENT_END, searched)) >= 0:
                 event = bytes(buffered[:end])
                 del buffered[: end + len(EVENT_END)]
+                searched = 0
+                pauser.pause()
                 if event.startswith(EVENT_PREFIX):
                     yield event[len(EVENT_PREFIX) :].strip()
                     # Counts from here, as the caller may read slowly.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -12,6 +12,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.messages import parse_address
+from bergamotwood_daemon.eventloop import Pauser
 from bergamotwood_daemon.gateway.message import Headers
 from bergamotwood_daemon.gateway.sockets import is_readable
 
@@ -31,6 +32,9 @@
 # much.
 MAX_INLINE_SEND_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
+# Time from the first byte of a head to its end; heads come in one piece or a few.
+HEAD_SECONDS = 5.0
+HEAD_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 # Shortest timeout of a socket; 0 would make it non-blocking.
 MIN_RECEIVE_SECONDS = 0.001
 
@@ -72,8 +76,11 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._sender: Greenlet | None = None
+        # Time of the first byte of the next event; None until it has arrived.
+        self._head_began_at: Seconds | None = None
         self._sock = Socket(AF_INET, SOCK_STREAM)
         self._idle_seconds = MAX_IDLE_SECONDS
+        self._pauser = Pauser()
 
     def open(self) -> None:
         """Open the connection.
@@ -132,16 +139,22 @@
         has_received = False
         try:
             while True:
+                # Neither bytes that wait nor events may hold up other requests.
+                self._pauser.pause()
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
+                    self._head_began_at = None
                     return self._check_event(event)
                 left = deadline - self._clock()
                 if left < 0.0 and has_received:
                     # Bytes without an event must not keep the wait alive.
                     raise TimeoutError
+                self._check_head_time()
                 self._sock.settimeout(max(left, MIN_RECEIVE_SECONDS))
                 self._http.receive_data(self._sock.recv(READ_BYTES))
                 has_received = True
+                if self._head_began_at is None:
+                    self._head_began_at = self._clock()
         except TimeoutError as error:
             raise ResponseTimeoutError(
                 f"{self.address}: nothing within {seconds:.3f} s"
@@ -174,6 +187,15 @@
             self._sock.settimeout(None)
             self._sock.sendall(data)
 
+    def _check_head_time(self) -> None:
+        """Check that an incomplete head has not been coming for too long."""
+        if self._head_began_at is None or self._http.their_state not in HEAD_STATES:
+            return
+        if self._clock() - self._head_began_at > HEAD_SECONDS:
+            raise ConnectionBrokenError(
+                f"{self.address}: head incomplete after {HEAD_SECONDS:.0f} s"
+            )
+
     def _check_event(self, event: h11.Event) -> h11.Event:
         match event:
             case h11.ConnectionClosed() | h11.PAUSED:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -33,6 +33,7 @@
 from bergamotwood_core.gateway.suspensions import SuspensionTable
 from bergamotwood_core.ids import DataCentre, Incarnation, ServiceName, SessionId
 from bergamotwood_core.states import EndpointState
+from bergamotwood_daemon.eventloop import get_monitor
 from bergamotwood_daemon.gateway.client import ConnectionPool
 from bergamotwood_daemon.gateway.coldendpoints import ColdEndpointMonitor
 from bergamotwood_daemon.gateway.controlpoller import ControlPoller
@@ -420,6 +421,7 @@
             "outstanding": self.loads.count_requests(),
             "connections_opened_total": self.pool.opened_connections,
             "log_lines_dropped_total": count_dropped_lines(),
+            "longest_turn_seconds": round(get_monitor().longest_turn_seconds, 3),
             "liveness_checks_total": self.liveness.checks,
             "suspensions": len(self.suspensions),
             "limited_endpoints": self.limits.count_limited(self.clock()),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
@@ -22,8 +22,10 @@
 
 # Time after the deadline for which bytes that have arrived are still read.
 DEADLINE_SLACK_SECONDS = 0.25
-# Largest response that is buffered until it is complete.
+# Largest response that is buffered until it is complete, and the most pieces in which
+# it may come.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_PIECES = 65_536
 
 
 class ResponseReader:
@@ -64,17 +66,17 @@
         compute_timeout : callable
             Returns the seconds to wait for the next chunk.
         """
-        pieces = []
-        size = 0
+        body = bytearray()
+        pieces = 0
         try:
             while True:
                 event = self.receive(compute_timeout())
                 if isinstance(event, h11.EndOfMessage):
                     break
                 self.check_deadline()
-                pieces.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_RESPONSE_BYTES:
+                body += event.data
+                pieces += 1
+                if len(body) > MAX_RESPONSE_BYTES or pieces > MAX_RESPONSE_PIECES:
                     return MayHaveRun(
                         "answer too large",
                         AttemptResult.BROKEN,
@@ -87,7 +89,7 @@
         if not is_framed(list(head.headers)):
             self.record_unframed_end()
         headers = strip_connection_fields(list(head.headers))
-        return Answered(HttpResponse(head.status_code, headers, b"".join(pieces)))
+        return Answered(HttpResponse(head.status_code, headers, bytes(body)))
 
     def receive(self, seconds: float) -> h11.Event:
         """Return the next event of the response.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -40,6 +40,7 @@
     ServiceName,
 )
 from bergamotwood_core.states import EndpointState
+from bergamotwood_daemon.eventloop import get_monitor
 from bergamotwood_daemon.gateway.channels import ReplicationSenders
 from bergamotwood_daemon.gateway.controlgroup import make_control_group
 from bergamotwood_daemon.gateway.decisions import DecisionMaker
@@ -317,6 +318,7 @@
             "endpoint_changes_total": self.directory.feed.cursor,
             "entry_changes_total": self.entries.addresses.cursor,
             "log_lines_dropped_total": count_dropped_lines(),
+            "longest_turn_seconds": round(get_monitor().longest_turn_seconds, 3),
             **self.levels.list_gauges(),
             **self.warmups.list_gauges(),
         }
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -13,6 +13,7 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.configuration import CallerLimits
 from bergamotwood_core.messages import Address
+from bergamotwood_daemon.eventloop import Pauser
 from bergamotwood_daemon.gateway.message import Headers, HttpRequest, HttpResponse
 from bergamotwood_daemon.gateway.sockets import is_readable
 from bergamotwood_daemon.log import log_event, log_failure
@@ -43,8 +44,8 @@
     def __init__(self, sock: Socket) -> None:
         self.is_closed = False
         self._sock = sock
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._buffer = bytearray()
+        self._pauser = Pauser()
         self._data_ready = Event()
         self._space_ready = Event()
         self._on_close: Callable[[], None] | None = None
@@ -53,7 +54,7 @@
     @property
     def has_bytes(self) -> bool:
         """Whether there are buffered bytes."""
-        return bool(self._chunks)
+        return bool(self._buffer)
 
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
         """Set the function to call when the caller disconnects; None removes it."""
@@ -69,13 +70,12 @@
         CallerTimeoutError
             When no bytes arrive in time.
         """
-        while not self._chunks and not self.is_closed:
+        while not self._buffer and not self.is_closed:
             self._data_ready.clear()
             if not self._data_ready.wait(seconds):
                 raise CallerTimeoutError
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._size = 0
+        data = bytes(self._buffer)
+        self._buffer.clear()
         self._space_ready.set()
         return data
 
@@ -95,12 +95,12 @@
                 data = b""
             if not data:
                 break
-            self._chunks.append(data)
-            self._size += len(data)
+            self._buffer += data
             self._data_ready.set()
-            while self._size > MAX_UNREAD_BYTES:
+            while len(self._buffer) > MAX_UNREAD_BYTES:
                 self._space_ready.clear()
                 self._space_ready.wait()
+            self._pauser.pause()
         self.is_closed = True
         self._data_ready.set()
         if self._on_close is not None:
@@ -181,6 +181,8 @@
         self.is_busy = False
         self._is_shut_down = False
         self._is_framed_twice = False
+        self._is_paused = False
+        self._pauser = Pauser()
 
     @property
     def closes_after_response(self) -> bool:
@@ -208,7 +210,9 @@
     @property
     def has_request(self) -> bool:
         """Whether a request is running or has arrived, even if it is still unread."""
-        if self.is_busy or self._inbound.has_bytes or self._http.trailing_data[0]:
+        if self.is_busy or self._is_paused:
+            return True
+        if self._inbound.has_bytes or self._http.trailing_data[0]:
             return True
         return not self._inbound.is_closed and is_readable(self._sock)
 
@@ -264,8 +268,7 @@
 
     def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
-        body: list[bytes] = []
-        size = 0
+        body = bytearray()
         self._first_byte_at = self._server.clock()
         while True:
             event = self._http.next_event()
@@ -279,10 +282,10 @@
                     head = event
                     self._is_framed_twice = _is_framed_twice(event)
                 case h11.Data():
-                    size += len(event.data)
-                    if size > self._server.limits().body_bytes:
+                    body += event.data
+                    if len(body) > self._server.limits().body_bytes:
                         raise h11.RemoteProtocolError("body too large", 413)
-                    body.append(bytes(event.data))
+                    self._pause()
                 case h11.EndOfMessage():
                     break
                 case _:
@@ -291,10 +294,18 @@
             bytes(head.method),
             bytes(head.target),
             [(bytes(name), bytes(value)) for name, value in head.headers],
-            b"".join(body),
+            bytes(body),
             self._first_byte_at,
         )
 
+    def _pause(self) -> None:
+        """Let other greenlets run while a body that has arrived is decoded."""
+        self._is_paused = True
+        try:
+            self._pauser.pause()
+        finally:
+            self._is_paused = False
+
     def _receive(self, has_head: bool) -> None:
         limits = self._server.limits()
         is_idle = not has_head and not self._http.trailing_data[0]
--- a/tests/core/gateway/test_events.py
+++ b/tests/core/gateway/test_events.py
@@ -1,8 +1,14 @@
+from time import process_time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotwood_core.gateway.events import EventSplitter, EventTooLargeError
+from bergamotwood_core.gateway.events import (
+    EventSplitter,
+    EventTooLargeError,
+    InvalidEventError,
+)
 
 MAX_BYTES = 10_000
 LINE_ENDS = st.sampled_from([b"\n", b"\r\n", b"\r"])
@@ -71,3 +77,25 @@
 def test_a_comment_carries_no_data():
     comment, event = EventSplitter(MAX_BYTES).feed(b": alive\n\ndata: a\n\n")
     assert (comment.has_data, event.has_data) == (False, True)
+
+
+# The time grew with the square of an event's size; an entry served nobody meanwhile.
+@pytest.mark.parametrize("form", [b"x", b"x\n", b"x\r", b"\n", b":\n\n"])
+def test_work_on_a_byte_does_not_grow_with_the_bytes_before(form):
+    def measure(count):
+        splitter = EventSplitter(10 * count)
+        started_at = process_time()
+        for _ in range(count // 64):
+            splitter.feed(64 // len(form) * form)
+        return process_time() - started_at
+
+    measure(10_000)
+    small = min(measure(50_000) for _ in range(3))
+    large = min(measure(500_000) for _ in range(3))
+    assert large < 30 * small
+
+
+@pytest.mark.parametrize("id_", [300 * b"7", b"a\0b"])
+def test_an_id_that_no_header_field_can_hold_is_refused(id_):
+    with pytest.raises(InvalidEventError):
+        EventSplitter(MAX_BYTES).feed(b"id: " + id_ + b"\ndata: a\n\n")
