Keep control going whatever number another writer sends

Cause: JSON integers have any size, those of MessagePack 64 bits. The heartbeat went into the directory, and encoding a reply with it raised OverflowError, which neither the handler of polls nor the relay between replicas expected.

Why this works: values are checked once, where documents are decoded, for what can be encoded, computed with and connected to; soft state of instances of an older build is checked on arrival; a record without an encoding is left out, logged and counted, and the others hold. Polls, relays and expiry go on after any exception. A heartbeat of a service that no configuration names takes nothing from others.

--- a/packages/core/src/bergamotwood_core/announcement.py
+++ b/packages/core/src/bergamotwood_core/announcement.py
@@ -9,7 +9,7 @@
 from msgspec.json import Decoder
 
 from bergamotwood_core.errors import Code, RequestError
-from bergamotwood_core.messages import Announcement
+from bergamotwood_core.messages import MAX_PORT, Announcement
 
 MAX_ANNOUNCEMENT_BYTES = 131_072
 MAX_NAME_CHARACTERS = 128
@@ -17,7 +17,6 @@
 MAX_PREFIXES = 4_096
 MAX_SUSPECTS = 1_024
 MAX_CAPACITY = 100_000
-MAX_PORT = 65_535
 # Exclusive upper bounds of incarnations and sequences, and of prefix hashes.
 COUNTER_LIMIT = 2**63
 HASH_LIMIT = 2**64
--- a/packages/core/src/bergamotwood_core/gateway/configuration.py
+++ b/packages/core/src/bergamotwood_core/gateway/configuration.py
@@ -4,11 +4,20 @@
 from collections.abc import Iterator
 from enum import StrEnum
 from math import isfinite
+from re import compile as compile_pattern
 
 from msgspec import Struct
 
+from bergamotwood_core.bounds import MAX_INTEGER, MAX_SECONDS
 from bergamotwood_core.ids import ModelName, ServiceName, WorkspaceId
 
+# Bounds of weights and of priorities, which are added and multiplied.
+MAX_WEIGHT = 1e12
+MAX_PRIORITY = 1_000_000
+# Characters that no header field and no request line can hold.
+UNSENDABLE = compile_pattern(r"[\x00-\x1f\x7f]|^\s|\s$")
+REQUEST_TARGET = compile_pattern(r"[\x21-\x7e]*")
+
 
 class RouteKind(StrEnum):
     """Whether requests of a route may be executed more than once."""
@@ -195,6 +204,8 @@
         *_find_duplicate_routes(configuration),
         *_find_shared_keys(configuration),
         *_find_service_errors(configuration),
+        *_find_range_errors(configuration),
+        *_find_name_errors(configuration),
     )
 
 
@@ -238,3 +249,52 @@
         values = service.warmup_seconds, service.warmup_requests_per_second
         if any(not isfinite(value) or value < 0.0 for value in values):
             yield f"service {service.name}: its warm-up is negative or not finite"
+
+
+def _find_range_errors(configuration: GatewayConfiguration) -> Iterator[str]:
+    for route in configuration.routes:
+        seconds = (
+            route.timeout_seconds,
+            route.latency_objective_seconds,
+            route.event_gap_seconds,
+        )
+        weights = [destination.weight for destination in route.destinations]
+        if (
+            any(not abs(value) <= MAX_SECONDS for value in seconds)
+            or any(weight > MAX_WEIGHT for weight in weights)
+            or abs(route.priority) > MAX_PRIORITY
+            or route.max_attempts > MAX_INTEGER
+        ):
+            yield f"route {route.name}: a number is out of range"
+    for service in configuration.services:
+        engine = service.engine or EngineProfile()
+        counts = service.max_connections, engine.slots, engine.cache_tokens
+        values = service.warmup_seconds, service.warmup_requests_per_second
+        if any(abs(count) > MAX_INTEGER for count in counts) or any(
+            value > MAX_SECONDS for value in (*values, *engine.model_costs.values())
+        ):
+            yield f"service {service.name}: a number is out of range"
+    limits = configuration.limits
+    if (
+        not 1 <= limits.header_bytes <= MAX_INTEGER
+        or not 0 <= limits.body_bytes <= MAX_INTEGER
+        or not 0.0 <= limits.header_seconds <= MAX_SECONDS
+        or not 0.0 <= limits.idle_seconds <= MAX_SECONDS
+    ):
+        yield "limits: a number is out of range"
+    for workspace in configuration.workspaces:
+        if abs(workspace.priority or 0) > MAX_PRIORITY:
+            yield f"workspace {workspace.name}: its priority is out of range"
+
+
+def _find_name_errors(configuration: GatewayConfiguration) -> Iterator[str]:
+    """Find names that cannot be sent to endpoints."""
+    for workspace in configuration.workspaces:
+        if UNSENDABLE.search(workspace.name):
+            yield f"workspace {workspace.name!r}: its name cannot be sent"
+    for route in configuration.routes:
+        if any(UNSENDABLE.search(model) for model in route.models):
+            yield f"route {route.name}: the name of a model cannot be sent"
+    for service in configuration.services:
+        if not REQUEST_TARGET.fullmatch(service.health_path):
+            yield f"service {service.name}: its health path cannot be requested"
--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -117,11 +117,15 @@
         Heartbeats with changes that entries need to know.
     warmup_services : frozenset of ServiceName
         Services whose endpoints may be cold.
+    services : frozenset of ServiceName or None
+        Services of the configuration; None before there is one. Only endpoints of
+        these may take the id or the address of another.
     """
 
     def __init__(self, expiry_seconds: float) -> None:
         self.feed: ChangeFeed[EndpointId, EndpointHeartbeat] = ChangeFeed()
         self.warmup_services: frozenset[ServiceName] = frozenset()
+        self.services: frozenset[ServiceName] | None = None
         self._cold_marks: dict[EndpointId, ColdMark] = {}
         self._marked_at: dict[DataCentre, Seconds] = {}
         self._expiry = expiry_seconds
@@ -135,7 +139,7 @@
     def apply_heartbeat(self, heartbeat: EndpointHeartbeat, now: Seconds) -> bool:
         """Store a heartbeat; return whether it has to be forwarded to other daemons."""
         known = self._heartbeats.get(heartbeat.endpoint)
-        if known is not None and not _is_newer(heartbeat, known):
+        if known is not None and not self._supersedes(heartbeat, known):
             return False
         if (heartbeat.endpoint, heartbeat.incarnation) in self._departed:
             return False
@@ -269,11 +273,27 @@
                 or other.endpoint == heartbeat.endpoint
             ):
                 continue
+            if self._is_foreign(other) != self._is_foreign(heartbeat):
+                continue
             if other.incarnation > heartbeat.incarnation:
                 return False
             self._drop(other.endpoint)
         return True
 
+    def _supersedes(
+        self, heartbeat: EndpointHeartbeat, known: EndpointHeartbeat
+    ) -> bool:
+        if self._is_foreign(heartbeat) != self._is_foreign(known):
+            return self._is_foreign(known)
+        return _is_newer(heartbeat, known)
+
+    def _is_foreign(self, heartbeat: EndpointHeartbeat) -> bool:
+        """Whether a heartbeat is of a service that no configuration names.
+
+        It may be of another writer, and names no endpoint to use.
+        """
+        return self.services is not None and heartbeat.service not in self.services
+
     def _drop(self, endpoint: EndpointId) -> None:
         del self._heartbeats[endpoint]
         del self._last_heard[endpoint]
--- a/packages/core/src/bergamotwood_core/gateway/events.py
+++ b/packages/core/src/bergamotwood_core/gateway/events.py
@@ -120,6 +120,15 @@
         return [_parse_event(block)]
 
 
+def can_be_sent(id_: str) -> bool:
+    """Whether an event id can be sent in a header field."""
+    try:
+        value = id_.encode("latin-1")
+    except UnicodeEncodeError:
+        return False
+    return len(value) <= MAX_ID_BYTES and not CONTROL_CHARACTERS.search(value)
+
+
 def _may_continue(end: Match[bytes]) -> bool:
     """Whether an end at the last byte may be the first half of another CRLF.
 
@@ -141,6 +150,7 @@
 
 def _parse_id(value: bytes) -> str:
     value = value.strip()
-    if len(value) > MAX_ID_BYTES or CONTROL_CHARACTERS.search(value):
+    id_ = value.decode("latin-1")
+    if not can_be_sent(id_):
         raise InvalidEventError("event id that is too long or not printable")
-    return value.decode("latin-1")
+    return id_
--- a/packages/core/src/bergamotwood_core/messages.py
+++ b/packages/core/src/bergamotwood_core/messages.py
@@ -13,6 +13,8 @@
 )
 from bergamotwood_core.states import EndpointKind, EndpointState, EntryState
 
+MAX_PORT = 65_535
+
 
 class Address(Struct, frozen=True):
     """An IP address and a TCP port."""
@@ -33,7 +35,7 @@
         If the text has another form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or int(port[:6]) > MAX_PORT or port[6:]:
         raise ValueError(f"not an address with a port: {text!r:.60}")
     return Address(host, int(port))
 
--- a/packages/core/src/bergamotwood_core/stream.py
+++ b/packages/core/src/bergamotwood_core/stream.py
@@ -4,6 +4,7 @@
 
 from msgspec import Raw, Struct
 
+from bergamotwood_core.bounds import Integer
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.ids import RequestId
 
@@ -11,8 +12,8 @@
 class Usage(Struct, frozen=True):
     """Token counts of an answer; those of a resumed answer include its first part."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: Integer = 0
+    completion_tokens: Integer = 0
 
 
 class Chunk(Struct, frozen=True):
--- a/packages/daemon/src/bergamotwood_daemon/answer.py
+++ b/packages/daemon/src/bergamotwood_daemon/answer.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from msgspec import DecodeError, Raw, Struct, ValidationError, field, json
+from msgspec import MsgspecError, Raw, Struct, field, json
 
 from bergamotwood_core.configuration import Version
 from bergamotwood_core.errors import (
@@ -223,7 +223,7 @@
         decoded = _EVENTS.decode(event)
         choice = decoded.choices[0] if decoded.choices else _Choice()
         delta = _DELTAS.decode(choice.delta)
-    except (DecodeError, ValidationError) as error:
+    except (MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise EndpointError(f"not a chunk: {error}", Code.STREAM_BROKEN) from error
     return Chunk(
         RequestId(decoded.id),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -10,6 +10,7 @@
 from gevent.socket import AF_INET, SOCK_STREAM
 from gevent.socket import socket as Socket
 
+from bergamotwood_core.bounds import parse_count
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.messages import parse_address
 from bergamotwood_daemon.eventloop import Pauser
@@ -25,6 +26,8 @@
 MAX_IDLE_SECONDS = 3.0
 # Fraction of an endpoint's announced idle timeout up to which a connection is reused.
 IDLE_TIMEOUT_FRACTION = 0.6
+# Largest idle timeout that is told from others.
+MAX_KEEP_ALIVE_SECONDS = 86_400
 # Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 8
 # Larger requests are sent by a separate greenlet while the response is read, because
@@ -95,7 +98,7 @@
             address = parse_address(self.address)
             self._sock.connect((address.host, address.port))
             self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        except (OSError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             self.close()
             raise NotConnectedError(f"{self.address}: {error}") from error
 
@@ -212,9 +215,10 @@
                 continue
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
-                if key == b"timeout" and number.isdigit():
+                seconds = parse_count(number.decode("latin-1"), MAX_KEEP_ALIVE_SECONDS)
+                if key == b"timeout" and seconds is not None:
                     self._idle_seconds = min(
-                        MAX_IDLE_SECONDS, IDLE_TIMEOUT_FRACTION * int(number)
+                        MAX_IDLE_SECONDS, IDLE_TIMEOUT_FRACTION * seconds
                     )
 
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -8,17 +8,18 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.gateway.usable import UnencodableError
 from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_daemon.gateway.channels import PeerChannels
 from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.peermessages import (
-    ENCODER,
     SYNC_REPLY,
     EntryStatus,
     SyncReply,
     SyncRequest,
 )
-from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.gateway.unusable import encode_usable
+from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.peer import POLL
 
 # How long a replica may wait for a change before it answers. Each poll reports the
@@ -124,18 +125,26 @@
             if self._replica is None:
                 self._replica = self._choose_replica()
             replica = self._replica
-            if self._poll(replica):
+            if self._poll_safely(replica):
                 self._move_home()
                 continue
             self._avoid(replica)
             self._replica = None
             sleep(RETRY_DELAY_SECONDS * self._rng.uniform(0.5, 1.0))
 
+    def _poll_safely(self, replica: InstanceId) -> bool:
+        try:
+            return self._poll(replica)
+        except Exception as error:
+            # Without polls the entry could serve nobody; the next one may succeed.
+            log_failure("entry", "Poll failed.", replica=replica, reason=repr(error))
+            return False
+
     def _poll(self, replica: InstanceId) -> bool:
         requested_at = self._clock()
         try:
             reply = self._call(replica, LONG_POLL_SECONDS)
-        except (ReplicationError, MsgspecError) as error:
+        except (ReplicationError, MsgspecError, UnencodableError) as error:
             self._handle_failure(replica, str(error))
             return False
         self._control_state.update(reply, requested_at)
@@ -162,7 +171,7 @@
 
     def _encode_request(self, status: EntryStatus, hold_seconds: float) -> bytes:
         state = self._control_state
-        return ENCODER.encode(
+        return encode_usable(
             SyncRequest(
                 status,
                 state.number,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -7,6 +7,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import Code, RefusedError, RequestError
+from bergamotwood_core.gateway.changefeed import Changes
 from bergamotwood_core.gateway.configuration import CallerLimits, GatewayConfiguration
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.evacuations import EvacuationEnd
@@ -21,6 +22,7 @@
 from bergamotwood_core.gateway.state_machine import decompress_document
 from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
 from bergamotwood_core.gateway.suspensions import Suspension
+from bergamotwood_core.gateway.usable import find_heartbeat_fault
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -32,6 +34,7 @@
 )
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.peermessages import Cursors, SyncReply
+from bergamotwood_daemon.gateway.unusable import report_unusable
 from bergamotwood_daemon.log import log_event
 
 # Retry delay sent to callers of an entry without a current configuration. After a
@@ -229,7 +232,7 @@
             self.cursors = Cursors()
         endpoints, entries, replicas = reply.endpoints, reply.entries, reply.replicas
         if endpoints is not None:
-            self.heartbeats = endpoints.apply(self.heartbeats)
+            self.heartbeats = _drop_unusable(endpoints).apply(self.heartbeats)
             self.cursors = replace(self.cursors, endpoints=endpoints.cursor)
         if entries is not None:
             self.entries = entries.apply(self.entries)
@@ -305,3 +308,25 @@
 
     def _decode_document(self, document: bytes) -> GatewayConfiguration:
         return self._dialect.decode_configuration(decompress_document(document))
+
+
+def _drop_unusable(
+    changes: Changes[EndpointId, EndpointHeartbeat],
+) -> Changes[EndpointId, EndpointHeartbeat]:
+    """Return changes without heartbeats that name no endpoint to use.
+
+    A replica of an older build passes them on.
+    """
+    faults = {
+        key: fault
+        for key, heartbeat in changes.values.items()
+        if (fault := find_heartbeat_fault(heartbeat)) is not None
+    }
+    if not faults:
+        return changes
+    report_unusable("endpoints", len(faults), next(iter(faults.values())))
+    return replace(
+        changes,
+        values={k: v for k, v in changes.values.items() if k not in faults},
+        removed=(*changes.removed, *faults),
+    )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
+from msgspec.structs import replace
+
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
 from bergamotwood_core.gateway.latency import LatencyReport, merge_latencies
@@ -18,6 +20,7 @@
 from bergamotwood_core.gateway.prefill import estimate_rates, merge_histograms
 from bergamotwood_core.gateway.retries import UsageReport, merge_usage
 from bergamotwood_core.gateway.rollout import VersionEvidence, merge_evidence
+from bergamotwood_core.gateway.usable import is_usable_load
 from bergamotwood_core.ids import EndpointId, InstanceId, ModelName, SessionId
 from bergamotwood_core.progress import NEVER
 from bergamotwood_daemon.gateway.peermessages import (
@@ -26,6 +29,7 @@
     ReplicaSummary,
     SummaryCursor,
 )
+from bergamotwood_daemon.gateway.unusable import report_unusable
 
 # Entries report at least every half second. One that has missed two reports is
 # dropped, so that callers are no longer directed to it.
@@ -85,6 +89,13 @@
     def update(self, status: EntryStatus) -> bool:
         """Store a status; return whether it is newer than what is known."""
         instance = status.entry.instance
+        usable = {
+            key: load for key, load in status.loads.items() if is_usable_load(load)
+        }
+        if len(usable) < len(status.loads):
+            unusable = len(status.loads) - len(usable)
+            report_unusable(f"loads of {instance}", unusable, "out of range")
+            status = replace(status, loads=usable)
         previous = self._statuses.get(instance)
         if previous is not None and _order(previous) >= _order(status):
             return False
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -45,6 +45,7 @@
 from bergamotwood_daemon.gateway.peermessages import EntryStatus
 from bergamotwood_daemon.gateway.reachprober import ReachProber
 from bergamotwood_daemon.gateway.settings import GatewaySettings
+from bergamotwood_daemon.gateway.unusable import count_unusable
 from bergamotwood_daemon.log import count_dropped_lines, log_event
 
 
@@ -421,6 +422,7 @@
             "outstanding": self.loads.count_requests(),
             "connections_opened_total": self.pool.opened_connections,
             "log_lines_dropped_total": count_dropped_lines(),
+            "records_left_out_total": count_unusable(),
             "longest_turn_seconds": round(get_monitor().longest_turn_seconds, 3),
             "liveness_checks_total": self.liveness.checks,
             "suspensions": len(self.suspensions),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
@@ -7,12 +7,13 @@
 """
 
 import h11
-from msgspec import DecodeError, ValidationError, json
+from msgspec import MsgspecError, json
 from msgspec.structs import replace
 
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.configuration import CallerLimits, RouteKind
+from bergamotwood_core.gateway.events import can_be_sent
 from bergamotwood_core.gateway.health import AttemptResult
 from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.relays import RelayedRequest, RelayOrigin
@@ -233,9 +234,12 @@
     """Return what another entry says of a request; None if it is unreadable."""
     values = [value for name, value in headers if name == RELAY_FIELD]
     try:
-        return json.decode(values[-1], type=RelayedRequest) if values else None
-    except (DecodeError, ValidationError):
+        relayed = json.decode(values[-1], type=RelayedRequest) if values else None
+    except (MsgspecError, UnicodeDecodeError, RecursionError):
         return None
+    if relayed is None or not can_be_sent(relayed.last_event_id):
+        return None
+    return relayed
 
 
 def extend_limits(limits: CallerLimits) -> CallerLimits:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -62,13 +62,14 @@
 from bergamotwood_daemon.gateway.rollouts import RolloutController
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.gateway.suspensions import SuspensionController
+from bergamotwood_daemon.gateway.unusable import count_unusable, encode_usable
 from bergamotwood_daemon.gateway.waitingpolls import (
     MAX_LONG_POLL_SECONDS,
     WaitingPolls,
     has_change,
 )
 from bergamotwood_daemon.gateway.warmuppermits import WarmupPermits
-from bergamotwood_daemon.log import count_dropped_lines, log_event
+from bergamotwood_daemon.log import count_dropped_lines, log_event, log_failure
 from bergamotwood_daemon.wire import (
     REPLICATE_BATCH,
 )
@@ -318,6 +319,7 @@
             "endpoint_changes_total": self.directory.feed.cursor,
             "entry_changes_total": self.entries.addresses.cursor,
             "log_lines_dropped_total": count_dropped_lines(),
+            "records_left_out_total": count_unusable(),
             "longest_turn_seconds": round(get_monitor().longest_turn_seconds, 3),
             **self.levels.list_gauges(),
             **self.warmups.list_gauges(),
@@ -357,7 +359,7 @@
         self._leader.require_build()
         match POLL.decode(body):
             case SyncRequest() as request:
-                return ENCODER.encode(self._answer_sync(request))
+                return encode_usable(self._answer_sync(request))
             case Relay() as relay:
                 known = self._relay.receive(relay)
                 self._notify_if_changed()
@@ -502,15 +504,22 @@
     def _run_expiry(self) -> None:
         while True:
             sleep(EXPIRY_INTERVAL_SECONDS)
-            self.directory.expire(self._clock())
-            self.entries.expire()
-            self.rollouts.retain_entries(set(self.entries.members))
-            self._notify_if_changed()
-            self.rollouts.observe()
-            self.suspensions.observe()
-            self.limits.expire(self._clock())
-            self.levels.observe()
-            if self.group.failure is not None:
-                self._relay.stop()
-            self.warmups.observe()
-            self._decisions.decide()
+            try:
+                self._expire()
+            except Exception as error:
+                # The replica must go on for its entries; the next round may succeed.
+                log_failure("control", "Expiry failed.", reason=repr(error))
+
+    def _expire(self) -> None:
+        self.directory.expire(self._clock())
+        self.entries.expire()
+        self.rollouts.retain_entries(set(self.entries.members))
+        self._notify_if_changed()
+        self.rollouts.observe()
+        self.suspensions.observe()
+        self.limits.expire(self._clock())
+        self.levels.observe()
+        if self.group.failure is not None:
+            self._relay.stop()
+        self.warmups.observe()
+        self._decisions.decide()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replicarelay.py
@@ -15,12 +15,12 @@
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed, Changes
 from bergamotwood_core.gateway.endpoints import EndpointDirectory, EndpointHeartbeat
 from bergamotwood_core.gateway.limits import PermitIssuer
+from bergamotwood_core.gateway.usable import UnencodableError, find_heartbeat_fault
 from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_daemon.gateway.channels import PeerChannels
 from bergamotwood_daemon.gateway.entries import EntryTable
 from bergamotwood_daemon.gateway.levels import LevelController
 from bergamotwood_daemon.gateway.peermessages import (
-    ENCODER,
     SUMMARY_CURSOR,
     Relay,
     ReplicaSummary,
@@ -28,7 +28,8 @@
 )
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.gateway.suspensions import SuspensionController
-from bergamotwood_daemon.log import log_event
+from bergamotwood_daemon.gateway.unusable import encode_usable, report_unusable
+from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.peer import POLL as POLL_METHOD
 
 # Soft state is batched into one call to each replica, at an interval well below those
@@ -118,6 +119,10 @@
         """Apply the relay of another replica; return what is known of it then."""
         now = self._clock()
         for heartbeat in relay.heartbeats:
+            fault = find_heartbeat_fault(heartbeat)
+            if fault is not None:
+                report_unusable(f"heartbeats of {relay.summary.replica}", 1, fault)
+                continue
             self._directory.apply_heartbeat(heartbeat, now)
         self._data_centres[relay.summary.replica] = relay.data_centre
         self._suspensions.record_summary(relay.summary)
@@ -148,21 +153,28 @@
             if not (self._pending_heartbeats or self._has_new_reports or is_due):
                 continue
             relayed_at = self._clock()
-            self._has_new_reports = False
-            heartbeats = tuple(self._pending_heartbeats)
-            self._pending_heartbeats.clear()
-            self._summary_sequence += 1
-            summary = self._entries.summarize(
-                self._settings.instance, self._boot, self._summary_sequence
-            )
-            summary = replace(
-                self._suspensions.complete_summary(summary),
-                limits=self._limits.list_own(self._clock()),
-            )
-            summary = self._levels.complete_summary(summary)
-            for instance in self._list_replicas():
-                if instance != self._settings.instance:
-                    spawn(self._send_relay, instance, summary, heartbeats)
+            try:
+                self._relay()
+            except Exception as error:
+                # Other replicas depend on the next relay.
+                log_failure("control", "Relay failed.", reason=repr(error))
+
+    def _relay(self) -> None:
+        self._has_new_reports = False
+        heartbeats = tuple(self._pending_heartbeats)
+        self._pending_heartbeats.clear()
+        self._summary_sequence += 1
+        summary = self._entries.summarize(
+            self._settings.instance, self._boot, self._summary_sequence
+        )
+        summary = replace(
+            self._suspensions.complete_summary(summary),
+            limits=self._limits.list_own(self._clock()),
+        )
+        summary = self._levels.complete_summary(summary)
+        for instance in self._list_replicas():
+            if instance != self._settings.instance:
+                spawn(self._send_relay, instance, summary, heartbeats)
 
     def _send_relay(
         self,
@@ -181,10 +193,10 @@
         )
         try:
             reply = self._channels.get(instance).call(
-                POLL_METHOD, ENCODER.encode(relay), RELAY_TIMEOUT_SECONDS
+                POLL_METHOD, encode_usable(relay), RELAY_TIMEOUT_SECONDS
             )
             known = SUMMARY_CURSOR.decode(reply)
-        except (ReplicationError, MsgspecError) as error:
+        except (ReplicationError, MsgspecError, UnencodableError) as error:
             log_event("control", "Relay failed.", replica=instance, reason=str(error))
             return
         is_current = known.boot == self._boot
--- a/packages/daemon/src/bergamotwood_daemon/gateway/warmuppermits.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/warmuppermits.py
@@ -59,9 +59,6 @@
 
     def apply_configuration(self, state: GatewayState) -> None:
         """Apply a configuration that has been committed."""
-        bounds = self._bounds
-        if bounds.warmup_overshoot is None or bounds.warmup_tolerance is None:
-            return
         if state.number < 0:
             return
         try:
@@ -72,6 +69,10 @@
             # rates stay in force.
             log_event("control", "Configuration unreadable.", reason=str(error))
             return
+        self._directory.services = frozenset(service.name for service in services)
+        bounds = self._bounds
+        if bounds.warmup_overshoot is None or bounds.warmup_tolerance is None:
+            return
         self.issuer.window_permits = list_window_permits(
             services, bounds.warmup_overshoot, bounds.warmup_tolerance
         )
--- a/packages/daemon/src/bergamotwood_daemon/operations.py
+++ b/packages/daemon/src/bergamotwood_daemon/operations.py
@@ -5,6 +5,7 @@
 
 from msgspec import Raw, Struct
 
+from bergamotwood_core.bounds import MAX_INTEGER, parse_count
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.control import (
     ApplyTicket,
@@ -127,9 +128,10 @@
 
     def show_ticket(self, request: WebRequest, number: str) -> Response:
         """Return the outcome of a ticket."""
-        if not number.isdecimal():
+        parsed = parse_count(number, MAX_INTEGER)
+        if parsed is None:
             raise RequestError(f"ticket: not a number: {number!r:.40}")
-        reply = self.control.query(FindTicket(int(number)), QUERY_TIMEOUT_SECONDS)
+        reply = self.control.query(FindTicket(parsed), QUERY_TIMEOUT_SECONDS)
         if reply == b"null":
             raise TicketError(
                 f"ticket {number}: not accepted, or no longer kept",
--- a/packages/daemon/src/bergamotwood_daemon/peer.py
+++ b/packages/daemon/src/bergamotwood_daemon/peer.py
@@ -16,6 +16,7 @@
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
+from bergamotwood_daemon.log import log_failure
 from bergamotwood_daemon.peer_pb2 import Frame
 from bergamotwood_daemon.peer_pb2_grpc import (
     PeerServicer,
@@ -170,6 +171,11 @@
             detail = f"unreadable message: {error}"
             context.abort(grpc.StatusCode.FAILED_PRECONDITION, detail)
             raise
+        except Exception as error:
+            log_failure("peer", "Call failed.", reason=repr(error))
+            detail = f"call failed: {error!r:.200}"
+            context.abort(grpc.StatusCode.FAILED_PRECONDITION, detail)
+            raise
 
 
 class PeerChannel:
--- a/packages/daemon/src/bergamotwood_daemon/ratings.py
+++ b/packages/daemon/src/bergamotwood_daemon/ratings.py
@@ -1,6 +1,6 @@
 """Client of the rating service, which scores answers from 0 to 1."""
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import MsgspecError, Struct, json
 
 from bergamotwood_core.errors import EndpointError
 from bergamotwood_core.ids import RequestClass
@@ -63,5 +63,5 @@
             return None
         try:
             return json.decode(body, type=_Rating).score
-        except (DecodeError, ValidationError):
+        except (MsgspecError, UnicodeDecodeError, RecursionError):
             return None
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -9,6 +9,7 @@
 from gevent import Timeout
 from msgspec import DecodeError, json
 
+from bergamotwood_core.bounds import parse_count
 from bergamotwood_core.errors import (
     BergamotwoodError,
     Code,
@@ -85,9 +86,10 @@
         text = self.read_parameter(name)
         if text is None:
             return default
-        if not text.isdecimal() or int(text) < 1:
+        number = parse_count(text, maximum)
+        if not number:
             raise RequestError(f"{name}: not a positive number: {text!r:.40}")
-        return min(int(text), maximum)
+        return number
 
     def read_header(self, name: str) -> str | None:
         """Return a header field; None if it is absent."""
@@ -128,8 +130,8 @@
 
     def _read_body(self) -> bytes:
         maximum = self.limits.body_bytes
-        declared = self.environ.get("CONTENT_LENGTH") or "0"
-        if declared.isdecimal() and int(declared) > maximum:
+        declared = parse_count(self.environ.get("CONTENT_LENGTH") or "0", maximum + 1)
+        if declared is not None and declared > maximum:
             raise RequestError(
                 f"body: larger than {maximum} bytes", Code.BODY_TOO_LARGE
             )
@@ -147,7 +149,7 @@
             raise RequestError(
                 f"body: larger than {maximum} bytes", Code.BODY_TOO_LARGE
             )
-        if declared.isdecimal() and len(body) < int(declared):
+        if declared is not None and len(body) < declared:
             raise RequestError("body: cut off", Code.BODY_INCOMPLETE)
         return body
 
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -243,3 +243,42 @@
         leader.replace_configuration(b"8")
     with pytest.raises(ReplicationError):
         leader.read_configuration()
+
+
+# One heartbeat with a number beyond 64 bits failed every poll of every entry.
+def test_a_heartbeat_that_cannot_be_encoded_stops_no_poll(fleet):
+    control_states = [fleet.add_entry() for _ in range(2)]
+    for at, replica in enumerate(fleet.replicas.values()):
+        bad = make_heartbeat(f"bad-{at}", address=f"10.9.0.{at}:80", sequence=2**127)
+        replica.record_heartbeat(bad)
+        good = make_heartbeat(f"good-{at}", address=f"10.8.0.{at}:80")
+        replica.record_heartbeat(good)
+    fleet.retry(lambda: fleet.find(leads=True)[1].replace_configuration(b"7"))
+    wanted = {f"good-{at}" for at in range(3)}
+    fleet.wait_for(
+        lambda: all(
+            state.number == 7 and set(state.heartbeats) == wanted
+            for state in control_states
+        )
+    )
+
+
+# A heartbeat of another writer took the address and the id of an endpoint.
+def test_a_heartbeat_of_an_unknown_service_takes_nothing_from_an_endpoint(fleet):
+    control_state = fleet.add_entry()
+    fleet.retry(lambda: fleet.find(leads=True)[1].replace_configuration(b"7"))
+    _, leader = fleet.find(leads=True)
+    good = make_heartbeat(incarnation=Incarnation(1))
+    leader.record_heartbeat(good)
+    fleet.wait_for(lambda: good.endpoint in control_state.heartbeats)
+    for endpoint in (good.endpoint, EndpointId("other")):
+        leader.record_heartbeat(
+            make_heartbeat(
+                endpoint, service="of another system", incarnation=Incarnation(9)
+            )
+        )
+    sleep(0.5)
+    assert control_state.heartbeats[good.endpoint] == good
+    newer = make_heartbeat(sequence=Sequence(2), version="v9")
+    leader.record_heartbeat(newer)
+    fleet.wait_for(lambda: control_state.heartbeats[good.endpoint] == newer)
