Use a connection again only if its request was written

Cause: the greenlet that writes a long body shared a socket with the reader of the response, whose time-out of 0.5 s ended the writer's wait. The error was suppressed, and an ended greenlet was taken for a written body.

Why this works: the writer has a duplicate of the socket with a time-out of its own, counts what is written, and keeps its error for the reader.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -6,7 +6,6 @@
 from socket import IPPROTO_TCP, TCP_NODELAY
 
 import h11
-from gevent import Greenlet, spawn
 from gevent.socket import AF_INET, SOCK_STREAM
 from gevent.socket import socket as Socket
 
@@ -15,6 +14,7 @@
 from bergamotwood_core.messages import parse_address
 from bergamotwood_daemon.eventloop import Pauser
 from bergamotwood_daemon.gateway.message import Headers
+from bergamotwood_daemon.gateway.requestwriter import RequestWriter
 from bergamotwood_daemon.gateway.sockets import is_readable
 
 READ_BYTES = 65_536
@@ -30,10 +30,6 @@
 MAX_KEEP_ALIVE_SECONDS = 86_400
 # Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 8
-# Larger requests are sent by a separate greenlet while the response is read, because
-# an endpoint may answer before it has read the request. TCP windows hold about this
-# much.
-MAX_INLINE_SEND_BYTES = 16_384
 MAX_HEAD_BYTES = 65_536
 # Time from the first byte of a head to its end; heads come in one piece or a few.
 HEAD_SECONDS = 5.0
@@ -78,7 +74,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._sender: Greenlet | None = None
+        self._writer: RequestWriter | None = None
         # Time of the first byte of the next event; None until it has arrived.
         self._head_began_at: Seconds | None = None
         self._sock = Socket(AF_INET, SOCK_STREAM)
@@ -108,7 +104,7 @@
         return not is_readable(self._sock)
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
-        """Send a request.
+        """Send a request; an endpoint may answer before it has read all of it.
 
         Raises
         ------
@@ -120,11 +116,9 @@
         if body:
             data += self._http.send(h11.Data(body))
         data += self._http.send(h11.EndOfMessage())
-        if len(data) > MAX_INLINE_SEND_BYTES:
-            self._sender = spawn(self._send_all, data)
-            return
+        self._writer = RequestWriter(self._sock, data)
         try:
-            self._sock.sendall(data)
+            self._writer.start()
         except OSError as error:
             raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
@@ -159,6 +153,10 @@
                 if self._head_began_at is None:
                     self._head_began_at = self._clock()
         except TimeoutError as error:
+            if self._writer is not None and self._writer.error is not None:
+                raise ConnectionBrokenError(
+                    f"{self.address}: request not written: {self._writer.error}"
+                ) from error
             raise ResponseTimeoutError(
                 f"{self.address}: nothing within {seconds:.3f} s"
             ) from error
@@ -166,30 +164,28 @@
             raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
     def finish(self) -> bool:
-        """End an exchange; return whether the connection can be reused."""
-        sent = self._sender is None or self._sender.ready()
+        """End an exchange; return whether the connection can be reused.
+
+        The endpoint would take what follows for the rest of a request that is written
+        only in part.
+        """
+        is_written = self._writer is None or self._writer.is_complete
         done = self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
-        if not sent or not done or self._http.trailing_data[0]:
+        if not is_written or not done or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
-        self._sender = None
+        self._writer = None
         self.is_reused = True
         self.idle_until = Seconds(self._clock() + self._idle_seconds)
         return True
 
     def close(self) -> None:
         """Close the connection; the endpoint notices the close at once."""
-        if self._sender is not None:
-            self._sender.kill(block=False)
+        if self._writer is not None:
+            self._writer.stop()
         with suppress(OSError):
             self._sock.close()
 
-    def _send_all(self, data: bytes) -> None:
-        # The greenlet that reads the response sees the same failure and reports it.
-        with suppress(OSError):
-            self._sock.settimeout(None)
-            self._sock.sendall(data)
-
     def _check_head_time(self) -> None:
         """Check that an incomplete head has not been coming for too long."""
         if self._head_began_at is None or self._http.their_state not in HEAD_STATES:
--- /dev/null
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/requestwriter.py
@@ -0,0 +1,78 @@
+"""Writes a request to a socket while its response may already be read."""
+
+from gevent import Greenlet, spawn
+from gevent.socket import socket as Socket
+
+# Time-out with which a call returns at once.
+AT_ONCE = 0.0
+
+
+class RequestWriter:
+    """Writes the bytes of one request, in its own greenlet if they take time.
+
+    That greenlet uses a duplicate of the socket, as the time-out of a socket holds for
+    both directions, and the reader of the response sets it for its own waits.
+
+    Parameters
+    ----------
+    sock : Socket
+        Connected socket.
+    data : bytes
+        The request.
+
+    Attributes
+    ----------
+    error : OSError or None
+        Why the rest could not be written.
+    """
+
+    def __init__(self, sock: Socket, data: bytes) -> None:
+        self.error: OSError | None = None
+        self._sock = sock
+        self._unsent = memoryview(data)
+        self._greenlet: Greenlet | None = None
+        self._duplicate: Socket | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the socket has taken every byte of the request."""
+        return not self._unsent
+
+    def start(self) -> None:
+        """Write what the socket takes at once, and the rest meanwhile.
+
+        Raises
+        ------
+        OSError
+            When the connection is broken already.
+        """
+        try:
+            while self._unsent:
+                self._advance(self._sock.send(self._unsent, 0, AT_ONCE))
+        except BlockingIOError:
+            self._duplicate = self._sock.dup()
+            self._duplicate.settimeout(None)
+            self._greenlet = spawn(self._write_rest)
+
+    def stop(self) -> None:
+        """Stop writing; what is not written remains so."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self._close_duplicate()
+
+    def _write_rest(self) -> None:
+        try:
+            while self._unsent:
+                self._advance(self._duplicate.send(self._unsent))
+        except OSError as error:
+            self.error = error
+        finally:
+            self._close_duplicate()
+
+    def _advance(self, count: int) -> None:
+        self._unsent = self._unsent[count:]
+
+    def _close_duplicate(self) -> None:
+        duplicate, self._duplicate = self._duplicate, None
+        if duplicate is not None:
+            duplicate.close()
--- a/tests/daemon/gateway/test_client.py
+++ b/tests/daemon/gateway/test_client.py
@@ -1,10 +1,12 @@
 """Whatever bytes an endpoint sends end in an answer, an error, or a time-out."""
 
 from contextlib import suppress
+from socket import IPPROTO_TCP, SO_RCVBUF, SOL_SOCKET, TCP_MAXSEG
 
 import h11
-from gevent import Timeout, spawn
-from gevent.socket import socketpair
+from gevent import Timeout, sleep, spawn
+from gevent.socket import AF_INET, SOCK_STREAM, socketpair
+from gevent.socket import socket as Socket
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -101,3 +103,117 @@
     assert not connection.finish()
     connection.close()
     theirs.close()
+
+
+BODY = bytes(range(256)) * 4_000
+
+
+def open_slow_pair():
+    """Return a connection to an endpoint with a small window, and its socket."""
+    listener = Socket(AF_INET, SOCK_STREAM)
+    listener.setsockopt(SOL_SOCKET, SO_RCVBUF, 4_096)
+    listener.setsockopt(IPPROTO_TCP, TCP_MAXSEG, 1_460)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    connection = EndpointConnection(
+        f"127.0.0.1:{listener.getsockname()[1]}", read_clock
+    )
+    connection.open()
+    theirs, _ = listener.accept()
+    listener.close()
+    return connection, theirs
+
+
+def read_body(sock, data, size):
+    while len(data) < size:
+        more = sock.recv(65_536)
+        if not more:
+            break
+        data += more
+    return data
+
+
+def wait_for_answer(connection):
+    """Return the body of an answer that takes longer than the waits for it."""
+    while True:
+        answer = read_answer(connection)
+        if not isinstance(answer, ResponseTimeoutError):
+            return answer
+
+
+def post(connection, body):
+    length = str(len(body)).encode()
+    headers = [(b"host", b"h"), (b"content-length", length)]
+    connection.send(b"POST", b"/", headers, body)
+
+
+# A wait of the reader ended the writer, and the rest of the body was never sent.
+def test_a_body_that_is_read_slowly_arrives_whole_whatever_the_reader_waits_for():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    received = []
+
+    def serve():
+        data = b""
+        for _ in range(4):
+            sleep(2.5 * READ_SECONDS)
+            data += theirs.recv(65_536)
+        size = data.index(b"\r\n\r\n") + 4 + len(BODY)
+        received.append(read_body(theirs, data, size)[-len(BODY) :])
+        theirs.sendall(WHOLE)
+
+    server = spawn(serve)
+    with Timeout(10.0):
+        assert wait_for_answer(connection) == b"hello"
+    assert received == [BODY]
+    assert connection.finish()
+    # The next request follows directly.
+    post(connection, b"next")
+    assert theirs.recv(65_536).endswith(b"\r\n\r\nnext")
+    connection.close()
+    server.kill()
+    theirs.close()
+
+
+# The bytes of the next request were taken for the rest of a body.
+def test_a_connection_whose_body_is_not_written_is_not_used_again():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    for _ in range(4):
+        assert isinstance(read_answer(connection), ResponseTimeoutError)
+        theirs.recv(65_536)
+    for _ in range(3):
+        assert isinstance(read_answer(connection), ResponseTimeoutError)
+    theirs.sendall(WHOLE)
+    with Timeout(WAIT_SECONDS):
+        assert wait_for_answer(connection) == b"hello"
+    assert not connection.finish()
+    connection.close()
+    with Timeout(WAIT_SECONDS):
+        rest = read_body(theirs, b"", 2 * len(BODY))
+    assert rest[-1_000:] in BODY
+    theirs.close()
+
+
+def test_an_endpoint_that_closes_midway_through_a_body_is_noticed_at_once():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    theirs.recv(1_000)
+    theirs.close()
+    with Timeout(WAIT_SECONDS):
+        assert isinstance(wait_for_answer(connection), ConnectionBrokenError)
+    assert not connection.finish()
+    connection.close()
+
+
+def test_a_closed_connection_writes_no_more_of_its_body():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    sleep(0.05)
+    connection.close()
+    with Timeout(WAIT_SECONDS):
+        try:
+            assert len(read_body(theirs, b"", 2 * len(BODY))) < len(BODY)
+        except ConnectionResetError:
+            pass
+    theirs.close()
