Keep rolled-back versions withdrawn across later roll-outs

Cause: the control group's state keeps the newest roll-out of each service only. With the next order nothing said that the version before was withdrawn, and every version but the newest counted as the previous one.

Evidence: the new test of an entry failed on: of three versions the rolled-back one got the requests and the previous one none.

The field is of level 2, so that no older build drops it; below that level an entry goes by the roll-outs that it has heard of. Withdrawn versions are neither capacity nor evidence, and a replica with an older state brings no settled roll-out back. The types of orders moved to gateway/orders.py.

Tests: the level in test_a_command_of_unknown_kind... was the literal 1 and is the build's own level now.

--- a/benchmarks/gateway_rollout.py
+++ b/benchmarks/gateway_rollout.py
@@ -16,13 +16,13 @@
     ServiceRoute,
 )
 from bergamotwood_core.gateway.latency import LatencyTable, Progress, Timing
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import (
     RegressionDetector,
     choose_outcome,
     choose_share,
     compute_early_share,
 )
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import (
     Fingerprint,
     LogIndex,
--- a/packages/core/src/bergamotwood_core/gateway/levels.py
+++ b/packages/core/src/bergamotwood_core/gateway/levels.py
@@ -19,9 +19,10 @@
 
     BASE = 0
     EVACUATIONS = 1
+    WITHDRAWALS = 2
 
 
-OWN_LEVEL = FeatureLevel.EVACUATIONS
+OWN_LEVEL = FeatureLevel.WITHDRAWALS
 # Time for which the statement of a member counts: three relays at their longest
 # interval of 0.5 s.
 STATEMENT_SECONDS = 1.5
--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -5,15 +5,15 @@
 enough for requests on the previous version to finish.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from math import exp
 
 from msgspec import Struct
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import ServiceName
 from bergamotwood_core.sequential import Loss, bet_above
 
@@ -230,6 +230,7 @@
     view: RolloutView | None,
     heartbeats: list[EndpointHeartbeat],
     routes_to_target: Callable[[RolloutView], bool],
+    withdrawn: Collection[str] = (),
 ) -> tuple[list[list[EndpointHeartbeat]], list[EndpointHeartbeat]]:
     """Return the endpoints that a request may use, preferred group first.
 
@@ -243,7 +244,11 @@
         Endpoints of the service.
     routes_to_target : callable
         Whether the request is sent to the new version during the roll-out.
+    withdrawn : collection of str
+        Versions that were rolled back.
     """
+    if withdrawn:
+        heartbeats = [item for item in heartbeats if item.version not in withdrawn]
     if view is None:
         return [heartbeats], []
     target = view.rollout.target
--- a/packages/core/src/bergamotwood_core/gateway/sessionversions.py
+++ b/packages/core/src/bergamotwood_core/gateway/sessionversions.py
@@ -1,8 +1,8 @@
 """Versions on which sessions are open; they stay there for the first half."""
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.orders import ServiceRollout
 from bergamotwood_core.gateway.rollout import FIRST_SHARE, hash_affinity_key
-from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.ids import ServiceName, SessionId
 
 
--- a/packages/core/src/bergamotwood_core/gateway/state_machine.py
+++ b/packages/core/src/bergamotwood_core/gateway/state_machine.py
@@ -1,6 +1,5 @@
 """Replicated state machine for configuration, roll-outs and endpoint departures."""
 
-from enum import StrEnum
 from zlib import compress, decompress
 
 from msgspec import MsgspecError, Raw, Struct, ValidationError, field
@@ -16,8 +15,14 @@
     find_evacuation,
 )
 from bergamotwood_core.gateway.levels import OWN_LEVEL, FeatureLevel
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.suspects import Cause
 from bergamotwood_core.gateway.suspensions import MAX_SUSPENSIONS, Suspension
+from bergamotwood_core.gateway.withdrawals import (
+    is_new_order,
+    restore_version,
+    withdraw_version,
+)
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -33,14 +38,6 @@
 MAX_DEPARTURES = 4_096
 
 
-class RolloutOutcome(StrEnum):
-    """State of the roll-out of a service's version."""
-
-    IN_PROGRESS = "in_progress"
-    COMPLETED = "completed"
-    ROLLED_BACK = "rolled_back"
-
-
 class ReplaceConfiguration(Struct, frozen=True, array_like=True, tag=1):
     """Replace the configuration if its number is higher than the current one.
 
@@ -207,31 +204,6 @@
     return COMMAND_LEVELS.get(type(command), FeatureLevel.BASE)
 
 
-class ServiceRollout(Struct, frozen=True, array_like=True):
-    """Roll-out of a service with its current outcome.
-
-    Parameters
-    ----------
-    service, target : str
-        Service and version to roll out.
-    duration_seconds : float
-        Time within which the roll-out has to finish.
-    outcome : RolloutOutcome
-        State of the roll-out.
-    index : LogIndex
-        Index of the log entry that started the roll-out; identifies it.
-    ordered_at : float
-        Wall-clock time of the order in seconds.
-    """
-
-    service: ServiceName
-    target: str
-    duration_seconds: float
-    outcome: RolloutOutcome
-    index: LogIndex
-    ordered_at: float
-
-
 class Departure(Struct, frozen=True, array_like=True):
     """An incarnation of an endpoint that is leaving or has left."""
 
@@ -263,6 +235,11 @@
         Last evacuation of each data centre that ever had one.
     evacuations_index : LogIndex
         Index of the last change of the evacuations.
+    withdrawn : dict
+        Versions of each service that were rolled back and not ordered since, oldest
+        first. Of level 2.
+    withdrawn_index : LogIndex
+        Index of the last change of the withdrawn versions.
     """
 
     number: int = -1
@@ -274,6 +251,13 @@
     level: int = FeatureLevel.BASE
     evacuations: list[Evacuation] = field(default_factory=list)
     evacuations_index: LogIndex = LogIndex(0)
+    withdrawn: dict[str, list[str]] = field(default_factory=dict)
+    withdrawn_index: LogIndex = LogIndex(0)
+
+    @property
+    def keeps_withdrawals(self) -> bool:
+        """Whether all builds of the group keep the withdrawn versions."""
+        return self.level >= FeatureLevel.WITHDRAWALS
 
     def find_suspension(self, cause: Cause) -> Suspension | None:
         """Return the suspension of a cause; None if it is not suspended."""
@@ -430,7 +414,7 @@
             case BeginRollout():
                 return self._begin_rollout(index, command)
             case SettleRollout():
-                return self._settle_rollout(command)
+                return self._settle_rollout(index, command)
             case RecordDeparture():
                 return self._record_departure(command)
             case SuspendCause():
@@ -440,7 +424,7 @@
             case LiftSuspension():
                 return self._lift_suspension(index, command)
             case RaiseLevel():
-                return self._raise_level(command)
+                return self._raise_level(index, command)
             case BeginEvacuation() | EndEvacuation():
                 return self._change_evacuation(index, command)
 
@@ -453,12 +437,18 @@
         return CommandOutcome(True, True)
 
     def _begin_rollout(self, index: LogIndex, command: BeginRollout) -> CommandOutcome:
-        current = self.state.rollouts.get(command.service)
+        state = self.state
+        current = state.rollouts.get(command.service)
         if current is not None and current.target == command.target:
-            return CommandOutcome(True, False, f"ordered already: {current.outcome}")
+            may_be_new = state.keeps_withdrawals
+            if not (may_be_new and is_new_order(current, command.ordered_at)):
+                reason = f"ordered already: {current.outcome}"
+                return CommandOutcome(True, False, reason)
         if current is not None and current.outcome is RolloutOutcome.IN_PROGRESS:
             return CommandOutcome(False, False, f"{current.target} is being rolled out")
-        self.state.rollouts[command.service] = ServiceRollout(
+        restored = restore_version(state.withdrawn, command.service, command.target)
+        self._change_withdrawn(restored, index)
+        state.rollouts[command.service] = ServiceRollout(
             command.service,
             command.target,
             command.duration_seconds,
@@ -468,7 +458,9 @@
         )
         return CommandOutcome(True, True)
 
-    def _settle_rollout(self, command: SettleRollout) -> CommandOutcome:
+    def _settle_rollout(
+        self, index: LogIndex, command: SettleRollout
+    ) -> CommandOutcome:
         current = self.state.rollouts.get(command.service)
         if current is None or current.target != command.target:
             return CommandOutcome(False, False, "no such roll-out")
@@ -476,8 +468,26 @@
             return CommandOutcome(True, False, f"settled already: {current.outcome}")
         settled = replace(current, outcome=command.outcome)
         self.state.rollouts[command.service] = settled
+        self._withdraw_if_rolled_back(settled, index)
         return CommandOutcome(True, True)
 
+    def _withdraw_if_rolled_back(
+        self, rollout: ServiceRollout, index: LogIndex
+    ) -> None:
+        state = self.state
+        is_rolled_back = rollout.outcome is RolloutOutcome.ROLLED_BACK
+        if not is_rolled_back or not state.keeps_withdrawals:
+            return
+        withdrawn = withdraw_version(state.withdrawn, rollout.service, rollout.target)
+        self._change_withdrawn(withdrawn, index)
+
+    def _change_withdrawn(
+        self, withdrawn: dict[str, list[str]], index: LogIndex
+    ) -> None:
+        if withdrawn != self.state.withdrawn:
+            self.state.withdrawn = withdrawn
+            self.state.withdrawn_index = index
+
     def _record_departure(self, command: RecordDeparture) -> CommandOutcome:
         departure = Departure(command.endpoint, command.incarnation, command.state)
         if departure in self.state.departures:
@@ -525,10 +535,15 @@
         self.state.suspensions_index = index
         return CommandOutcome(True, True)
 
-    def _raise_level(self, command: RaiseLevel) -> CommandOutcome:
+    def _raise_level(self, index: LogIndex, command: RaiseLevel) -> CommandOutcome:
         if command.level <= self.state.level:
             return CommandOutcome(True, False, f"level {self.state.level} holds")
+        kept_withdrawals = self.state.keeps_withdrawals
         self.state.level = command.level
+        if self.state.keeps_withdrawals and not kept_withdrawals:
+            self.state.withdrawn_index = index
+            for rollout in self.state.rollouts.values():
+                self._withdraw_if_rolled_back(rollout, index)
         return CommandOutcome(True, True)
 
     def _change_evacuation(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -180,6 +180,7 @@
                 hold_seconds,
                 state.suspensions_index,
                 state.evacuations_index,
+                state.withdrawals.index,
             )
         )
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -23,6 +23,10 @@
 from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
 from bergamotwood_core.gateway.suspensions import Suspension
 from bergamotwood_core.gateway.usable import find_heartbeat_fault
+from bergamotwood_core.gateway.withdrawals import (
+    WithdrawnVersions,
+    is_newer_rollout,
+)
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
@@ -86,6 +90,7 @@
         self.endpoint_limits: tuple[LimitReport, ...] = ()
         self.permits: tuple[RequestCount, ...] = ()
         self.rollouts: dict[ServiceName, RolloutView] = {}
+        self.withdrawals = WithdrawnVersions()
         self.silent_endpoints: frozenset[EndpointId] = frozenset()
         self.prefill_rates: dict[ModelName, float] = {}
         self.latencies: LatencyReport = {}
@@ -242,9 +247,14 @@
             self.cursors = replace(self.cursors, replicas=replicas.cursor)
 
     def _update_rollouts(self, reply: SyncReply) -> None:
+        if reply.withdrawn is not None:
+            self.withdrawals.update(reply.withdrawn, reply.withdrawn_index)
         for view in reply.rollouts:
             service = view.rollout.service
             previous = self.rollouts.get(service)
+            known = previous.rollout if previous is not None else None
+            if not is_newer_rollout(known, view.rollout):
+                continue
             if previous is None or previous.rollout != view.rollout:
                 log_event(
                     "entry",
@@ -259,6 +269,7 @@
                 # returns to the old version.
                 view = replace(view, share=previous.share)
             self.rollouts[service] = view
+        self.withdrawals.observe(view.rollout for view in self.rollouts.values())
         self.open_sessions = frozenset(reply.open_sessions)
 
     def _update_suspensions(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -18,6 +18,7 @@
 from bergamotwood_core.gateway.load import LoadTable
 from bergamotwood_core.gateway.members import EntryAddress, choose_addresses
 from bergamotwood_core.gateway.notices import IncarnationKey, NoticeTable
+from bergamotwood_core.gateway.orders import RolloutOutcome
 from bergamotwood_core.gateway.placement import Placement
 from bergamotwood_core.gateway.reachability import ReachTable, choose_probe
 from bergamotwood_core.gateway.relays import RelayTable
@@ -28,7 +29,6 @@
     list_allowed_versions,
 )
 from bergamotwood_core.gateway.sessionversions import SessionVersions
-from bergamotwood_core.gateway.state_machine import RolloutOutcome
 from bergamotwood_core.gateway.suspects import EndpointCrash, SuspectTable
 from bergamotwood_core.gateway.suspensions import SuspensionTable
 from bergamotwood_core.ids import DataCentre, Incarnation, ServiceName, SessionId
@@ -189,6 +189,7 @@
                 self.control_state.rollouts.get(call.service),
                 heartbeats,
                 lambda view: self._routes_to_target(view, call),
+                self.control_state.withdrawals.list_versions(call.service),
             ),
             self.control_state.evacuations,
         )
@@ -227,12 +228,8 @@
 
     def is_withdrawn(self, heartbeat: EndpointHeartbeat) -> bool:
         """Whether the version of an endpoint was rolled back."""
-        view = self.control_state.rollouts.get(heartbeat.service)
-        return (
-            view is not None
-            and view.rollout.outcome is RolloutOutcome.ROLLED_BACK
-            and view.rollout.target == heartbeat.version
-        )
+        withdrawn = self.control_state.withdrawals.list_versions(heartbeat.service)
+        return heartbeat.version in withdrawn
 
     def apply_reports(self) -> None:
         """Apply the newest reports of the control group and of other entries."""
@@ -321,8 +318,9 @@
         in_rollout = (
             view is not None and view.rollout.outcome is RolloutOutcome.IN_PROGRESS
         )
-        is_baseline = not in_rollout or heartbeat.version != view.rollout.target
-        if not is_baseline and (is_bad or is_slow):
+        is_target = in_rollout and heartbeat.version == view.rollout.target
+        is_baseline = not is_target and not self.is_withdrawn(heartbeat)
+        if is_target and (is_bad or is_slow):
             self.poller.report_evidence()
         if timing is not None and not is_bad and is_baseline:
             self.latencies.record(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
@@ -6,8 +6,8 @@
 
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.latency import Progress
+from bergamotwood_core.gateway.orders import ServiceRollout
 from bergamotwood_core.gateway.rollout import VersionEvidence
-from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.ids import LogIndex, ServiceName
 
 # Service, version and route.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -11,10 +11,10 @@
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.notices import LeavingEndpoint
+from bergamotwood_core.gateway.orders import ServiceRollout
 from bergamotwood_core.gateway.prefill import Histogram
 from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView, VersionEvidence
-from bergamotwood_core.gateway.state_machine import ServiceRollout
 from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
 from bergamotwood_core.gateway.suspensions import Suspension
 from bergamotwood_core.ids import (
@@ -24,6 +24,7 @@
     InstanceId,
     LogIndex,
     ModelName,
+    ServiceName,
     SessionId,
 )
 
@@ -148,6 +149,8 @@
         Index of the suspensions that it has.
     evacuations_index : LogIndex
         Index of the evacuations that it has; -1 if it has none or knows of none.
+    withdrawn_index : LogIndex
+        Index of the withdrawn versions that it has; -1 if it has none.
     """
 
     status: EntryStatus
@@ -157,6 +160,7 @@
     hold_seconds: float
     suspensions_index: LogIndex = LogIndex(-1)
     evacuations_index: LogIndex = LogIndex(-1)
+    withdrawn_index: LogIndex = LogIndex(-1)
 
 
 class SyncReply(Struct, frozen=True, array_like=True):
@@ -214,6 +218,11 @@
         Index of the last change of the evacuations.
     evacuation_ends : tuple of EvacuationEnd
         Ends of each data centre's last evacuation, with `evacuations` only.
+    withdrawn : dict or None
+        Versions of each service that were rolled back; None if the entry has them, or
+        below level 2.
+    withdrawn_index : LogIndex
+        Index of the last change of the withdrawn versions.
     """
 
     age_seconds: float
@@ -241,6 +250,8 @@
     evacuations: tuple[DataCentre, ...] | None = None
     evacuations_index: LogIndex = LogIndex(0)
     evacuation_ends: tuple[EvacuationEnd, ...] = ()
+    withdrawn: dict[ServiceName, tuple[str, ...]] | None = None
+    withdrawn_index: LogIndex = LogIndex(0)
 
 
 class ReplicaSummary(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -21,6 +21,7 @@
 from bergamotwood_core.gateway.evacuations import list_ends, list_evacuated
 from bergamotwood_core.gateway.levels import OWN_LEVEL
 from bergamotwood_core.gateway.limits import PermitIssuer, RequestCount
+from bergamotwood_core.gateway.orders import ServiceRollout
 from bergamotwood_core.gateway.state_machine import (
     BeginEvacuation,
     BeginRollout,
@@ -28,7 +29,6 @@
     EndEvacuation,
     GatewayStateMachine,
     ReplaceConfiguration,
-    ServiceRollout,
     compress_document,
     decompress_document,
 )
@@ -439,6 +439,11 @@
             evacuation_ends=list_ends(state.evacuations)
             if state.evacuations_index > request.evacuations_index
             else (),
+            withdrawn={key: tuple(item) for key, item in state.withdrawn.items()}
+            if state.keeps_withdrawals
+            and state.withdrawn_index > request.withdrawn_index
+            else None,
+            withdrawn_index=state.withdrawn_index,
         )
 
     def _refuse_entry(self, request: SyncRequest) -> SyncReply:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -7,6 +7,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointDirectory
 from bergamotwood_core.gateway.evacuations import drop_evacuated, list_evacuated
 from bergamotwood_core.gateway.levels import FeatureLevel
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.ordertimer import OrderTimer
 from bergamotwood_core.gateway.rollout import (
     MIN_CAPACITY_FRACTION,
@@ -19,8 +20,6 @@
 )
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
-    RolloutOutcome,
-    ServiceRollout,
     SettleRollout,
 )
 from bergamotwood_core.ids import InstanceId, LogIndex
@@ -216,16 +215,24 @@
         return rollouts
 
     def _merge_evidence(self) -> list[VersionEvidence]:
-        return self._entries.list_evidence()
+        """Return the evidence of all entries on versions that are not withdrawn."""
+        withdrawn = self._machine.state.withdrawn
+        return [
+            item
+            for item in self._entries.list_evidence()
+            if item.version not in withdrawn.get(item.service, ())
+        ]
 
     def _has_capacity(self, rollout: ServiceRollout) -> bool:
         evacuated = frozenset(list_evacuated(self._machine.state.evacuations))
+        withdrawn = self._machine.state.withdrawn.get(rollout.service, ())
         versions = [
             heartbeat.version
             for heartbeat in drop_evacuated(
                 self._directory.list_heartbeats(), evacuated
             )
             if heartbeat.service == rollout.service
+            and heartbeat.version not in withdrawn
         ]
         new_count = versions.count(rollout.target)
         return new_count > 0 and new_count >= MIN_CAPACITY_FRACTION * (
--- a/tests/benchmarks/test_gateway_rollout.py
+++ b/tests/benchmarks/test_gateway_rollout.py
@@ -3,7 +3,7 @@
 import pytest
 
 from benchmarks.gateway_rollout import CASES, play
-from bergamotwood_core.gateway.state_machine import RolloutOutcome
+from bergamotwood_core.gateway.orders import RolloutOutcome
 
 SEEDS = 20
 BAD_CASES = [case for case in CASES if case.is_bad]
--- a/tests/core/gateway/test_ordertimer.py
+++ b/tests/core/gateway/test_ordertimer.py
@@ -1,8 +1,8 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.ordertimer import OrderTimer
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 
 RUNNING = ServiceRollout(
     "models", "v2", 12.0, RolloutOutcome.IN_PROGRESS, index=7, ordered_at=1_000.0
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import (
     EARLY_SHARE_KNOWN,
     EARLY_SHARE_START,
@@ -19,7 +20,6 @@
     is_slower,
     merge_evidence,
 )
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import LogIndex, ServiceName
 
 SERVICE = ServiceName("models")
--- a/tests/core/gateway/test_sessionversions.py
+++ b/tests/core/gateway/test_sessionversions.py
@@ -1,6 +1,6 @@
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.sessionversions import SessionVersions
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import LogIndex, ServiceName, SessionId
 
 SERVICE = ServiceName("models")
--- a/tests/core/gateway/test_state_machine.py
+++ b/tests/core/gateway/test_state_machine.py
@@ -3,7 +3,8 @@
 from msgspec.msgpack import decode, encode
 
 from bergamotwood_core.errors import BuildTooOldError
-from bergamotwood_core.gateway.levels import FeatureLevel
+from bergamotwood_core.gateway.levels import OWN_LEVEL, FeatureLevel
+from bergamotwood_core.gateway.orders import RolloutOutcome
 from bergamotwood_core.gateway.state_machine import (
     ENCODER,
     MAX_DEPARTURES,
@@ -18,7 +19,6 @@
     RaiseLevel,
     RecordDeparture,
     ReplaceConfiguration,
-    RolloutOutcome,
     SettleRollout,
     SuspendCause,
     compress_document,
@@ -174,7 +174,7 @@
     before = machine.snapshot()
     with pytest.raises(BuildTooOldError) as caught:
         machine.apply(LogIndex(1), encode([99, "x"]))
-    assert (caught.value.level, caught.value.group_level) == (1, None)
+    assert (caught.value.level, caught.value.group_level) == (OWN_LEVEL, None)
     assert machine.snapshot() == before
 
 
--- a/tests/daemon/gateway/test_controlstate.py
+++ b/tests/daemon/gateway/test_controlstate.py
@@ -4,10 +4,9 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.state_machine import (
-    RolloutOutcome,
-    ServiceRollout,
     compress_document,
 )
 from bergamotwood_core.ids import LogIndex, ServiceName
--- a/tests/daemon/gateway/test_evacuations.py
+++ b/tests/daemon/gateway/test_evacuations.py
@@ -7,8 +7,8 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.gateway.configuration import GatewayWorkspace, RouteKind
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import DataCentre, LogIndex, ModelName, WorkspaceId
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway.settings import GatewayBounds
--- a/tests/daemon/gateway/test_evidence.py
+++ b/tests/daemon/gateway/test_evidence.py
@@ -3,8 +3,8 @@
 
 from bergamotwood_core.gateway.configuration import Destination
 from bergamotwood_core.gateway.latency import Progress
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import VersionEvidence
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import LogIndex
 from bergamotwood_daemon.gateway.evidence import EvidenceCounter
 
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -12,7 +12,7 @@
 from bergamotwood_core.gateway.levels import OWN_LEVEL
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.members import EntryAddress
-from bergamotwood_core.gateway.state_machine import RolloutOutcome
+from bergamotwood_core.gateway.orders import RolloutOutcome
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
--- a/tests/daemon/gateway/test_rollback_time.py
+++ b/tests/daemon/gateway/test_rollback_time.py
@@ -9,8 +9,8 @@
 from msgspec.structs import replace
 
 from bergamotwood_core.gateway.members import EntryAddress
+from bergamotwood_core.gateway.orders import RolloutOutcome
 from bergamotwood_core.gateway.rollout import VersionEvidence
-from bergamotwood_core.gateway.state_machine import RolloutOutcome
 from bergamotwood_core.ids import Incarnation, InstanceId
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway import channels, controlpoller, replica
--- a/tests/daemon/gateway/test_rollout_requests.py
+++ b/tests/daemon/gateway/test_rollout_requests.py
@@ -4,8 +4,8 @@
 from core.gateway.samples import PLAIN
 from msgspec.structs import replace
 
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import LogIndex
 
 ROLLOUT = ServiceRollout(
@@ -58,3 +58,45 @@
         harness.connect().call("POST", id="q-1")
     # Those that follow within 0.2 s wait for the next poll.
     assert len(made) == reports
+
+
+def begin_next_rollout(harness):
+    """Add an endpoint of a third version; return the view of its roll-out."""
+    versions = {**VERSIONS, "next": "v3"}
+    harness.heartbeats = [
+        replace(heartbeat, version=versions[heartbeat.endpoint])
+        for heartbeat in harness.heartbeats
+    ]
+    return RolloutView(replace(ROLLOUT, target="v3", index=LogIndex(9)), 2.0, 0.5)
+
+
+def list_served(harness):
+    for at in range(40):
+        assert harness.connect().call(id=f"q-{at}").status == 200
+    return {a.headers["endpoint"] for a in harness.list_arrivals()}
+
+
+def answer(arrival):
+    arrival.answer()
+
+
+# With the order of a third version, the endpoints of a rolled-back one served again.
+def test_a_rolled_back_version_gets_no_request_once_the_next_one_is_ordered(
+    make_harness,
+):
+    harness = make_harness(old=answer, new=answer, next=answer)
+    view = begin_next_rollout(harness)
+    harness.sync(rollouts=(RolloutView(ROLLED_BACK, 3.0, 0.0),))
+    harness.sync(rollouts=(view,))
+    assert list_served(harness) == {"old", "next"}
+
+
+def test_an_entry_that_hears_of_the_newest_order_only_is_told_of_those_before(
+    make_harness,
+):
+    harness = make_harness(old=answer, new=answer, next=answer)
+    view = begin_next_rollout(harness)
+    harness.sync(
+        rollouts=(view,), withdrawn={PLAIN: ("v2",)}, withdrawn_index=LogIndex(7)
+    )
+    assert list_served(harness) == {"old", "next"}
--- a/tests/daemon/gateway/test_rollouts.py
+++ b/tests/daemon/gateway/test_rollouts.py
@@ -7,6 +7,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointDirectory
 from bergamotwood_core.gateway.evacuations import Evacuation
 from bergamotwood_core.gateway.levels import FeatureLevel
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import (
     FIRST_SHARE,
     MAX_EARLY_SHARE,
@@ -14,8 +15,6 @@
 )
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
-    RolloutOutcome,
-    ServiceRollout,
 )
 from bergamotwood_core.ids import DataCentre, LogIndex
 from bergamotwood_daemon.gateway import rollouts
--- a/tests/platform/test_api.py
+++ b/tests/platform/test_api.py
@@ -5,7 +5,7 @@
 from bergamotwood_core.errors import Code, RefusedError, ReplicationError, RequestError
 from bergamotwood_core.gateway.changefeed import Changes
 from bergamotwood_core.gateway.members import MAX_ADDRESSES, EntryAddress
-from bergamotwood_core.gateway.state_machine import RolloutOutcome, ServiceRollout
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.ids import InstanceId, LogIndex
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.gateway.message import HttpRequest
