Keep a session open while its request runs

Cause: a session counted as open from the sending of its last request, not from its end, at its own entry and at those that are told of open sessions.

Why this works: the requests that run are counted, and the time begins with the end of the last one. Sessions of an entry that has stopped reporting are kept for their time-out too; they were dropped after 1.5 s.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -59,6 +59,8 @@
     ----------
     clock : callable
         Returns the current time.
+    session_timeout_seconds : float
+        Time for which the sessions of an entry that has stopped remain open.
 
     Attributes
     ----------
@@ -72,7 +74,9 @@
         Whether a report has brought more bad responses; to be reset by its reader.
     """
 
-    def __init__(self, clock: Callable[[], Seconds]) -> None:
+    def __init__(
+        self, clock: Callable[[], Seconds], session_timeout_seconds: float = 5.0
+    ) -> None:
         self.members: ChangeFeed[InstanceId, EntryMember] = ChangeFeed()
         self.addresses: ChangeFeed[InstanceId, EntryAddress] = ChangeFeed()
         self.levels = EntryLevels(complete_from=NEVER)
@@ -81,6 +85,11 @@
         self._received_at: dict[InstanceId, Seconds] = {}
         self._relayed: dict[InstanceId, RelayedEntries] = {}
         self._loads = LoadSum()
+        # Sessions of entries that have stopped, and the time of their last report.
+        self._left_sessions: dict[
+            InstanceId, tuple[tuple[SessionId, ...], Seconds]
+        ] = {}
+        self._session_timeout_seconds = session_timeout_seconds
         self._rates: dict[ModelName, float] = {}
         self._latencies: LatencyReport = {}
         self._averaged_at = Seconds(float("-inf"))
@@ -108,6 +117,7 @@
         self._note_failures(known_evidence, status.evidence)
         self._statuses[instance] = status
         self._received_at[instance] = self._clock()
+        self._left_sessions.pop(instance, None)
         self.levels.record(instance, status.incarnation, status.level, self._clock())
         known = self.members.find(instance)
         if known is None or (known.entry, known.incarnation) != (
@@ -132,7 +142,7 @@
             None,
             loads.list_without({}),
             tuple(merge_evidence(status.evidence for status in statuses)),
-            _collect(status.open_sessions for status in statuses),
+            self._list_own_sessions(),
             prefill_times=merge_histograms(status.prefill_times for status in statuses),
             latencies=merge_latencies(status.latencies for status in statuses),
             retry_usage=merge_usage(status.retry_usage for status in statuses),
@@ -206,11 +216,30 @@
     def list_open_sessions(self) -> tuple[SessionId, ...]:
         """Return the open sessions of all entries without duplicates."""
         sessions = chain(
-            (status.open_sessions for status in self._statuses.values()),
+            (self._list_own_sessions(),),
             (relayed.summary.open_sessions for relayed in self._relayed.values()),
         )
         return tuple(dict.fromkeys(chain.from_iterable(sessions)))
 
+    def _list_own_sessions(self) -> tuple[SessionId, ...]:
+        """Return the open sessions of the entries that poll this replica.
+
+        Those of an entry that has stopped go on at others.
+        """
+        self._expire_sessions()
+        return _collect(
+            chain(
+                (status.open_sessions for status in self._statuses.values()),
+                (sessions for sessions, _ in self._left_sessions.values()),
+            )
+        )
+
+    def _expire_sessions(self) -> None:
+        cutoff = self._clock() - self._session_timeout_seconds
+        for instance, (_, at) in list(self._left_sessions.items()):
+            if at < cutoff:
+                del self._left_sessions[instance]
+
     def list_retry_usage(self) -> UsageReport:
         """Return the requests and retries of all entries in the current window."""
         return merge_usage(
@@ -298,8 +327,11 @@
             self.addresses.remove(instance)
 
     def _drop(self, instance: InstanceId) -> None:
-        self._loads.subtract(self._statuses.pop(instance).loads)
-        del self._received_at[instance]
+        status = self._statuses.pop(instance)
+        self._loads.subtract(status.loads)
+        received_at = self._received_at.pop(instance)
+        if status.open_sessions:
+            self._left_sessions[instance] = (status.open_sessions, received_at)
         self.members.remove(instance)
         self._refresh_address(instance)
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -136,8 +136,7 @@
             if call.tried_endpoints or call.relayed_executions:
                 self._entry.budget.record_retry(call.service, self._entry.clock())
             call.tried_endpoints.append(candidate.heartbeat.endpoint)
-            self._record_session(call, candidate)
-            last_outcome = self._try_endpoint(call, candidate, exchange, relay)
+            last_outcome = self._try_in_session(call, candidate, exchange, relay)
             if exchange.is_finished:
                 return
             if self._may_retry(call, last_outcome):
@@ -178,14 +177,26 @@
             retry_after=choose_retry_after(self._entry, call),
         )
 
-    def _record_session(self, call: Call, candidate: Candidate) -> None:
-        if call.metadata.session:
-            self._entry.sessions.record(
-                call.service,
-                call.metadata.session,
-                candidate.heartbeat.version,
-                self._entry.clock(),
-            )
+    def _try_in_session(
+        self,
+        call: Call,
+        candidate: Candidate,
+        exchange: Exchange,
+        relay: StreamRelay,
+    ) -> Outcome:
+        """Try an endpoint; the request's session is open until the attempt has ended.
+
+        It ends also when the caller leaves.
+        """
+        service, session = call.service, call.metadata.session
+        if not session:
+            return self._try_endpoint(call, candidate, exchange, relay)
+        entry = self._entry
+        entry.sessions.begin(service, session, candidate.heartbeat.version)
+        try:
+            return self._try_endpoint(call, candidate, exchange, relay)
+        finally:
+            entry.sessions.end(service, session, entry.clock())
 
     def _try_endpoint(
         self,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -121,7 +121,7 @@
         self._machine = GatewayStateMachine(own_level)
         self._senders = ReplicationSenders()
         self.directory = EndpointDirectory(ENDPOINT_EXPIRY_SECONDS)
-        self.entries = EntryTable(clock)
+        self.entries = EntryTable(clock, settings.bounds.session_timeout_seconds)
         self._polls_waiting = WaitingPolls(clock)
         self._expiry: Greenlet | None = None
         self._polls = 0
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -234,3 +234,20 @@
     two.table.update(make_status(1, 2, level=0))
     two.relay_to(one)
     assert one.table.levels.find_lowest(1, clock()) == 1
+
+
+# The sessions of an entry that stopped counted as closed, and moved to a new version.
+def test_sessions_of_an_entry_that_has_stopped_remain_open_for_their_time_out():
+    clock = Clock()
+    table = EntryTable(clock, session_timeout_seconds=5.0)
+    table.update(make_status(1, open_sessions=("s1",)))
+    table.update(make_status(2, open_sessions=("s2",)))
+    clock.now += ENTRY_EXPIRY_SECONDS + 0.1
+    table.update(make_status(2, 2, open_sessions=("s2",)))
+    table.expire()
+    assert set(table.list_open_sessions()) == {"s1", "s2"}
+    assert set(table.summarize(InstanceId("c1"), "b", 1).open_sessions) == {"s1", "s2"}
+    clock.now += 5.0 - ENTRY_EXPIRY_SECONDS
+    assert table.list_open_sessions() == ("s2",)
+    table.update(make_status(1, 3))
+    assert table.list_open_sessions() == ("s2",)
--- a/tests/daemon/gateway/test_rollout_requests.py
+++ b/tests/daemon/gateway/test_rollout_requests.py
@@ -2,16 +2,27 @@
 
 import pytest
 from core.gateway.samples import PLAIN
+from gevent import sleep
 from msgspec.structs import replace
 
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
-from bergamotwood_core.gateway.rollout import RolloutView
-from bergamotwood_core.ids import LogIndex
+from bergamotwood_core.gateway.rollout import (
+    FIRST_SHARE,
+    RolloutView,
+    hash_affinity_key,
+)
+from bergamotwood_core.ids import LogIndex, SessionId
 
 ROLLOUT = ServiceRollout(
     PLAIN, "v2", 15.0, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
 )
 ROLLED_BACK = replace(ROLLOUT, outcome=RolloutOutcome.ROLLED_BACK)
+# A session that the first share moves.
+SESSION = next(
+    name
+    for name in (SessionId(f"s-{at}") for at in range(1_000))
+    if hash_affinity_key(ROLLOUT, name) < FIRST_SHARE
+)
 # The version of each endpoint in the tests.
 VERSIONS = {"old": "v1", "new": "v2"}
 
@@ -100,3 +111,36 @@
         rollouts=(view,), withdrawn={PLAIN: ("v2",)}, withdrawn_index=LogIndex(7)
     )
     assert list_served(harness) == {"old", "next"}
+
+
+# Requests longer than the time-out of a session let it move in the first half.
+@pytest.mark.parametrize("ends_by_caller", [False, True])
+def test_a_session_stays_on_its_version_while_a_long_request_of_it_runs(
+    make_harness, ends_by_caller
+):
+    harness = make_harness(old=answer_slowly, new=answer)
+    begin_rollout(harness, 0.0)
+    harness.heartbeats = harness.heartbeats[:1]
+    harness.sync()
+    timeout = harness.entry.settings.bounds.session_timeout_seconds
+    caller = harness.connect()
+    caller.send(path="/a/slow", session=SESSION, id="q-1")
+    harness.endpoints["old"].arrived.wait(5.0)
+    harness.clock_offset += timeout + 2.0
+    view = RolloutView(ROLLOUT, 5.0, 1.0)
+    harness.sync(rollouts=(view,))
+    status = harness.entry._make_status()
+    assert status.open_sessions == (SESSION,)
+    if ends_by_caller:
+        caller.close()
+    sleep(1.0)
+    harness.clock_offset += timeout - 2.0
+    assert harness.entry._make_status().open_sessions == (SESSION,)
+    harness.clock_offset += 6.0
+    assert harness.entry._make_status().open_sessions == ()
+
+
+def answer_slowly(arrival):
+    if arrival.target == "/a/slow":
+        sleep(0.5)
+    arrival.answer()
