Bound what a version gets before its deadline, whatever is seen

Cause: the shares of 20, 50 and 100 in 100 followed from the time and the absence of bad answers. A version that needs more load to fail has none.

Why this works: a share is chosen only if it leaves enough of the allowed requests to send everything to the version from 0.92 of the time on. The bounds come from the settings, and entries report what they have sent.

--- a/benchmarks/gateway_rollout.py
+++ b/benchmarks/gateway_rollout.py
@@ -72,6 +72,8 @@
         Multiple of the traffic.
     busy_factor : float
         Multiple of all times while the roll-out runs, on both versions.
+    is_hidden : bool
+        Whether the new version is bad, but shows it only after the deadline.
     """
 
     name: str
@@ -79,6 +81,7 @@
     slow_factor: float = 8.0
     load: float = 1.0
     busy_factor: float = 1.0
+    is_hidden: bool = False
 
     @property
     def is_bad(self) -> bool:
@@ -95,6 +98,10 @@
     Case("half eight times slower, half the traffic", slow_share=0.5, load=0.5),
     Case("half four times slower", slow_share=0.5, slow_factor=4.0),
     Case("all four times slower", slow_share=1.0, slow_factor=4.0),
+    Case("fault not seen", is_hidden=True),
+    Case("fault not seen, half the traffic", load=0.5, is_hidden=True),
+    Case("fault not seen, four times the traffic", load=4.0, is_hidden=True),
+    Case("fault not seen, busy", busy_factor=2.0, is_hidden=True),
 )
 
 
@@ -231,7 +238,8 @@
     def is_overexposed(self) -> bool:
         """Whether a bad version got more requests than the platform allows."""
         limit = EXPOSURE_RATIO * self.requests + EXPOSURE_TOLERANCE
-        return self._case.is_bad and self.exposed > limit
+        is_bad = self._case.is_bad or self._case.is_hidden
+        return is_bad and self.exposed > limit
 
 
 def make_call(route: str) -> Call:
--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -1,8 +1,8 @@
 """Roll-out of a service's version: traffic share, session assignment and outcome.
 
 The share of the new version stays small for the first half of the time, so that a bad
-version affects few requests. It then grows with the evidence and reaches 1 early
-enough for requests on the previous version to finish.
+version affects few requests. It then grows with the evidence, as far as the limit on
+the requests of a bad version allows, and reaches 1 just before the end.
 """
 
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -12,6 +12,14 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
+from bergamotwood_core.gateway.exposure import (
+    LATEST_FULL_START,
+    REPORT_SECONDS,
+    ExposureLimit,
+    SentRequests,
+    choose_affordable,
+    find_affordable_share,
+)
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
 from bergamotwood_core.ids import ServiceName
@@ -27,7 +35,7 @@
 # It then grows to the share that would send this many requests to the new version in
 # the whole time, up to a maximum. From then until the last stages these are about 30,
 # the number that a bad version may get in addition to its allowed part of all requests.
-EARLY_REQUESTS = 60.0
+EARLY_REQUESTS = 72.0
 MAX_EARLY_SHARE = 0.35
 # Fraction of the time at which that share is computed, and from which on it holds.
 # Entries exchange the open sessions that it would move in between. Endpoints that have
@@ -97,6 +105,9 @@
         Requests that have ended.
     seconds : float
         Time that all requests have taken so far, ended or not.
+    sent : int
+        Requests that were sent, also those whose end says nothing. Older builds report
+        0.
     """
 
     service: ServiceName
@@ -107,6 +118,12 @@
     open: int = 0
     ended: int = 0
     seconds: float = 0.0
+    sent: int = 0
+
+    @property
+    def requests(self) -> int:
+        """Number of requests that were sent, as far as it is known."""
+        return max(self.sent, self.trials + self.open)
 
 
 class RolloutView(Struct, frozen=True, array_like=True):
@@ -147,6 +164,7 @@
     rollout: ServiceRollout,
     elapsed_seconds: float,
     evidence: Iterable[VersionEvidence],
+    limit: ExposureLimit = ExposureLimit(),  # noqa: B008
 ) -> float | None:
     """Return the share that follows the first one; None before it can be told.
 
@@ -158,14 +176,20 @@
         Time since the roll-out was ordered.
     evidence : iterable of VersionEvidence
         Requests on all versions.
+    limit : ExposureLimit
+        Requests that a bad version may get until the deadline.
     """
     if _compute_elapsed_fraction(rollout, elapsed_seconds) < EARLY_SHARE_KNOWN:
         return None
-    requests = sum(
-        item.trials + item.open for item in evidence if item.service == rollout.service
+    sent = count_sent(rollout, evidence)
+    # The latest requests are not in the evidence yet.
+    reported_seconds = max(elapsed_seconds - REPORT_SECONDS, REPORT_SECONDS)
+    expected = sent.total * rollout.duration_seconds / reported_seconds
+    return min(
+        EARLY_REQUESTS / max(expected, 1.0),
+        MAX_EARLY_SHARE,
+        find_affordable_share(rollout, elapsed_seconds, sent, limit, FIRST_SHARE),
     )
-    expected = requests * rollout.duration_seconds / elapsed_seconds
-    return min(EARLY_REQUESTS / max(expected, 1.0), MAX_EARLY_SHARE)
 
 
 def choose_share(
@@ -175,6 +199,7 @@
     has_capacity: bool,
     is_suspected: bool = False,
     early_share: float = 0.0,
+    limit: ExposureLimit = ExposureLimit(),  # noqa: B008
 ) -> float:
     """Return the share of the sessions that is sent to the new version.
 
@@ -192,7 +217,10 @@
         Whether the new version is likely to be bad.
     early_share : float
         Share that follows the first one.
+    limit : ExposureLimit
+        Requests that a bad version may get until the deadline.
     """
+    evidence = list(evidence)
     fraction = _compute_elapsed_fraction(rollout, elapsed_seconds)
     reached = [share for start, share in STAGES if fraction >= start]
     if not reached or not has_capacity:
@@ -201,9 +229,34 @@
     lacks_evidence = judged < max(MIN_EVIDENCE_TRIALS, open_requests)
     if is_suspected or (lacks_evidence and fraction < END_FRACTION - 0.1):
         reached = reached[:2]
-    if fraction < EARLY_SHARE_START:
+    if fraction >= EARLY_SHARE_START:
+        reached = [max(share, early_share) for share in reached]
+    if fraction >= LATEST_FULL_START:
         return reached[-1]
-    return max(reached[-1], early_share)
+    sent = count_sent(rollout, evidence)
+    return choose_affordable(reached, rollout, elapsed_seconds, sent, limit)
+
+
+def count_sent(
+    rollout: ServiceRollout, evidence: Iterable[VersionEvidence]
+) -> SentRequests:
+    """Return the requests that were sent to a service since its roll-out was ordered.
+
+    Parameters
+    ----------
+    rollout : ServiceRollout
+        The roll-out.
+    evidence : iterable of VersionEvidence
+        Requests on all versions.
+    """
+    total = exposed = 0
+    for item in evidence:
+        if item.service != rollout.service:
+            continue
+        total += item.requests
+        if item.version == rollout.target:
+            exposed += item.requests
+    return SentRequests(total, exposed)
 
 
 def is_on_target(
@@ -440,6 +493,7 @@
                 known.open + item.open,
                 known.ended + item.ended,
                 known.seconds + item.seconds,
+                known.sent + item.requests,
             )
     return list(totals.values())
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
@@ -51,6 +51,7 @@
     open: int = 0
     ended: int = 0
     seconds: float = 0.0
+    sent: int = 0
 
 
 class EvidenceCounter:
@@ -79,6 +80,7 @@
         key = (rollout.service, version, call.route.name)
         request = OpenRequest(key, rollout.index, measure, is_slow)
         self._open.add(request)
+        self._counts.setdefault(key, VersionCounts()).sent += 1
         return request
 
     def close(self, request: OpenRequest, is_bad: bool | None) -> None:
@@ -117,6 +119,7 @@
                     open_counts.get(key, 0),
                     counts.ended,
                     round(seconds, 3),
+                    counts.sent,
                 )
             )
         return tuple(evidence)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -131,7 +131,11 @@
             settings, self._machine, self._senders, clock, rng
         )
         self.rollouts = RolloutController(
-            self._machine, self.directory, self.entries, clock
+            self._machine,
+            self.directory,
+            self.entries,
+            clock,
+            settings.bounds.exposure_limit,
         )
         self.suspensions = SuspensionController(self._machine, self.directory, clock)
         self.warmups = WarmupPermits(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -6,6 +6,7 @@
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.endpoints import EndpointDirectory
 from bergamotwood_core.gateway.evacuations import drop_evacuated, list_evacuated
+from bergamotwood_core.gateway.exposure import ExposureLimit
 from bergamotwood_core.gateway.levels import FeatureLevel
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.ordertimer import OrderTimer
@@ -44,6 +45,8 @@
         Gives the evidence and load that entries report.
     clock : callable
         Returns the current time.
+    limit : ExposureLimit
+        Requests that a bad version may get.
     """
 
     def __init__(
@@ -52,7 +55,9 @@
         directory: EndpointDirectory,
         entries: EntryTable,
         clock: Callable[[], Seconds],
+        limit: ExposureLimit = ExposureLimit(),  # noqa: B008
     ) -> None:
+        self._limit = limit
         self._machine = machine
         self._directory = directory
         self._entries = entries
@@ -150,6 +155,7 @@
                         item.open,
                         item.ended,
                         round(item.seconds, 1),
+                        item.requests,
                     )
                     for item in evidence
                     if item.service == rollout.service
@@ -173,6 +179,7 @@
             self._has_capacity(rollout),
             detector is not None and detector.suspected_route is not None,
             early_share,
+            self._limit,
         )
         return RolloutView(rollout, elapsed, share, early_share)
 
@@ -183,7 +190,7 @@
         if self._machine.state.level < FeatureLevel.EVACUATIONS:
             return 0.0
         if rollout.index not in self._early_shares:
-            share = compute_early_share(rollout, elapsed, evidence)
+            share = compute_early_share(rollout, elapsed, evidence, self._limit)
             if share is None:
                 return 0.0
             self._early_shares[rollout.index] = share
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from bergamotwood_core.gateway.exposure import ExposureLimit
 from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_core.messages import Address
 
@@ -39,6 +40,8 @@
     warmup_overshoot, warmup_tolerance : float or None
         Requests that a cold endpoint may receive in a second: a multiple of what it
         can handle, plus a fixed number. None if cold endpoints are not limited.
+    exposure_limit : ExposureLimit
+        Requests that a bad version may get before the deadline of its roll-out.
     """
 
     key_lease_seconds: float = 4.0
@@ -55,6 +58,7 @@
     evacuation_acknowledge_seconds: float = 2.0
     warmup_overshoot: float | None = None
     warmup_tolerance: float | None = None
+    exposure_limit: ExposureLimit = ExposureLimit()
 
 
 class GatewaySettings(Struct, frozen=True):
--- /dev/null
+++ b/tests/core/gateway/test_exposure.py
@@ -0,0 +1,119 @@
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
+from bergamotwood_core.gateway.exposure import (
+    LATEST_FULL_START,
+    ExposureLimit,
+    SentRequests,
+    choose_affordable,
+    is_affordable,
+)
+from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
+from bergamotwood_core.gateway.rollout import (
+    END_FRACTION,
+    FIRST_SHARE,
+    VersionEvidence,
+    choose_outcome,
+    choose_share,
+    compute_early_share,
+)
+from bergamotwood_core.ids import LogIndex, ServiceName
+
+SERVICE = ServiceName("models")
+STEP_SECONDS = 0.1
+DELAY_STEPS = 5
+
+
+def make_rollout(seconds):
+    return ServiceRollout(
+        SERVICE, "v2", seconds, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
+    )
+
+
+def make_evidence(counts):
+    return [
+        VersionEvidence(SERVICE, version, "r", int(count), 0, sent=int(count))
+        for version, count in counts.items()
+    ]
+
+
+def play(seconds, rate, limit, repeats):
+    """Roll out a version without a visible fault; return its requests and the share.
+
+    Reports and shares take half a second, and not all requests are judged.
+    """
+    rollout = make_rollout(seconds)
+    counts = {"v1": 0.0, "v2": 0.0}
+    reports, shares = [], []
+    early = None
+    outcome = RolloutOutcome.IN_PROGRESS
+    share = 0.0
+    completed_at = None
+    for step in range(int(seconds / STEP_SECONDS)):
+        elapsed = step * STEP_SECONDS
+        reports.append(make_evidence(counts))
+        evidence = reports[max(step - DELAY_STEPS, 0)]
+        if outcome is RolloutOutcome.IN_PROGRESS:
+            if early is None:
+                early = compute_early_share(rollout, elapsed, evidence)
+            chosen = choose_share(
+                rollout, elapsed, evidence, True, False, early or 0.0, limit
+            )
+            shares.append(max(chosen, *shares) if shares else chosen)
+            share = shares[max(step - DELAY_STEPS, 0)]
+            outcome = choose_outcome(rollout, elapsed, None, shares[-1], 9)
+            if outcome is RolloutOutcome.COMPLETED:
+                completed_at = elapsed
+        else:
+            share = 1.0
+        sent = rate * STEP_SECONDS * repeats
+        counts["v2"] += share * sent
+        counts["v1"] += (1.0 - share) * sent
+    return counts, completed_at
+
+
+# A version that fails under load only had a third of all requests by the deadline.
+@given(
+    seconds=st.floats(10.0, 60.0),
+    rate=st.floats(1.0, 400.0),
+    repeats=st.floats(1.0, 1.6),
+)
+def test_a_version_that_shows_no_fault_keeps_within_the_limit(seconds, rate, repeats):
+    limit = ExposureLimit()
+    counts, completed_at = play(seconds, rate, limit, repeats)
+    total = sum(counts.values())
+    assert counts["v2"] <= limit.ratio * total + limit.tolerance
+    assert completed_at is not None
+    assert completed_at <= (END_FRACTION + 0.02) * seconds
+
+
+@given(
+    total=st.integers(0, 10_000),
+    exposed=st.integers(0, 10_000),
+    elapsed=st.floats(0.1, 20.0),
+    share=st.floats(0.0, 1.0),
+)
+def test_a_smaller_share_is_never_less_affordable(total, exposed, elapsed, share):
+    assume(exposed <= total)
+    rollout = make_rollout(20.0)
+    sent = SentRequests(total, exposed)
+    limit = ExposureLimit()
+    if is_affordable(share, rollout, elapsed, sent, limit, 0.1):
+        assert is_affordable(share / 2.0, rollout, elapsed, sent, limit, 0.1)
+
+
+def test_everything_is_affordable_where_few_requests_come():
+    rollout = make_rollout(16.0)
+    sent = SentRequests(10, 1)
+    assert choose_affordable((0.08, 0.5, 1.0), rollout, 12.0, sent, ExposureLimit())
+
+
+def test_the_first_share_is_kept_while_the_next_would_cost_too_much():
+    rollout = make_rollout(16.0)
+    limit = ExposureLimit()
+    sent = SentRequests(700, 50)
+    shares = (FIRST_SHARE, 0.2, 0.5, 1.0)
+    assert choose_affordable(shares, rollout, 11.0, sent, limit) == FIRST_SHARE
+    late = LATEST_FULL_START * 16.0
+    sent = SentRequests(880, 50)
+    assert choose_affordable(shares, rollout, late, sent, limit) == 1.0
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -143,8 +143,9 @@
 
 def test_evidence_of_all_entries_is_summed():
     one = (VersionEvidence(SERVICE, "v2", "r", 3, 1),)
-    other = (VersionEvidence(SERVICE, "v2", "r", 2, 0),)
-    assert merge_evidence([one, other]) == [VersionEvidence(SERVICE, "v2", "r", 5, 1)]
+    other = (VersionEvidence(SERVICE, "v2", "r", 2, 0, sent=4),)
+    merged = VersionEvidence(SERVICE, "v2", "r", 5, 1, sent=7)
+    assert merge_evidence([one, other]) == [merged]
 
 
 def make_version(version, ended, seconds, route="r", **changes):
@@ -183,9 +184,10 @@
     rollout = ServiceRollout(
         SERVICE, "v2", 15.0, RolloutOutcome.IN_PROGRESS, LogIndex(4), 0.0
     )
-    judged = [make_version("v2", 20, 20.0, open=5)]
+    old = make_version("v1", 10, 10.0)
+    judged = [old, make_version("v2", 13, 13.0, open=5)]
     assert choose_share(rollout, 12.0, judged, True) == 1.0
-    undecided = [make_version("v2", 20, 20.0, open=25)]
+    undecided = [old, make_version("v2", 13, 13.0, open=25)]
     assert choose_share(rollout, 12.0, undecided, True) < 0.5
 
 
