Compute the Poisson tail also for many expected requests

Cause: the sum began with the probability of no event, which is 0 in floating point for a larger mean, so that any number of ends was less than expected.

Evidence: the new test failed on for 50,000 requests that ended as often as those of the version before.

Why this works: the sum begins at its largest term and goes both ways.

Result: the test passes, for 100, 1,000 and 50,000 requests, and a version of which half as many ended is still slower.

--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from math import exp
+from math import exp, lgamma, log
 
 from msgspec import Struct
 
@@ -66,6 +66,8 @@
 # prompts cached yet; and probability that such a version is suspected.
 SLOWER_FACTOR = 1.4
 SLOWER_RATE = 0.01
+# Part of a sum below which further terms are left out.
+NEGLIGIBLE = 1e-12
 # Tolerated increase of the rate of bad answers over the previous version, because the
 # rate of one route is measured with few requests.
 TOLERATED_RATE = 0.03
@@ -518,11 +520,24 @@
 
 def _compute_poisson_tail(count: int, mean: float) -> float:
     """Return the probability of at most `count` events where `mean` are expected."""
-    term = total = exp(-mean)
-    for number in range(1, count + 1):
+    if mean <= 0.0:
+        return 1.0
+    # The sum begins at its largest term: that of no event is 0 for large means.
+    peak = min(count, int(mean))
+    largest = exp(peak * log(mean) - mean - lgamma(peak + 1))
+    total = term = largest
+    for number in range(peak, 0, -1):
+        term *= number / mean
+        total += term
+        if term < NEGLIGIBLE * total:
+            break
+    term = largest
+    for number in range(peak + 1, count + 1):
         term *= mean / number
         total += term
-    return total
+        if term < NEGLIGIBLE * total:
+            break
+    return min(total, 1.0)
 
 
 def _find_baseline(counts: tuple[int, int] | None) -> float:
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -227,3 +227,16 @@
         at = 15.0 * step / 1_000
         sent += rate * 0.015 * choose_share(rollout, at, [], True, True, share)
         assert sent <= 0.15 * rate * at + 30.0
+
+
+# Above 745 expected events the probability was 0, and a good version was suspected.
+def test_a_good_version_with_many_requests_is_not_slower():
+    for ended in (100, 1_000, 50_000):
+        seconds = 1.0 * ended
+        evidence = [
+            make_version("v1", ended, seconds),
+            make_version("v2", ended, seconds),
+        ]
+        assert not is_slower(ROLLOUT, evidence)
+        evidence[1] = make_version("v2", ended // 2, seconds)
+        assert is_slower(ROLLOUT, evidence)
