Apply the limit on heads in force to kept connections

Cause: the limit was passed to h11 when the connection was opened.

Why this works: the bytes of an incomplete head are compared with the limit in force each time that more are needed.

Result: the test passes, also for a limit that is lowered again.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from sys import maxsize
 
 import h11
 from gevent import Greenlet, GreenletExit, Timeout, getcurrent, sleep, spawn
@@ -174,13 +175,14 @@
         self._server = server
         self._sock = sock
         self._inbound = ReadAheadBuffer(sock)
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
-        )
+        # The limit on heads may change while the connection is kept.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=maxsize)
         self._first_byte_at = Seconds(0.0)
         self.is_busy = False
         self._is_shut_down = False
         self._is_framed_twice = False
+        # At most as many bytes as `h11` holds without having made an event of them.
+        self._unread_bytes = 0
         self._is_paused = False
         self._pauser = Pauser()
 
@@ -273,6 +275,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
+                self._check_incomplete_size()
                 if self._http.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
                 self._receive(head is not None)
@@ -298,6 +301,21 @@
             self._first_byte_at,
         )
 
+    def _check_incomplete_size(self) -> None:
+        """Check that a head, or the head of a chunk, is not too large.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            When more bytes without its end have arrived than the limit in force allows.
+        """
+        limit = self._server.limits().header_bytes
+        if self._unread_bytes <= limit:
+            return
+        self._unread_bytes = len(self._http.trailing_data[0])
+        if self._unread_bytes > limit:
+            raise h11.RemoteProtocolError("Receive buffer too long", 431)
+
     def _pause(self) -> None:
         """Let other greenlets run while a body that has arrived is decoded."""
         self._is_paused = True
@@ -313,6 +331,7 @@
         data = self._inbound.receive(seconds)
         if is_idle:
             self._first_byte_at = self._server.clock()
+        self._unread_bytes += len(data)
         self._http.receive_data(data)
 
     def _reject_timeout(self) -> None:
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -217,3 +217,26 @@
     assert reply.status == 503
     assert float(reply.headers["retry-after"]) < 0.1
     assert harness.list_arrivals() == []
+
+
+# A connection kept the limit on heads that held when it was opened, and got 431.
+def test_a_kept_connection_follows_a_change_of_the_limit_on_heads(make_harness):
+    harness = make_harness(configure(header_bytes=1_000), one=answer)
+    caller = harness.connect()
+    assert caller.call("POST", id="q-1").status == 200
+    harness.sync(number=2)
+    large = make_head("q-2", f"x: {3_000 * 'x'}\r\n").encode()
+
+    def send_large():
+        caller.send_raw(large)
+        sleep(0.1)
+        caller.send_raw(b"content-length: 0\r\n\r\n")
+
+    limits = CallerLimits(header_bytes=8_000)
+    harness.server.limits = lambda: limits
+    send_large()
+    data = caller.sock.recv(4_096)
+    assert data.startswith(b"HTTP/1.1 200")
+    limits = CallerLimits(header_bytes=1_000)
+    send_large()
+    assert read_all(caller).startswith(b"HTTP/1.1 431")
