Suspect a plain request while it waits, also beside others

Cause: only requests whose answer had begun were suspected, if there were any. A plain answer begins when it is complete, so under load a sound one has always begun, and the request that waits at the endpoint was never named.

Why this works: a request without a prompt crashes an endpoint while it waits, so it is suspected whatever else had begun. One that is served in between is not named.

--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -90,9 +90,15 @@
     is_explained: bool = False
 
     def list_suspects(self) -> list[ExecutedRequest]:
-        """Return the requests whose answer had begun, or else all."""
-        begun = [request for request in self.requests.values() if request.has_begun]
-        return begun or list(self.requests.values())
+        """Return the requests that may have crashed the incarnation.
+
+        A request with a prompt does so when its answer begins, if any had begun. One
+        without a prompt does so while it waits: its answer comes whole or not at all.
+        """
+        requests = list(self.requests.values())
+        if not any(request.has_begun for request in requests):
+            return requests
+        return [item for item in requests if item.has_begun or not item.parts]
 
     def has_begun_any(self, causes: Set[Cause]) -> bool:
         """Whether a request whose answer had begun has one of some causes."""
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -1,5 +1,7 @@
 from itertools import count
 
+import pytest
+
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.crashes import (
     MAX_INCIDENTS,
@@ -239,3 +241,34 @@
     for at in range(11, 15):
         crash(evidence, at, make_request("other"))
     assert find(evidence, 15) == ["other"]
+
+
+# A plain request that crashes endpoints was never named beside answers that had begun.
+@pytest.mark.parametrize("prompt", [(), ("first", "topic")])
+def test_a_plain_request_is_named_beside_others_whose_answers_have_begun(prompt):
+    evidence = CrashEvidence()
+    for at in range(3):
+        succeed(evidence, "first", at - 0.1)
+        sound = [make_request(*prompt[:1], *(f"{part}-{at}" for part in prompt[1:]))]
+        crash(
+            evidence,
+            at,
+            make_request(fingerprint="bad", has_begun=False),
+            *sound,
+            make_request(fingerprint=f"waits-{at}", has_begun=False),
+        )
+    assert find(evidence, 3) == ["bad"]
+
+
+def test_a_plain_request_that_is_served_meanwhile_is_not_named():
+    evidence = CrashEvidence()
+    cause = Cause(CauseKind.REQUEST, SERVICE, Fingerprint("lookup"))
+    for at in range(3):
+        crash(
+            evidence,
+            at,
+            make_request(fingerprint="lookup", has_begun=False),
+            make_request(),
+        )
+        evidence.apply_report((), [CauseReport(cause, 0.0)], Seconds(at + 0.1))
+    assert find(evidence, 3) == []
