Wait for a silent stream where nothing else could go on

Cause: a resumable stream was given up after its idle time even if no other endpoint could take it.

Why this works: after the idle time the stream is kept if no other endpoint can take the request and its own one answers a direct check; otherwise it is given up as before. Silence is no reason to end an answer sooner.

Result: the tests pass, with one for an endpoint that answers no check.

--- a/packages/core/src/bergamotwood_core/gateway/streamprogress.py
+++ b/packages/core/src/bergamotwood_core/gateway/streamprogress.py
@@ -46,6 +46,10 @@
         self.last_event_at = now
         self._useless_bytes = 0
 
+    def extend(self, now: Seconds) -> None:
+        """Wait for an event once more, as nothing else could go on with the stream."""
+        self.last_event_at = now
+
     def is_useless(self, now: Seconds, timeout: float) -> bool:
         """Whether the stream has sent only useless bytes for too long.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -9,6 +9,7 @@
 from bergamotwood_core.gateway.configuration import RouteKind
 from bergamotwood_core.gateway.endpoints import EndpointHeartbeat
 from bergamotwood_core.gateway.health import AttemptResult
+from bergamotwood_core.gateway.retries import may_retry
 from bergamotwood_core.gateway.suspects import SURVIVAL_SECONDS, StartedAnswer
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
@@ -147,6 +148,18 @@
         )
         return event
 
+    def may_wait_longer(self) -> bool:
+        """Whether a silent stream is waited for, as nothing else could go on.
+
+        So it is while its endpoint lives, and no other one can take the request.
+        """
+        now = self._entry.clock()
+        if now >= self._call.deadline:
+            return False
+        if may_retry(self._call, True, now) and self._has_alternative(now):
+            return False
+        return self._entry.check_liveness(self.heartbeat)
+
     def release_connection(self) -> None:
         """Return the connection to the pool for another request."""
         super().release_connection()
--- a/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
@@ -115,6 +115,10 @@
         if self._compute_time_left() < -DEADLINE_SLACK_SECONDS:
             raise ResponseTimeoutError("past the deadline")
 
+    def may_wait_longer(self) -> bool:
+        """Whether a silent stream is waited for, as nothing else could go on."""
+        return False
+
     def release_connection(self) -> None:
         """Return the connection to the pool for another request."""
         self._pool.release(self._connection)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -85,7 +85,7 @@
         self._repeated_id = ""
         try:
             while True:
-                event = attempt.receive(self._compute_read_timeout(attempt.idle_factor))
+                event = self._receive(attempt)
                 if isinstance(event, h11.EndOfMessage):
                     break
                 attempt.check_deadline()
@@ -115,6 +115,23 @@
             return MayHaveRun(outcome.reason, AttemptResult.ERROR)
         return outcome
 
+    def _receive(self, attempt: ResponseReader) -> h11.Event:
+        """Return the next event of the response, waiting as long as it makes sense.
+
+        Raises
+        ------
+        ConnectionBrokenError, ResponseTimeoutError
+            As for `ResponseReader.receive`.
+        """
+        while True:
+            timeout = self._compute_read_timeout(attempt.idle_factor)
+            try:
+                return attempt.receive(timeout)
+            except ResponseTimeoutError:
+                if not self._call.route.resumable or not attempt.may_wait_longer():
+                    raise
+                self._progress.extend(self._entry.clock())
+
     def _split(self, splitter: EventSplitter, data: bytes, head: h11.Response) -> None:
         """Send the events that some bytes complete."""
         self._progress.record_bytes(len(data), self._entry.clock())
--- a/tests/daemon/gateway/test_pausing_endpoints.py
+++ b/tests/daemon/gateway/test_pausing_endpoints.py
@@ -77,3 +77,34 @@
     for name in harness.endpoints:
         assert find_health(harness, name).failure_rate <= FAILING_RATE
     assert harness.entry.suspects.list_crashes(harness.read_time()) == ()
+
+
+# The only endpoint's pause ended its stream 2.4 s after the last event.
+def test_a_stream_outlasts_a_long_pause_where_nothing_else_could_go_on(make_harness):
+    def pause(arrival):
+        arrival.begin_events()
+        arrival.send_events(1, 1)
+        sleep(4.0)
+        arrival.send_events(2, 2)
+        arrival.end_events()
+
+    config = make_config(RouteKind.STREAMING, resumable=True, event_gap_seconds=0.2)
+    harness = make_harness(config, one=pause)
+    reply = harness.connect().call("POST", timeout="9")
+    assert reply.is_whole
+    assert reply.body.count("data:") == 2
+    assert len(harness.list_arrivals()) == 1
+
+
+def test_a_stream_of_an_endpoint_that_answers_no_check_is_given_up(make_harness):
+    def stall(arrival):
+        arrival.begin_events()
+        arrival.send_events(1, 1)
+        harness.endpoints["one"].is_dark = True
+        sleep(8.0)
+
+    config = make_config(RouteKind.STREAMING, resumable=True, event_gap_seconds=0.2)
+    harness = make_harness(config, one=stall)
+    started_at = harness.read_time()
+    assert not harness.connect().call("POST", timeout="9").is_whole
+    assert harness.read_time() - started_at < 5.0
