--- a/packages/core/src/bergamotwood_core/gateway/sessionversions.py
+++ b/packages/core/src/bergamotwood_core/gateway/sessionversions.py
@@ -101,7 +101,8 @@
             yield key, version
 
     def _expire(self, now: Seconds) -> None:
-        for key, (_, at) in list(self._ended.items()):
+        while self._ended:
+            key, (_, at) = next(iter(self._ended.items()))
             if now - at <= self._timeout_seconds:
                 return
             del self._ended[key]
