--- a/tests/daemon/gateway/test_mixed_builds.py
+++ b/tests/daemon/gateway/test_mixed_builds.py
@@ -17,7 +17,7 @@
 from gevent import Timeout, killall, sleep, spawn
 from h11 import Data, EndOfMessage
 
-from bergamotwood_core.gateway.levels import ENTRY_MEMORY_SECONDS
+from bergamotwood_core.gateway.levels import ENTRY_MEMORY_SECONDS, OWN_LEVEL
 from bergamotwood_core.messages import Address
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_fakes.launch import launch_logged
@@ -225,10 +225,10 @@
 def test_the_level_is_raised_once_every_instance_is_replaced(site):
     site.start()
     for program in reversed(site.system.programs):
-        assert 1.0 not in site.list_levels()
+        assert OWN_LEVEL not in site.list_levels()
         site.replace(program, "new")
     replaced_at = read_clock()
-    wait_for(lambda: site.list_levels() == [1, 1, 1], RAISE_SECONDS)
+    wait_for(lambda: site.list_levels() == [OWN_LEVEL] * 3, RAISE_SECONDS)
     assert read_clock() - replaced_at < RAISE_SECONDS
     sleep(0.5)
     site.finish()
@@ -236,7 +236,7 @@
         assert site.read_log(control).count("Level raised.") == 1
     wait_for(
         lambda: all(
-            site.read_metrics(entry).get("group_level") == 1
+            site.read_metrics(entry).get("group_level") == OWN_LEVEL
             for entry in site.system.entries
         )
     )
@@ -247,7 +247,7 @@
     for program in site.system.programs:
         site.system.builds[program.name] = "new"
     site.start()
-    wait_for(lambda: site.list_levels() == [1, 1, 1], RAISE_SECONDS)
+    wait_for(lambda: site.list_levels() == [OWN_LEVEL] * 3, RAISE_SECONDS)
     control, entry = site.system.controls[2], site.system.entries[1]
     entry.process.kill()
     site.system.builds[entry.name] = "old"
@@ -263,12 +263,12 @@
     wait_for(lambda: site.operator._version > number)
     sleep(1.0)
     assert site.read_metrics(control)["state_age_seconds"] > 1.0
-    assert site.list_levels() == [1, 1, None]
+    assert site.list_levels() == [OWN_LEVEL, OWN_LEVEL, None]
     for program in (control, entry):
         program.process.kill()
         site.system.builds[program.name] = "new"
         program.process.launch()
-    wait_for(lambda: site.list_levels() == [1, 1, 1])
+    wait_for(lambda: site.list_levels() == [OWN_LEVEL] * 3)
     wait_for(lambda: site.read_metrics(control).get("state_age_seconds", 9) < 1)
 
 
