Judge a version by all requests of its roll-out at a new leader

Callers saw: a bad version could stay in use after a change of the leader, until as many of its responses were bad again.

Cause: a replica's test of a version counted from its first look at the roll-out, as reports did not name the roll-out that they belong to. A leader that looked after the bad responses took them for the state at the start.

With a transfer of leadership before the bad responses it failed in 6 of 6 runs with the same symptom; the new leader's detector had no evidence, that of the former one was certain. The new tests fail without the change: the version is not rolled back within 20 s, and counts of an earlier roll-out are judged. Not in 48 runs of the file, 12 at a time, without a transfer, nor with turns of the event loop that were held for 0.3 s.

Why it works: each count names its roll-out (at the end of the record; older builds ignore it), replicas use those of the roll-out in progress only, and the first test counts from the order. What an older build reports is used as before.

Measured: 75 tests of roll-outs, evidence, builds and exposure passed. test_rollback_time no longer looks at the leader's detector itself.

--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -22,7 +22,7 @@
 )
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.routing import hash_to_unit_interval
-from bergamotwood_core.ids import ServiceName
+from bergamotwood_core.ids import LogIndex, ServiceName
 from bergamotwood_core.sequential import Loss, bet_above
 
 # Fraction of the roll-out's time at which each stage starts, and the share of sessions
@@ -82,6 +82,8 @@
 MIN_CAPACITY_FRACTION = 0.5
 # Stands for all routes of a service in a verdict.
 ALL_ROUTES = "*"
+# Roll-out of counts that an older build reports without one.
+UNKNOWN_ROLLOUT = LogIndex(0)
 # Minimum duration of a roll-out, which avoids division by zero.
 MIN_DURATION_SECONDS = 1e-3
 
@@ -110,6 +112,8 @@
     sent : int
         Requests that were sent, also those whose end says nothing. Older builds report
         0.
+    rollout : LogIndex
+        Roll-out during which they were sent.
     """
 
     service: ServiceName
@@ -121,6 +125,7 @@
     ended: int = 0
     seconds: float = 0.0
     sent: int = 0
+    rollout: LogIndex = UNKNOWN_ROLLOUT
 
     @property
     def requests(self) -> int:
@@ -325,7 +330,9 @@
 class RegressionDetector:
     """Sequential test for a route on which the new version is worse.
 
-    A test starts every `TEST_PERIOD_SECONDS`. Each one bets that the rate of bad
+    The first test counts from the order, as far as reports name the roll-out that they
+    belong to, so that a replica that starts to look later judges by the same requests.
+    Another one starts every `TEST_PERIOD_SECONDS`. Each one bets that the rate of bad
     answers exceeds the rate of the previous version plus `TOLERATED_RATE`. The new
     version is bad if the mean capital of all tests on a route, or on all routes
     together, reaches the number of these divided by `FALSE_STOP_RATE`. In the short
@@ -349,10 +356,11 @@
         """Apply the newest evidence; to be called several times a second."""
         candidate = _sum_by_route(evidence, rollout, of_target=True)
         current = _sum_by_route(evidence, rollout, of_target=False)
-        if (
-            not self._test_starts
-            or now - self._test_starts[-1][0] >= TEST_PERIOD_SECONDS
-        ):
+        if not self._test_starts:
+            unknown = [item for item in evidence if item.rollout == UNKNOWN_ROLLOUT]
+            start = _sum_by_route(unknown, rollout, of_target=True)
+            self._test_starts.append((now, start))
+        elif now - self._test_starts[-1][0] >= TEST_PERIOD_SECONDS:
             self._test_starts.append((now, candidate))
         baselines = {route: _find_baseline(current.get(route)) for route in candidate}
         self._capitals = {
@@ -482,24 +490,33 @@
 def merge_evidence(
     reports: Iterable[Iterable[VersionEvidence]],
 ) -> list[VersionEvidence]:
-    """Return the summed evidence of all entries."""
-    totals: dict[tuple[ServiceName, str, str], VersionEvidence] = {}
+    """Return the summed evidence of all entries, by roll-out."""
+    totals: dict[tuple[ServiceName, str, str, LogIndex], VersionEvidence] = {}
     for report in reports:
         for item in report:
-            key = (item.service, item.version, item.route)
-            known = totals.get(key, VersionEvidence(*key, 0, 0))
+            key = (item.service, item.version, item.route, item.rollout)
+            known = totals.get(key, VersionEvidence(*key[:3], 0, 0))
             totals[key] = VersionEvidence(
-                *key,
+                *key[:3],
                 known.trials + item.trials,
                 known.bad + item.bad,
                 known.open + item.open,
                 known.ended + item.ended,
                 known.seconds + item.seconds,
                 known.sent + item.requests,
+                item.rollout,
             )
     return list(totals.values())
 
 
+def is_of_rollout(item: VersionEvidence, rollout: ServiceRollout) -> bool:
+    """Whether evidence may belong to a roll-out; that of older builds may."""
+    return item.service == rollout.service and item.rollout in (
+        UNKNOWN_ROLLOUT,
+        rollout.index,
+    )
+
+
 def _compute_elapsed_fraction(rollout: ServiceRollout, elapsed_seconds: float) -> float:
     """Return the elapsed fraction of a roll-out's time."""
     return elapsed_seconds / max(rollout.duration_seconds, MIN_DURATION_SECONDS)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/evidence.py
@@ -120,6 +120,7 @@
                     counts.ended,
                     round(seconds, 3),
                     counts.sent,
+                    self._rollouts[key[0]],
                 )
             )
         return tuple(evidence)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -18,6 +18,7 @@
     choose_outcome,
     choose_share,
     compute_early_share,
+    is_of_rollout,
 )
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
@@ -222,12 +223,17 @@
         return rollouts
 
     def _merge_evidence(self) -> list[VersionEvidence]:
-        """Return the evidence of all entries on versions that are not withdrawn."""
-        withdrawn = self._machine.state.withdrawn
+        """Return the evidence of all entries on the newest roll-outs.
+
+        That on withdrawn versions is left out.
+        """
+        state = self._machine.state
         return [
             item
             for item in self._entries.list_evidence()
-            if item.version not in withdrawn.get(item.service, ())
+            if item.version not in state.withdrawn.get(item.service, ())
+            and item.service in state.rollouts
+            and is_of_rollout(item, state.rollouts[item.service])
         ]
 
     def _has_capacity(self, rollout: ServiceRollout) -> bool:
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -1,6 +1,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
@@ -141,11 +142,24 @@
     assert choose_outcome(ROLLOUT, 19.0, None, 1.0, 3) is RolloutOutcome.COMPLETED
 
 
+@pytest.mark.parametrize("rollout", [ROLLOUT.index, LogIndex(0)])
+def test_a_replica_that_begins_to_look_late_judges_the_requests_before(rollout):
+    """Guards against a new leader that disregards the bad responses until then."""
+    detector = RegressionDetector()
+    evidence = [VersionEvidence(SERVICE, "v2", "r", 12, 12, rollout=rollout)]
+    for seconds in (5.0, 9.0, 13.0):
+        detector.update(ROLLOUT, evidence, Seconds(seconds))
+    # Counts of an older build may be those of the roll-out before.
+    assert detector.regressed_route == ("r" if rollout else None)
+
+
 def test_evidence_of_all_entries_is_summed():
     one = (VersionEvidence(SERVICE, "v2", "r", 3, 1),)
     other = (VersionEvidence(SERVICE, "v2", "r", 2, 0, sent=4),)
     merged = VersionEvidence(SERVICE, "v2", "r", 5, 1, sent=7)
     assert merge_evidence([one, other]) == [merged]
+    later = VersionEvidence(SERVICE, "v2", "r", 1, 0, rollout=LogIndex(9))
+    assert merge_evidence([one, other, (later,)]) == [merged, replace(later, sent=1)]
 
 
 def make_version(version, ended, seconds, route="r", **changes):
--- a/tests/daemon/gateway/test_evidence.py
+++ b/tests/daemon/gateway/test_evidence.py
@@ -37,19 +37,19 @@
     seconds = [1.0]
     request = send(counter, seconds)
     key = (MODELS, "v2", CALL.route.name)
-    assert counter.list_counts() == (VersionEvidence(*key, 0, 0, 1, 0, 1.0, 1),)
+    assert counter.list_counts() == (VersionEvidence(*key, 0, 0, 1, 0, 1.0, 1, 4),)
     seconds[0] = 6.0
-    assert counter.list_counts() == (VersionEvidence(*key, 1, 1, 0, 0, 6.0, 1),)
+    assert counter.list_counts() == (VersionEvidence(*key, 1, 1, 0, 0, 6.0, 1, 4),)
     # Its end is no further trial.
     seconds[0] = 8.0
     counter.close(request, False)
-    assert counter.list_counts() == (VersionEvidence(*key, 1, 1, 0, 1, 8.0, 1),)
+    assert counter.list_counts() == (VersionEvidence(*key, 1, 1, 0, 1, 8.0, 1, 4),)
 
 
 def test_a_request_whose_caller_left_tells_only_that_it_was_sent(counter):
     counter.close(send(counter, [1.0]), None)
     key = (MODELS, "v2", CALL.route.name)
-    assert counter.list_counts() == (VersionEvidence(*key, 0, 0, sent=1),)
+    assert counter.list_counts() == (VersionEvidence(*key, 0, 0, sent=1, rollout=4),)
 
 
 def test_counts_restart_with_each_rollout(counter):
--- a/tests/daemon/gateway/test_rollback_time.py
+++ b/tests/daemon/gateway/test_rollback_time.py
@@ -95,7 +95,16 @@
     assert max(run_turns(fleet, 3)) < MAX_ROLLBACK_SECONDS
 
 
-def run_turns(fleet, turns):
+def test_a_new_leader_judges_the_bad_responses_before_its_time(fleet, monkeypatch):
+    """Guards against a bad version that the leader after the next never rolls back."""
+    monkeypatch.setattr(replica, "EXPIRY_INTERVAL_SECONDS", 5.0)
+    sleep(0.3)
+    seconds = run_turns(fleet, 1, lambda leader: leader.group._transfer_leadership())
+    # An election, the next expiry run, and the bound above.
+    assert max(seconds) < 1.0 + 5.0 + MAX_ROLLBACK_SECONDS
+
+
+def run_turns(fleet, turns, disturb=lambda leader: None):
     """Return the times until versions are rolled back, one after the other."""
     rng = Random(1)
     entries = [ReportingEntry(fleet, number) for number in range(ENTRIES)]
@@ -108,11 +117,14 @@
             fleet.retry(lambda name=version: leader.begin_rollout(PLAIN, name, 15.0))
             fleet.wait_for(lambda: list_outcomes(entries) == {IN_PROGRESS})
             for entry in entries:
-                entry.evidence = (OLD, replace(NEW, version=version))
+                index = entry.state.rollouts[PLAIN].rollout.index
+                entry.evidence = (
+                    replace(OLD, rollout=index),
+                    replace(NEW, version=version, rollout=index),
+                )
             # All replicas know the evidence of the previous version by then.
             sleep(1.0 + 0.4 * rng.random())
-            # Tests count from the first look at a roll-out, as if the timer had run.
-            leader.rollouts.observe()
+            disturb(leader)
             seconds.append(measure_rollback(fleet, leader, entries))
     finally:
         for entry in entries:
--- a/tests/daemon/gateway/test_rollouts.py
+++ b/tests/daemon/gateway/test_rollouts.py
@@ -57,6 +57,19 @@
     assert entries.collected == 2
 
 
+def test_requests_of_an_earlier_rollout_tell_nothing_of_this_one():
+    """Guards against a version that is ordered again and judged by its first order."""
+    controller, _, entries, _ = make_controller()
+    counts = (MODELS, "v2", "r", 30, 30)
+    earlier = VersionEvidence(*counts, rollout=LogIndex(2))
+    entries.list_evidence = lambda: [earlier]
+    assert controller.list_settlements() == []
+    current = replace(earlier, rollout=RUNNING.index)
+    entries.list_evidence = lambda: [current]
+    (command,) = controller.list_settlements()
+    assert command.outcome is RolloutOutcome.ROLLED_BACK
+
+
 def test_a_settled_rollout_bypasses_the_view_cache():
     controller, machine, _, _ = make_controller()
     controller.list_views()
