Count the requests of entries that have stopped during a roll-out

Callers saw: a version that is bad under load got more requests before its deadline than the limit allows if entries restarted meanwhile.

Cause: the share of a version is planned from the requests that it has had, and these were what the entries that report now had sent since their start. An entry that stopped or started again took its part along.

Evidence: a model of six entries before the real controller.

Why it works: the replica that an entry polled last keeps the last counts of its run until the roll-out ends, and drops them if the run reports again there or elsewhere. They are part of the sums that replicas exchange, so nothing new is sent.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -13,6 +13,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
+from bergamotwood_core.gateway.departedevidence import DepartedEvidence, EntryRun
 from bergamotwood_core.gateway.latency import LatencyReport, merge_latencies
 from bergamotwood_core.gateway.levels import EntryLevels
 from bergamotwood_core.gateway.load import EndpointLoad, LoadSum
@@ -70,6 +71,8 @@
         Addresses of all entries, for callers.
     levels : EntryLevels
         Feature levels of the entries that poll this replica.
+    departed : DepartedEvidence
+        Evidence of entries that polled this replica and have stopped.
     has_new_failures : bool
         Whether a report has brought more bad responses; to be reset by its reader.
     """
@@ -80,6 +83,7 @@
         self.members: ChangeFeed[InstanceId, EntryMember] = ChangeFeed()
         self.addresses: ChangeFeed[InstanceId, EntryAddress] = ChangeFeed()
         self.levels = EntryLevels(complete_from=NEVER)
+        self.departed = DepartedEvidence()
         self._clock = clock
         self._statuses: dict[InstanceId, EntryStatus] = {}
         self._received_at: dict[InstanceId, Seconds] = {}
@@ -112,6 +116,9 @@
             return False
         if previous is not None:
             self._loads.subtract(previous.loads)
+            if previous.incarnation != status.incarnation:
+                self.departed.keep(_get_run(previous), previous.evidence)
+        self.departed.forget(_get_run(status))
         self._loads.add(status.loads)
         known_evidence = previous.evidence if previous is not None else ()
         self._note_failures(known_evidence, status.evidence)
@@ -141,7 +148,7 @@
             sequence,
             None,
             loads.list_without({}),
-            tuple(merge_evidence(status.evidence for status in statuses)),
+            tuple(merge_evidence(self._list_own_evidence())),
             self._list_own_sessions(),
             prefill_times=merge_histograms(status.prefill_times for status in statuses),
             latencies=merge_latencies(status.latencies for status in statuses),
@@ -172,6 +179,8 @@
         now = self._clock()
         cutoff = now - ENTRY_EXPIRY_SECONDS
         for instance in [key for key, at in self._received_at.items() if at < cutoff]:
+            status = self._statuses[instance]
+            self.departed.keep(_get_run(status), status.evidence)
             self._drop(instance)
         cutoff = now - SUMMARY_EXPIRY_SECONDS
         for replica in [
@@ -194,11 +203,16 @@
         """Return the evidence of all entries on versions that are rolled out."""
         return merge_evidence(
             chain(
-                (status.evidence for status in self._statuses.values()),
+                self._list_own_evidence(),
                 (relayed.summary.evidence for relayed in self._relayed.values()),
             )
         )
 
+    def _list_own_evidence(self) -> list[tuple[VersionEvidence, ...]]:
+        """Return the evidence of the entries that poll this replica or did last."""
+        statuses = self._statuses.values()
+        return [*(item.evidence for item in statuses), *self.departed.list_reports()]
+
     def list_prefill_rates(self) -> dict[ModelName, float]:
         """Return the seconds to prefill a token, from the samples of all entries."""
         self._refresh_averages()
@@ -285,11 +299,14 @@
 
     def _resolve_move(self, instance: InstanceId, member: EntryMember) -> None:
         """Keep an entry at the replica that it polls now."""
+        self.departed.forget((instance, member.incarnation))
         own_status = self._statuses.get(instance)
         if own_status is None:
             self.levels.forget_moved(instance, member.incarnation)
             return
         if _order(own_status) < _order(member):
+            if own_status.incarnation != member.incarnation:
+                self.departed.keep(_get_run(own_status), own_status.evidence)
             self._drop(instance)
             self.levels.forget_moved(instance, member.incarnation)
         elif _order(self.members.find(instance)) < _order(member):
@@ -346,5 +363,9 @@
     return report.incarnation, report.sequence
 
 
+def _get_run(status: EntryStatus) -> EntryRun:
+    return status.entry.instance, status.incarnation
+
+
 def _collect(reports: Iterable[tuple]) -> tuple:
     return tuple(chain.from_iterable(reports))
--- a/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/rollouts.py
@@ -213,6 +213,7 @@
         }
         for index in self._early_shares.keys() - running.keys():
             del self._early_shares[index]
+        self._entries.departed.retain_rollouts(running)
         evidence = self._merge_evidence() if running else []
         for index, rollout in running.items():
             self._detectors[index].update(rollout, evidence, self._clock())
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -7,11 +7,13 @@
 from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.members import EntryAddress
+from bergamotwood_core.gateway.rollout import VersionEvidence
 from bergamotwood_core.ids import (
     DataCentre,
     EndpointId,
     Incarnation,
     InstanceId,
+    LogIndex,
     SessionId,
 )
 from bergamotwood_daemon.gateway.entries import (
@@ -236,6 +238,53 @@
     assert one.table.levels.find_lowest(1, clock()) == 1
 
 
+EVIDENCE = (VersionEvidence("plain", "v2", "r", 3, 1, 2, sent=5, rollout=LogIndex(4)),)
+
+
+def count_sent(replica):
+    return sum(item.requests for item in replica.table.list_evidence())
+
+
+@pytest.mark.parametrize("way", ["expires", "restarts", "restarts elsewhere"])
+def test_requests_of_an_entry_that_stopped_still_count(replicas, way):
+    """Guards against a new version that is given again what stopped entries sent."""
+    one, two, clock = replicas
+    one.table.update(make_status(1, evidence=EVIDENCE))
+    one.relay_to(two)
+    again = replace(make_status(1), incarnation=Incarnation(2))
+    match way:
+        case "expires":
+            clock.now += ENTRY_EXPIRY_SECONDS + 0.1
+            one.table.expire()
+        case "restarts":
+            one.table.update(again)
+        case "restarts elsewhere":
+            two.table.update(again)
+            two.relay_to(one)
+    one.relay_to(two)
+    for replica in (one, two):
+        assert count_sent(replica) == 5
+        # Its open requests have ended with it.
+        assert sum(item.open for item in replica.table.list_evidence()) == 0
+    one.table.departed.retain_rollouts({LogIndex(9)})
+    one.relay_to(two)
+    assert count_sent(one) == count_sent(two) == 0
+
+
+@pytest.mark.parametrize("to", [0, 1], ids=["the same replica", "another one"])
+def test_requests_of_an_entry_that_was_only_silent_count_once(replicas, to):
+    one, two, clock = replicas
+    one.table.update(make_status(1, evidence=EVIDENCE))
+    one.relay_to(two)
+    clock.now += ENTRY_EXPIRY_SECONDS + 0.1
+    one.table.expire()
+    replicas[to].table.update(make_status(1, 2, evidence=EVIDENCE))
+    for _ in range(2):
+        one.relay_to(two)
+        two.relay_to(one)
+    assert count_sent(one) == count_sent(two) == 5
+
+
 # The sessions of an entry that stopped counted as closed, and moved to a new version.
 def test_sessions_of_an_entry_that_has_stopped_remain_open_for_their_time_out():
     clock = Clock()
--- a/tests/daemon/gateway/test_rollouts.py
+++ b/tests/daemon/gateway/test_rollouts.py
@@ -1,5 +1,6 @@
 from time import time
 
+import pytest
 from core.gateway.samples import MODELS, make_heartbeat
 from msgspec.structs import replace
 
@@ -7,6 +8,7 @@
 from bergamotwood_core.gateway.endpoints import EndpointDirectory
 from bergamotwood_core.gateway.evacuations import Evacuation
 from bergamotwood_core.gateway.levels import FeatureLevel
+from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import (
     FIRST_SHARE,
@@ -16,9 +18,10 @@
 from bergamotwood_core.gateway.state_machine import (
     GatewayStateMachine,
 )
-from bergamotwood_core.ids import DataCentre, LogIndex
+from bergamotwood_core.ids import DataCentre, Incarnation, InstanceId, LogIndex
 from bergamotwood_daemon.gateway import rollouts
 from bergamotwood_daemon.gateway.entries import EntryTable
+from bergamotwood_daemon.gateway.peermessages import EntryStatus
 from bergamotwood_daemon.gateway.rollouts import VIEW_CACHE_SECONDS, RolloutController
 
 RUNNING = ServiceRollout(
@@ -129,3 +132,79 @@
     now[0] += 1.0
     (view,) = controller.list_views()
     assert view.share == view.early_share == MAX_EARLY_SHARE
+
+
+@pytest.mark.parametrize(
+    ("first", "interval", "together"),
+    [(0.8, 99.0, True), (0.1, 3.0, True), (0.1, 1.3, False), (0.1, 0.5, False)],
+)
+@pytest.mark.parametrize("rate", [10.0, 30.0])
+def test_a_version_gets_no_more_requests_while_entries_restart(
+    rate, first, interval, together
+):
+    """Guards against restarts of entries that hide what a version has had."""
+    controller, machine, entries, now = make_controller()
+    seconds, step = 30.0, 0.25
+    ordered = replace(RUNNING, duration_seconds=seconds, ordered_at=time())
+    machine.state.rollouts[MODELS] = ordered
+    machine.state.level = FeatureLevel.EVACUATIONS
+    for version in ("v1", "v2"):
+        heartbeat = make_heartbeat(version, service=MODELS, version=version)
+        controller._directory.apply_heartbeat(heartbeat, now[0])
+    senders = [Sender(number, ordered.index) for number in range(6)]
+    restart_at = first * seconds
+    for turn in range(int(seconds / step)):
+        if turn * step >= restart_at:
+            restart_at = turn * step + interval
+            next_one = min(senders, key=lambda sender: sender.run)
+            for sender in senders if together else [next_one]:
+                sender.restart()
+        share = controller.list_views()[0].share
+        for sender in senders:
+            sender.send(share, rate * step / len(senders))
+            assert entries.update(sender.make_status())
+        now[0] += step
+        entries.expire()
+        controller.observe()
+    exposed = sum(sender.exposed for sender in senders)
+    assert exposed <= 0.15 * rate * seconds + 30.0
+
+
+class Sender:
+    """An entry that sends requests to v1 and v2 without a bad response."""
+
+    def __init__(self, number, rollout):
+        self.run = 1
+        self.exposed = 0
+        self._rollout = rollout
+        self._entry = EntryAddress(
+            InstanceId(f"i{number}"), f"i{number}:80", "karen", True
+        )
+        self._sequence = 0
+        self._due = {"v1": 0.0, "v2": 0.0}
+        self._sent = {"v1": 0, "v2": 0}
+
+    def restart(self):
+        self.run += 1
+        self._sent = {"v1": 0, "v2": 0}
+
+    def send(self, share, requests):
+        for version, part in (("v1", 1.0 - share), ("v2", share)):
+            self._due[version] += part * requests
+            count = int(self._due[version])
+            self._due[version] -= count
+            self._sent[version] += count
+            if version == "v2":
+                self.exposed += count
+
+    def make_status(self):
+        self._sequence += 1
+        evidence = tuple(
+            VersionEvidence(
+                MODELS, version, "r", count, 0, sent=count, rollout=self._rollout
+            )
+            for version, count in self._sent.items()
+        )
+        return EntryStatus(
+            self._entry, Incarnation(self.run), self._sequence, {}, evidence
+        )
