Keep an answer if no endpoint can take a larger model now

Cause: an answer of low confidence is dropped for a larger model that an open endpoint has loaded and that has time. Endpoints that the request had tried counted, and an unknown time to the start, as without any candidate, counted as in time. Then no endpoint was left.

Evidence: both cases of the new test failed before with 502: with one endpoint, and with two of which the first refused.

Why it works: has_time asks for an endpoint that can take the request now, by the same list from which the endpoint is chosen afterwards.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/overload.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/overload.py
@@ -108,7 +108,10 @@
         )
 
     def has_time(self, call: Call, model: ModelName) -> bool:
-        """Whether a model is expected to start and to complete its answer in time."""
+        """Whether a model is expected to start and to complete its answer in time.
+
+        It does not start if each endpoint that has it was tried, is paused or is full.
+        """
         average_seconds = self._entry.latencies.estimate(
             call.route.name, model, call.metadata.expected_tokens
         )
@@ -118,7 +121,8 @@
         present_seconds = self._estimate_present_seconds(call, model)
         start_seconds = self._estimate_start(call, model)
         if (
-            can_finish_in_time(average_seconds, left)
+            start_seconds is not None
+            and can_finish_in_time(average_seconds, left)
             and can_finish_in_time(present_seconds, left)
             and can_start_in_time(start_seconds, objective_left)
         ):
@@ -138,7 +142,10 @@
         return False
 
     def _estimate_start(self, call: Call, model: ModelName) -> float | None:
-        """Return the expected time until another model starts to answer."""
+        """Return the expected time until another model starts to answer.
+
+        None if no endpoint can serve it now.
+        """
         entry = self._entry
         with_model = replace(call, model=model)
         heartbeats = [
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -461,11 +461,12 @@
     arrival.end_events()
 
 
-def make_two_model_harness(make_harness):
+TWO_MODELS = {"one": answer_by_model, "two": answer_by_model}
+
+
+def make_two_model_harness(make_harness, acts=TWO_MODELS):
     models = (ModelName("small"), ModelName("large"))
-    harness = make_harness(
-        configure(**STREAM, models=models), one=answer_by_model, two=answer_by_model
-    )
+    harness = make_harness(configure(**STREAM, models=models), **acts)
     for endpoint, heartbeat in harness.entry.control_state.heartbeats.items():
         harness.entry.control_state.heartbeats[endpoint] = replace(
             heartbeat, models=models
@@ -481,6 +482,25 @@
     assert list_ids(reply.body) == ["1", "2", "3"]
 
 
+@pytest.mark.parametrize("names", [("one",), ("one", "two")])
+def test_a_low_confidence_answer_is_kept_without_an_endpoint_for_a_larger_model(
+    make_harness, names
+):
+    """Guards against a 502 in place of an answer that the endpoint had made."""
+    arrivals = []
+
+    def act(arrival):
+        arrivals.append(arrival)
+        if len(arrivals) < len(names):
+            return refuse(arrival)
+        return answer_by_model(arrival)
+
+    harness = make_two_model_harness(make_harness, dict.fromkeys(names, act))
+    reply = harness.connect().call(timeout="20", model="any")
+    assert (reply.status, len(arrivals)) == (200, len(names))
+    assert "data: small" in reply.body
+
+
 def test_a_low_confidence_answer_is_kept_without_time_for_a_larger_model(make_harness):
     harness = make_two_model_harness(make_harness)
     route = harness.entry.control_state.routing.configuration.routes[0].name
