Keep the heap of earlier test modules out of garbage collections

Elections take 0.6 to 1 s, and one process runs all entries, replicas and endpoints.

Change: before each module what is left is collected and then frozen. No check, bound or time changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Expects the tests that KNOWN-RED.txt names to fail, and prints them."""
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -14,6 +15,13 @@
     return {line.removeprefix(PREFIX) for line in lines if line.startswith(PREFIX)}
 
 
+@pytest.fixture(scope="module", autouse=True)
+def freeze_heap():
+    """Exclude what earlier modules left from collections, which hold the event loop."""
+    gc.collect()
+    gc.freeze()
+
+
 def pytest_collection_modifyitems(items):
     known = list_known_red()
     for item in items:
