Keep recent endpoints when a replica tells an older state

Cause: ControlState.update replaced endpoints, entries, loads and averages by those of the reply before the poller looked at the age of the replica's state and left the replica for it.

Evidence: the new test fails before in both cases, a state 1.5 s old and one that was never confirmed: no endpoint is left.

Why it works: such a state replaces nothing while the entry's copy was confirmed within 3 s and is newer by more than 0.9 s. Without a leader all states grow old together, so endpoints still come and go. Permits and other parts of one reply are applied as before.

--- /dev/null
+++ b/packages/core/src/bergamotwood_core/gateway/staleness.py
@@ -0,0 +1,27 @@
+"""Whether an entry applies what a control replica tells of endpoints and entries.
+
+A replica that has just started, or that was partitioned from the others, may know no
+endpoints or such as have left. It answers restarts and partitions of the control group.
+"""
+
+# Age from which a replica's state is old: it is partitioned from the others, or they
+# have no leader.
+MAX_STATE_AGE_SECONDS = 0.9
+# Age from which an entry's own copy is no better than any reply. Endpoints announce
+# themselves anew meanwhile.
+MAX_KEPT_AGE_SECONDS = 3.0
+
+
+def is_outdated(reply_age: float, own_age: float) -> bool:
+    """Whether a reply tells an older state than an entry's recent copy.
+
+    Parameters
+    ----------
+    reply_age : float
+        Age of the replica's state in seconds; infinite if it was never confirmed.
+    own_age : float
+        Age of the entry's copy in seconds.
+    """
+    if reply_age <= MAX_STATE_AGE_SECONDS or own_age > MAX_KEPT_AGE_SECONDS:
+        return False
+    return reply_age > own_age + MAX_STATE_AGE_SECONDS
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlpoller.py
@@ -8,6 +8,7 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.errors import ReplicationError
+from bergamotwood_core.gateway.staleness import MAX_STATE_AGE_SECONDS
 from bergamotwood_core.gateway.usable import UnencodableError
 from bergamotwood_core.ids import DataCentre, InstanceId
 from bergamotwood_daemon.gateway.channels import PeerChannels
@@ -28,8 +29,6 @@
 # Longer than the long poll plus a round trip, and short enough to try three
 # replicas within the key lease.
 CALL_TIMEOUT_SECONDS = 0.9
-# A replica with older state is partitioned from the others, or they have no leader.
-MAX_STATE_AGE_SECONDS = 0.9
 RETRY_DELAY_SECONDS = 0.1
 # Delay of a report that is due soon: requests lose an endpoint together.
 REPORT_DELAY_SECONDS = 0.05
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -19,6 +19,7 @@
 from bergamotwood_core.gateway.retries import UsageReport
 from bergamotwood_core.gateway.rollout import RolloutView
 from bergamotwood_core.gateway.routing import RoutingTable
+from bergamotwood_core.gateway.staleness import is_outdated
 from bergamotwood_core.gateway.state_machine import decompress_document
 from bergamotwood_core.gateway.suspects import Cause, CauseReport, EndpointCrash
 from bergamotwood_core.gateway.suspensions import Suspension
@@ -184,15 +185,14 @@
 
         An older configuration never replaces a newer one, and a reply confirms the
         state only if its configuration number matches. A reply of a group whose level
-        is above that of this build is not applied.
+        is above that of this build is not applied. A replica whose state is older than
+        this copy does not replace its endpoints, entries, loads and averages.
         """
         self._update_level(reply.level)
         if self.is_too_old:
             return
         if reply.document is not None and reply.number > self.number:
             self._load_document(reply.document)
-        self._apply_changes(reply)
-        self.loads = reply.loads
         if (
             reply.suspensions is not None
             and reply.suspensions_index > self.suspensions_index
@@ -210,13 +210,21 @@
         self.permits = reply.permits
         self.requested_at = requested_at
         self._update_rollouts(reply)
+        if not is_outdated(reply.age_seconds, self.age):
+            self._apply_soft_state(reply)
+        if reply.number == self.number:
+            confirmed_at = Seconds(requested_at - reply.age_seconds)
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def _apply_soft_state(self, reply: SyncReply) -> None:
+        """Replace what replicas only keep in memory, and do not know at their start."""
+        self._apply_changes(reply)
+        self.loads = reply.loads
+        self.open_sessions = frozenset(reply.open_sessions)
         self.silent_endpoints = frozenset(reply.silent)
         self.prefill_rates = reply.prefill_rates
         self.latencies = reply.latencies
         self.retry_usage = reply.retry_usage
-        if reply.number == self.number:
-            confirmed_at = Seconds(requested_at - reply.age_seconds)
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def _update_level(self, level: int) -> None:
         if level <= self.group_level:
@@ -270,7 +278,6 @@
                 view = replace(view, share=previous.share)
             self.rollouts[service] = view
         self.withdrawals.observe(view.rollout for view in self.rollouts.values())
-        self.open_sessions = frozenset(reply.open_sessions)
 
     def _update_suspensions(
         self, suspensions: tuple[Suspension, ...], index: LogIndex
--- /dev/null
+++ b/tests/core/gateway/test_staleness.py
@@ -0,0 +1,25 @@
+import pytest
+
+from bergamotwood_core.gateway.staleness import is_outdated
+
+INFINITE = float("inf")
+
+
+@pytest.mark.parametrize(
+    ("reply_age", "own_age", "expected"),
+    [
+        (0.2, 0.1, False),
+        (0.8, 0.0, False),
+        (1.5, 0.3, True),
+        (INFINITE, 0.3, True),
+        # Without a leader all replicas and copies grow old together.
+        (2.5, 2.4, False),
+        (2.5, 1.7, False),
+        (INFINITE, 3.1, False),
+        (INFINITE, INFINITE, False),
+    ],
+)
+def test_a_state_is_outdated_beside_a_recent_copy_that_is_newer(
+    reply_age, own_age, expected
+):
+    assert is_outdated(reply_age, own_age) is expected
--- a/tests/daemon/gateway/test_controlstate.py
+++ b/tests/daemon/gateway/test_controlstate.py
@@ -1,15 +1,18 @@
+import pytest
 from core.gateway.samples import make_configuration, make_heartbeat
 from daemon.gateway.harness import PlainDialect
 from msgspec.structs import replace
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.changefeed import NO_CURSOR, ChangeFeed
+from bergamotwood_core.gateway.limits import RequestCount
 from bergamotwood_core.gateway.orders import RolloutOutcome, ServiceRollout
 from bergamotwood_core.gateway.rollout import RolloutView
+from bergamotwood_core.gateway.staleness import MAX_KEPT_AGE_SECONDS
 from bergamotwood_core.gateway.state_machine import (
     compress_document,
 )
-from bergamotwood_core.ids import LogIndex, ServiceName
+from bergamotwood_core.ids import EndpointId, Incarnation, LogIndex, ServiceName
 from bergamotwood_daemon.gateway import controlstate
 from bergamotwood_daemon.gateway.controlstate import ControlState
 from bergamotwood_daemon.gateway.peermessages import SyncReply
@@ -109,6 +112,43 @@
     assert control_state.cursors.entries == NO_CURSOR
 
 
+@pytest.mark.parametrize("age", [1.5, float("inf")], ids=["partitioned", "restarted"])
+def test_a_replica_with_an_older_state_replaces_no_endpoints(age):
+    """Guards against refusals because a replica has just started without endpoints."""
+    control_state, _, clock = make_control_state()
+    feed = ChangeFeed()
+    feed.put("e-1", make_heartbeat("e-1"))
+    current = feed.list_changes(NO_CURSOR)
+    control_state.update(make_reply(endpoints=current, silent=("e-9",)), clock())
+    cursors = control_state.cursors
+    permits = (RequestCount(EndpointId("e-1"), Incarnation(1), 2),)
+    old = make_reply(
+        endpoints=ChangeFeed().list_changes(NO_CURSOR),
+        boot="c",
+        age_seconds=age,
+        permits=permits,
+    )
+    control_state.update(old, clock())
+    assert set(control_state.heartbeats) == {"e-1"}
+    assert control_state.silent_endpoints == {"e-9"}
+    assert (control_state.boot, control_state.cursors) == ("b", cursors)
+    # What concerns this request only is applied.
+    assert control_state.permits == permits
+    # Without a confirmation for some time no other state is better.
+    clock.now += MAX_KEPT_AGE_SECONDS + 0.1
+    control_state.update(old, clock())
+    assert control_state.heartbeats == {}
+
+
+def test_the_first_state_is_applied_whatever_its_age():
+    control_state, _, clock = make_control_state()
+    feed = ChangeFeed()
+    feed.put("e-1", make_heartbeat("e-1"))
+    reply = make_reply(endpoints=feed.list_changes(NO_CURSOR), age_seconds=float("inf"))
+    control_state.update(reply, clock())
+    assert set(control_state.heartbeats) == {"e-1"}
+
+
 def test_a_state_of_a_newer_level_is_not_applied_and_logged_once(monkeypatch):
     """An older build must not serve by a state that it does not understand."""
     lines = []
