Report a refused connection as an end once another one succeeds

Callers saw: while an entry is cut off from the endpoints of a service by refused connections, all entries could take a sound endpoint for ended until they heard from it, and moved its running streams.

Cause: the entry reported a refused connection as a certain end 50 ms later. Only a second endpoint that fails shows that the way is lost; if that takes longer, as with few requests or in a process that is held up, the report is false.

Why it works: a refusal is uncertain until a connection to the service succeeds (then the end is reported at once) or fails (then the service is lost). If no request opens one, the prober does, within its bound over all entries.

--- a/packages/core/src/bergamotwood_core/gateway/reachability.py
+++ b/packages/core/src/bergamotwood_core/gateway/reachability.py
@@ -100,6 +100,22 @@
         """
         return self.is_lost(service) and key in self._services[service].failures
 
+    def is_uncertain(self, service: ServiceName, now: Seconds) -> bool:
+        """Whether a connection has failed, and none succeeded or failed since.
+
+        Either the endpoint or the way to all endpoints is lost. Until one of them is
+        known the failure must not be reported as the end of the endpoint.
+        """
+        reach = self._services.get(service)
+        if reach is None or reach.lost_at is not None:
+            return False
+        return any(now - at <= FAILURE_SECONDS for at in reach.failures.values())
+
+    def has_failed_last(self, service: ServiceName, key: IncarnationKey) -> bool:
+        """Whether a connection to an endpoint has failed since the last success."""
+        reach = self._services.get(service)
+        return reach is not None and key in reach.failures
+
     def is_doubtful(self, service: ServiceName) -> bool:
         """Whether the service is lost, or another one was lost since it was reached."""
         reach = self._services.get(service, ServiceReach())
@@ -130,7 +146,7 @@
     untried = [
         heartbeat
         for heartbeat in heartbeats
-        if not table.has_failed(
+        if not table.has_failed_last(
             heartbeat.service, (heartbeat.endpoint, heartbeat.incarnation)
         )
     ]
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+from msgspec.structs import replace
+
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.brittle import BrittleAdmission
 from bergamotwood_core.gateway.call import Call
@@ -352,7 +354,12 @@
 
     def record_connection(self, service: ServiceName) -> None:
         """Record a new connection to an endpoint of a service."""
-        if not self.reach.record_connection(service, self.clock()):
+        now = self.clock()
+        was_uncertain = self.reach.is_uncertain(service, now)
+        if not self.reach.record_connection(service, now):
+            if was_uncertain:
+                # The failure before was the endpoint's, and may be reported now.
+                self.poller.report_soon()
             return
         log_event("entry", "Service in reach again.", service=service)
         for heartbeat in self.control_state.heartbeats.values():
@@ -376,6 +383,8 @@
             )
             self.prober.start()
             self.poller.report_soon()
+        elif self.reach.is_uncertain(service, self.clock()):
+            self.prober.start()
 
     def check_liveness(self, heartbeat: EndpointHeartbeat) -> bool:
         """Return whether an endpoint answers a direct check, as far as one may be sent.
@@ -490,9 +499,12 @@
 
     def _list_crashes(self) -> tuple[EndpointCrash, ...]:
         """Return the ends of endpoints that this entry can tell from lost ways."""
+        now = self.clock()
         return tuple(
-            crash
-            for crash in self.suspects.list_crashes(self.clock())
+            replace(crash, is_certain=False)
+            if self.reach.is_uncertain(crash.service, now)
+            else crash
+            for crash in self.suspects.list_crashes(now)
             if not self.reach.is_lost(crash.service)
         )
 
@@ -521,8 +533,11 @@
         services = {
             heartbeat.service for heartbeat in self.control_state.heartbeats.values()
         }
+        now = self.clock()
         return [
-            service for service in sorted(services) if self.reach.is_doubtful(service)
+            service
+            for service in sorted(services)
+            if self.reach.is_doubtful(service) or self.reach.is_uncertain(service, now)
         ]
 
     def _choose_probe(self, service: ServiceName) -> EndpointHeartbeat | None:
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -45,6 +45,29 @@
     assert record_failures(table, "b", now=2.0) == [False]
 
 
+def test_a_failure_is_uncertain_until_another_connection_succeeds_or_fails():
+    """Guards against a lost way that is reported as the end of an endpoint."""
+    table = ReachTable()
+    now = Seconds(2.0)
+    assert not table.is_uncertain(PLAIN, now)
+    record_failures(table, "a", "a")
+    assert table.is_uncertain(PLAIN, now)
+    assert not table.is_uncertain(PLAIN, Seconds(1.1 + FAILURE_SECONDS))
+    table.record_connection(PLAIN, now)
+    assert not table.is_uncertain(PLAIN, now)
+    record_failures(table, "a", "b", now=now)
+    assert not table.is_uncertain(PLAIN, now)
+    assert table.is_lost(PLAIN)
+
+
+def test_an_endpoint_that_has_not_failed_is_probed_first():
+    table = ReachTable()
+    record_failures(table, "a")
+    heartbeats = [make_heartbeat("a"), make_heartbeat("b")]
+    probed = {choose_probe(heartbeats, table, Random(at)).endpoint for at in range(20)}
+    assert probed == {"b"}
+
+
 def test_an_old_failure_does_not_count():
     table = ReachTable()
     record_failures(table, "a")
--- a/tests/daemon/gateway/test_partitioned_entries.py
+++ b/tests/daemon/gateway/test_partitioned_entries.py
@@ -4,7 +4,7 @@
 from itertools import cycle
 
 import pytest
-from core.gateway.samples import make_configuration, make_route
+from core.gateway.samples import PLAIN, make_configuration, make_route
 from daemon.gateway.fleet import DirectChannel, Fleet, FleetEntry, ModelServer
 from daemon.gateway.harness import Caller, Reply
 from daemon.gateway.partitions import Partition, PartitionedEntry
@@ -209,6 +209,34 @@
     assert replica.suspensions.list_suspensions() == ()
 
 
+def refuse_connection(entry):
+    """Let an entry see a refused connection, as the only one for some time."""
+    heartbeat = next(iter(entry.control_state.heartbeats.values()))
+    key = (heartbeat.endpoint, heartbeat.incarnation)
+    entry.record_failed_connection(heartbeat.service, key)
+    entry.suspects.record_refused_connection(key, heartbeat.service, read_clock())
+    entry.poller.report_soon()
+    return key
+
+
+@pytest.mark.parametrize("is_partitioned", [True, False])
+def test_one_refused_connection_alone_ends_no_endpoint(fleet, is_partitioned):
+    """Guards against a first failed connection in a partition that others believe."""
+    entry, *others = (item.entry for item in fleet.entries)
+    if is_partitioned:
+        fleet.partition(fleet.entries[:1], Partition.REFUSE_NEW)
+    # All entries have known each other for long enough to probe.
+    sleep(2.5)
+    key = refuse_connection(entry)
+    seen = set()
+    until = read_clock() + 1.5
+    while read_clock() < until:
+        seen.update(*(other.placement.ended for other in others))
+        sleep(0.02)
+    assert seen == (set() if is_partitioned else {key})
+    assert entry.reach.is_lost(PLAIN) is is_partitioned
+
+
 def test_no_request_that_runs_once_at_most_runs_twice_in_a_partition(fleet):
     fleet.run(0.5)
     for way, count in zip(WAYS, (3, ENTRIES, ENTRIES - 1), strict=True):
