--- a/tests/core/gateway/test_exposure.py
+++ b/tests/core/gateway/test_exposure.py
@@ -1,3 +1,6 @@
+from random import Random
+
+import pytest
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
@@ -129,3 +132,74 @@
     counts, completed_at = play(16.0, 71.0, ExposureLimit(), 1.0, 1.5)
     assert counts["v2"] <= 0.15 * sum(counts.values()) + 30.0
     assert completed_at > PLANNED_FULL_START * 16.0
+
+
+def make_requests(rng, rate, requests, gap_seconds, seconds):
+    """Return the requests of sessions as times and hashes, in order of the times.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second.
+    requests : int
+        Mean number of requests of a session.
+    gap_seconds : float
+        Mean time between them.
+    """
+    found = []
+    started_at = -10.0
+    while started_at < seconds:
+        started_at += rng.expovariate(rate / requests)
+        at, point = started_at, rng.random()
+        while at < seconds:
+            found.append((at, point))
+            if rng.random() < 1.0 / requests:
+                break
+            at += rng.expovariate(1.0 / gap_seconds)
+    return sorted(found)
+
+
+def play_sessions(rng, rate, requests, gap_seconds, seconds=16.0):
+    """Return how many requests a version without a visible fault gets, and of how many.
+
+    A session that is open on the old version stays there for the first half.
+    """
+    rollout = make_rollout(seconds)
+    sent, versions = [], {}
+    early, share, decided_at = None, 0.0, 0.0
+    for at, point in make_requests(rng, rate, requests, gap_seconds, seconds):
+        if at < 0.0:
+            versions[point] = ("v1", at)
+            continue
+        while decided_at <= at:
+            reported = [on_v2 for time, on_v2 in sent if time <= decided_at - 0.6]
+            exposed = sum(reported)
+            evidence = make_evidence({"v1": len(reported) - exposed, "v2": exposed})
+            if early is None:
+                early = compute_early_share(rollout, decided_at, evidence)
+            chosen = choose_share(
+                rollout, decided_at, evidence, True, False, early or 0.0
+            )
+            share = max(share, chosen)
+            decided_at += 0.25
+        version, last_at = versions.get(point, ("", -10.0))
+        is_open = version == "v1" and at - last_at < 6.0
+        may_move = at >= seconds / 2.0 or not is_open or share >= 1.0
+        on_v2 = point < share and may_move
+        versions[point] = ("v2" if on_v2 else "v1", at)
+        sent.append((at, on_v2))
+    return sum(on_v2 for _, on_v2 in sent), len(sent)
+
+
+# A day of review/5 had 199 of 1,125 requests on such a version, more than 198.75.
+@pytest.mark.parametrize(
+    ("rate", "requests", "gap_seconds"),
+    [(66.0, 8, 0.8), (30.0, 4, 1.2), (12.0, 1, 1.0)],
+)
+def test_sessions_of_several_requests_keep_a_version_within_the_limit(
+    rate, requests, gap_seconds
+):
+    rng = Random(1)
+    for _ in range(80):
+        exposed, total = play_sessions(rng, rate, requests, gap_seconds)
+        assert exposed <= 0.15 * total + 30.0
