Drop the end of an endpoint that is heard of afterwards

Cause: an entry reports the end of an incarnation when a connection to it breaks, and the control group weighed that for a minute also if it lived on. An entry by itself did the same for 30 s.

The new tests fail without the change.

Why this works: a heartbeat that is received 1.5 s after the end, or an answer that begins a second after it, comes from an incarnation that did not end. An end whose endpoint refuses connections is kept whatever is heard late.

--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -10,12 +10,13 @@
 An end shortly after the beginning of an answer counts for more than a later one, as
 a request that crashes endpoints does so when it begins. Ends at the same moment count
 once: endpoints that are killed together say nothing about the requests that they had.
-Ends that a suspended part explains count for nothing else, also once the part is
+A connection may break at an endpoint that goes on: its heartbeats show that it did not
+end. Ends that a suspended part explains count for nothing else, also once the part is
 served again: its requests, and those that they took along, would be named next.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Set
+from collections.abc import Callable, Iterable, Set
 
 from msgspec import Struct
 
@@ -29,7 +30,7 @@
     ExecutedRequest,
     IncarnationKey,
 )
-from bergamotwood_core.ids import Fingerprint, ServiceName
+from bergamotwood_core.ids import EndpointId, Fingerprint, ServiceName
 
 # Time for which ends are weighed together.
 EVIDENCE_SECONDS = 60.0
@@ -62,6 +63,9 @@
 MAX_SUCCESSES = 1_024
 # Time for which an end is relayed and sent to entries.
 RELAY_SECONDS = 3.0
+# A heartbeat that is received that long after the end of its incarnation was not sent
+# before it.
+ALIVE_SECONDS = 1.5
 NEVER = Seconds(float("-inf"))
 
 
@@ -144,6 +148,22 @@
             for request in crash.requests:
                 _merge_request(incident, request, now)
 
+    def drop_refuted(
+        self, find_last_heard: Callable[[IncarnationKey], Seconds | None]
+    ) -> None:
+        """Drop the uncertain ends of incarnations that were heard of since."""
+        for key, incident in list(self._incidents.items()):
+            if incident.is_certain:
+                continue
+            heard_at = find_last_heard(key)
+            if heard_at is not None and heard_at > incident.ended_at + ALIVE_SECONDS:
+                del self._incidents[key]
+
+    def list_items(self, now: Seconds) -> list[tuple[IncarnationKey, Incident]]:
+        """Return the incidents that are still weighed, with their incarnations."""
+        self.list_recent(now)
+        return list(self._incidents.items())
+
     def list_recent(self, now: Seconds) -> list[Incident]:
         """Return the incidents that are still weighed, oldest first."""
         limit = now - EVIDENCE_SECONDS
@@ -210,9 +230,20 @@
 
 
 class CrashEvidence:
-    """Evidence of one replica: from its entries, and relayed by other replicas."""
+    """Evidence of one replica: from its entries, and relayed by other replicas.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    find_last_heard : callable
+        Returns when a heartbeat of an incarnation was last received; None if it is
+        unknown.
+    """
+
+    def __init__(
+        self,
+        find_last_heard: Callable[[IncarnationKey], Seconds | None] = lambda key: None,
+    ) -> None:
+        self._find_last_heard = find_last_heard
         self._own = IncidentLog()
         self._all = IncidentLog()
         self._successes = SuccessLog()
@@ -267,6 +298,8 @@
         self, suspended: frozenset[Cause], now: Seconds
     ) -> tuple[Cause, ...]:
         """Return the causes about which entries are asked whether they succeed."""
+        self._own.drop_refuted(self._find_last_heard)
+        self._all.drop_refuted(self._find_last_heard)
         counts = self._count_crashes(self._list_unexplained(suspended, now))
         candidates = [
             cause for cause, count in counts.items() if count >= MIN_QUESTION_CRASHES
@@ -305,6 +338,27 @@
             if now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
         ]
 
+    def describe_ends(
+        self, cause: Cause, now: Seconds
+    ) -> list[tuple[EndpointId, bool, bool, float, float]]:
+        """Return the ends at which a cause is suspected, for logs.
+
+        Each one with its endpoint, whether it is certain, whether the answer had begun
+        and for how many seconds, and its age in seconds.
+        """
+        return [
+            (
+                endpoint,
+                incident.is_certain,
+                request.has_begun,
+                request.answered_seconds,
+                round(now - incident.ended_at, 2),
+            )
+            for (endpoint, _), incident in self._all.list_items(now)
+            for request in incident.list_suspects()
+            if cause in request.list_causes(incident.service)
+        ]
+
     def _list_unexplained(
         self, suspended: frozenset[Cause], now: Seconds
     ) -> list[Incident]:
--- a/packages/core/src/bergamotwood_core/gateway/endpoints.py
+++ b/packages/core/src/bergamotwood_core/gateway/endpoints.py
@@ -234,6 +234,14 @@
         """Return the latest heartbeat of an endpoint; None if it is unknown."""
         return self._heartbeats.get(endpoint)
 
+    def find_last_heard(
+        self, endpoint: EndpointId, incarnation: Incarnation
+    ) -> Seconds | None:
+        """Return when the latest heartbeat of an incarnation was received."""
+        if not self.is_serving(endpoint, incarnation):
+            return None
+        return self._last_heard[endpoint]
+
     def is_serving(self, endpoint: EndpointId, incarnation: Incarnation) -> bool:
         """Whether an incarnation is in the directory, so that it gets requests."""
         known = self._heartbeats.get(endpoint)
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -230,6 +230,8 @@
         """Record that an endpoint begins to answer a request."""
         answer = StartedAnswer(request, service, now)
         self._answers.append((key, answer))
+        if self._crashes:
+            self._drop_refuted_crashes(key, now)
         return answer
 
     def record_crash(
@@ -367,6 +369,17 @@
                 served_at = max(served_at, answer.started_at)
         return served_at
 
+    def _drop_refuted_crashes(self, key: IncarnationKey, now: Seconds) -> None:
+        """Forget the crashes of an incarnation that begins an answer later."""
+        self._crashes = deque(
+            (
+                crash
+                for crash in self._crashes
+                if crash[1] != key or now - crash[2] <= SURVIVAL_SECONDS
+            ),
+            maxlen=MAX_ENDS,
+        )
+
     def _record_end(
         self, key: IncarnationKey, service: ServiceName, at: Seconds
     ) -> EndedIncarnation:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
@@ -59,7 +59,7 @@
         self._directory = directory
         self._clock = clock
         self._timer = OrderTimer()
-        self._evidence = CrashEvidence()
+        self._evidence = CrashEvidence(lambda key: directory.find_last_heard(*key))
         # Newest refusal for each cause, with its time.
         self._refused: dict[Cause, tuple[Seconds, Refusal]] = {}
 
@@ -133,7 +133,11 @@
 
     def _suspend(self, cause: Cause) -> SuspendCause:
         log_event(
-            "suspension", "Cause of crashes found.", kind=cause.kind, cause=cause.id
+            "suspension",
+            "Cause of crashes found.",
+            kind=cause.kind,
+            cause=cause.id,
+            ends=self._evidence.describe_ends(cause, self._clock()),
         )
         return SuspendCause(cause, self._list_versions(cause.service), time())
 
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -260,6 +260,34 @@
     assert find(evidence, 3) == ["bad"]
 
 
+# Connections that broke at endpoints which lived on had sound requests suspended.
+@pytest.mark.parametrize(("heard_after", "named"), [(2.0, []), (1.0, ["sound"])])
+def test_an_endpoint_that_is_heard_of_later_did_not_end(heard_after, named):
+    heard = {}
+    evidence = CrashEvidence(heard.get)
+    for at in range(3):
+        crash(evidence, at, make_request(fingerprint="sound", has_begun=False))
+    for end in evidence.list_own_crashes(Seconds(2.0)):
+        at = Seconds(2.0 - end.age_seconds + heard_after)
+        heard[end.endpoint, end.incarnation] = at
+    assert find(evidence, 3.0) == named
+
+
+def test_an_endpoint_that_refuses_connections_has_ended_whatever_is_heard_late():
+    evidence = CrashEvidence(lambda key: Seconds(100.0))
+    for at in range(3):
+        end = EndpointCrash(
+            EndpointId(f"e{at}"),
+            Incarnation(1),
+            SERVICE,
+            0.0,
+            (make_request(fingerprint="bad", has_begun=False),),
+            is_certain=True,
+        )
+        evidence.apply_report([end], (), Seconds(at))
+    assert find(evidence, 3.0) == ["bad"]
+
+
 def test_a_plain_request_that_is_served_meanwhile_is_not_named():
     evidence = CrashEvidence()
     cause = Cause(CauseKind.REQUEST, SERVICE, Fingerprint("lookup"))
--- a/tests/core/gateway/test_suspects.py
+++ b/tests/core/gateway/test_suspects.py
@@ -119,6 +119,19 @@
     assert table.measure_suspension(make_cause(), after) == 0.0
 
 
+# An entry refused a sound request after its connections broke at living endpoints.
+def test_an_endpoint_that_answers_later_was_not_crashed():
+    table = SuspectTable()
+    plain = make_request(parts=(), has_begun=False)
+    for at, key in enumerate((E1, E2, (EndpointId("e-3"), Incarnation(1)))):
+        table.record_crash(key, SERVICE, plain, Seconds(at))
+    # Its head may have arrived before the end was noticed.
+    table.record_answer(E2, SERVICE, make_request("other"), Seconds(1.5))
+    assert table.measure_suspension(make_cause(), Seconds(2.5)) > 0.0
+    table.record_answer(E2, SERVICE, make_request("other"), Seconds(2.5))
+    assert table.measure_suspension(make_cause(), Seconds(2.5)) == 0.0
+
+
 def test_a_request_with_a_prompt_that_waited_at_three_ends_is_not_refused():
     table = SuspectTable()
     for at in range(5):
