--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,7 +1,12 @@
 from dataclasses import replace
 
 import pytest
-from bergamotwood_soak.checks import Bounds, check_observations
+from bergamotwood_soak.checks import (
+    Bounds,
+    check_observations,
+    find_missing_recovery,
+)
+from bergamotwood_soak.history import History
 from bergamotwood_soak.observation import (
     Attempt,
     ColdArrival,
@@ -215,6 +220,20 @@
     assert "not recovered" in check([], runs=[])
 
 
+# The soak printed only how many requests were not served, which told no cause.
+def test_what_was_not_served_is_described():
+    answer = b'{"title":"suspended","status":503}'
+    failed = [make_attempt(status=503, answer=answer) for _ in range(3)]
+    cut = make_attempt(kind=Kind.STREAM, answer=b"id: 1", is_whole=False)
+    observations = Observations(
+        attempts=[make_attempt(), *failed, cut], faults_ended_at=30.0
+    )
+    (found,) = find_missing_recovery(History(observations, BOUNDS))
+    assert found.detail == (
+        "1 of 5 served; 3 x once 503 suspended at entry-1, 1 x stream 200  at entry-1"
+    )
+
+
 @pytest.mark.parametrize(
     ("requests", "seconds", "rules"),
     [
