Report a session that begins during a roll-out at once

Cause: a session that begins at one entry just before the first share starts was reported with the next poll, and the others learned of it with the end of theirs, up to a second later. Its next request may come to one of them sooner.

The new tests fail before the change: a waiting poll learned of the session after 2.0 s.

Why this works: the entry reports such a session within 0.05 s, and a replica wakes the polls of entries that were not told of it. Sessions that no share moves wake nobody, and in the first half only. Nothing new is sent or stored.

--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -166,6 +166,12 @@
         """Share up to which entries exchange the open sessions on other versions."""
         return max(FIRST_SHARE, EARLY_SHARE_MARGIN * self.early_share)
 
+    @property
+    def exchanges_sessions(self) -> bool:
+        """Whether entries exchange the open sessions on other versions."""
+        is_running = self.rollout.outcome is RolloutOutcome.IN_PROGRESS
+        return is_running and not self.may_move_sessions
+
 
 def compute_early_share(
     rollout: ServiceRollout,
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -30,6 +30,7 @@
     is_on_target,
     list_allowed_versions,
 )
+from bergamotwood_core.gateway.sessionnews import is_news
 from bergamotwood_core.gateway.sessionversions import SessionVersions
 from bergamotwood_core.gateway.suspects import EndpointCrash, SuspectTable
 from bergamotwood_core.gateway.suspensions import SuspensionTable
@@ -329,6 +330,22 @@
                 call.route.name, call.model, timing, call.metadata.expected_tokens
             )
 
+    def begin_in_session(self, call: Call, version: str) -> None:
+        """Record that a request is sent to a version in its session.
+
+        A session that other entries have to learn is reported soon.
+        """
+        service, session = call.service, call.metadata.session
+        known = self.sessions.find_version(service, session, self.clock())
+        self.sessions.begin(service, session, version)
+        view = self.control_state.rollouts.get(service)
+        if view is None or known == version:
+            return
+        if session in self.control_state.open_sessions:
+            return
+        if is_news(view, session, version):
+            self.poller.report_soon()
+
     def lacks_share(self, call: Call) -> bool:
         """Whether only this entry's shares keep a request from idle endpoints."""
         if not self.limits.has_statements:
@@ -479,8 +496,7 @@
         return tuple(
             session
             for view in self.control_state.rollouts.values()
-            if view.rollout.outcome is RolloutOutcome.IN_PROGRESS
-            and not view.may_move_sessions
+            if view.exchanges_sessions
             for session in self.sessions.list_open(
                 view.rollout, now, view.exchanged_share
             )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -192,7 +192,7 @@
         if not session:
             return self._try_endpoint(call, candidate, exchange, relay)
         entry = self._entry
-        entry.sessions.begin(service, session, candidate.heartbeat.version)
+        entry.begin_in_session(call, candidate.heartbeat.version)
         try:
             return self._try_endpoint(call, candidate, exchange, relay)
         finally:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -22,6 +22,7 @@
 from bergamotwood_core.gateway.levels import OWN_LEVEL
 from bergamotwood_core.gateway.limits import PermitIssuer, RequestCount
 from bergamotwood_core.gateway.orders import ServiceRollout
+from bergamotwood_core.gateway.sessionnews import SessionNews
 from bergamotwood_core.gateway.state_machine import (
     BeginEvacuation,
     BeginRollout,
@@ -38,6 +39,7 @@
     Incarnation,
     InstanceId,
     ServiceName,
+    SessionId,
 )
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.eventloop import get_monitor
@@ -54,6 +56,7 @@
     ENCODER,
     POLL,
     Cursors,
+    EntryStatus,
     Relay,
     SyncReply,
     SyncRequest,
@@ -127,6 +130,8 @@
         self._polls = 0
         self._applied_number = -1
         self._notified_cursor = NO_CURSOR
+        self._notified_sessions: frozenset[SessionId] = frozenset()
+        self._session_news = SessionNews()
         self.group = make_control_group(
             settings, self._machine, self._senders, clock, rng
         )
@@ -389,6 +394,7 @@
             return self._refuse_entry(request)
         if self.entries.update(request.status):
             self._relay.note_report()
+        self._note_own_sessions(request.status)
         self._decisions.decide_soon()
         self.suspensions.record_status(request.status)
         self.limits.apply_own(request.status.limits, self._clock())
@@ -404,8 +410,10 @@
             )
             permits = self._issue_permits(request, cold)
         instance = request.status.entry.instance
+        open_sessions = self.entries.list_open_sessions()
         if request.hold_seconds > 0.0:
             self.rollouts.record_sent(instance)
+            self._session_news.record_sent(instance, open_sessions)
         state = self._machine.state
         cursors = request.cursors if request.boot == self._boot else Cursors()
         return SyncReply(
@@ -427,7 +435,7 @@
             ends=self.suspensions.list_ends(),
             limits=self.limits.list_all(self._clock()),
             permits=permits + self._issue_permits(request, limited),
-            open_sessions=self.entries.list_open_sessions(),
+            open_sessions=open_sessions,
             silent=self.directory.list_silent(
                 self._clock(),
                 SILENT_AFTER_HEARTBEATS * self._settings.bounds.heartbeat_seconds,
@@ -478,7 +486,11 @@
         )
 
     def _has_change(self, request: SyncRequest) -> bool:
-        if self.rollouts.has_news(request.status.entry.instance):
+        instance = request.status.entry.instance
+        if self.rollouts.has_news(instance):
+            return True
+        sessions = self.entries.list_open_sessions()
+        if self._session_news.has_news(instance, sessions):
             return True
         cursor = self.directory.feed.cursor
         return has_change(request, self._machine.state, self._boot, cursor)
@@ -506,9 +518,15 @@
 
     def _notify_if_changed(self) -> None:
         cursor = self.directory.feed.cursor
-        if cursor != self._notified_cursor:
-            self._notified_cursor = cursor
+        sessions = frozenset(self.entries.list_open_sessions())
+        if cursor != self._notified_cursor or sessions - self._notified_sessions:
             self._polls_waiting.notify()
+        self._notified_cursor = cursor
+        self._notified_sessions = sessions
+
+    def _note_own_sessions(self, status: EntryStatus) -> None:
+        self._session_news.record_own(status.entry.instance, status.open_sessions)
+        self._notify_if_changed()
 
     def _run_expiry(self) -> None:
         while True:
@@ -522,7 +540,9 @@
     def _expire(self) -> None:
         self.directory.expire(self._clock())
         self.entries.expire()
-        self.rollouts.retain_entries(set(self.entries.members))
+        members = set(self.entries.members)
+        self.rollouts.retain_entries(members)
+        self._session_news.retain(members)
         self._notify_if_changed()
         self.rollouts.observe()
         self.suspensions.observe()
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -19,6 +19,7 @@
     Incarnation,
     InstanceId,
     Sequence,
+    SessionId,
 )
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.clock import read_clock
@@ -105,13 +106,21 @@
     fleet.wait_for(lambda: len(first.entries) == 1)
 
 
-def send_report(replica, number, hold_seconds=0.0, reply=None, configuration=-1):
+def send_report(
+    replica,
+    number,
+    hold_seconds=0.0,
+    reply=None,
+    configuration=-1,
+    open_sessions=(),
+):
     """Report as entry `number` that has an earlier reply; return the encoded one."""
     status = EntryStatus(
         EntryAddress(InstanceId(f"127.0.0.1:{number}"), f"e{number}:80", "karen", True),
         Incarnation(1),
         send_report.sequence,
         {EndpointId(f"e-{at}"): EndpointLoad(2, 0.125) for at in range(10)},
+        open_sessions=open_sessions,
         level=OWN_LEVEL,
     )
     send_report.sequence += 1
@@ -170,6 +179,40 @@
     assert read_clock() - started_at >= 0.6
 
 
+# The other entries learned of a new session up to a second later, and moved it.
+@pytest.mark.parametrize("reports_to_leader", [True, False])
+def test_a_session_that_begins_reaches_the_other_entries_at_once(
+    fleet, reports_to_leader
+):
+    _, leader = fleet.find(leads=True)
+    _, follower = fleet.find(leads=False)
+    first = SYNC_REPLY.decode(send_report(leader, 1))
+    send_report(leader, 1, 0.1, first)
+    waiting = spawn(send_report, leader, 1, 2.0, first)
+    sleep(0.05)
+    started_at = read_clock()
+    replica = leader if reports_to_leader else follower
+    sessions = (SessionId("s-1"),)
+    send_report(replica, 2, open_sessions=sessions)
+    assert SYNC_REPLY.decode(waiting.get()).open_sessions == sessions
+    assert read_clock() - started_at < 0.6
+
+
+def test_a_session_that_an_entry_knows_wakes_no_poll(fleet):
+    _, leader = fleet.find(leads=True)
+    sessions = (SessionId("s-1"),)
+    first = SYNC_REPLY.decode(send_report(leader, 1))
+    send_report(leader, 2, open_sessions=sessions)
+    reply = SYNC_REPLY.decode(send_report(leader, 1, 0.1, first))
+    assert reply.open_sessions == sessions
+    started_at = read_clock()
+    waiting = spawn(send_report, leader, 1, 0.6, first)
+    sleep(0.05)
+    send_report(leader, 3, open_sessions=sessions)
+    waiting.get()
+    assert read_clock() - started_at >= 0.6
+
+
 def test_endpoint_changes_in_quick_succession_wake_a_poll_once(fleet):
     _, leader = fleet.find(leads=True)
     reply = SYNC_REPLY.decode(send_report(leader, 1))
--- a/tests/daemon/gateway/test_rollout_requests.py
+++ b/tests/daemon/gateway/test_rollout_requests.py
@@ -23,6 +23,12 @@
     for name in (SessionId(f"s-{at}") for at in range(1_000))
     if hash_affinity_key(ROLLOUT, name) < FIRST_SHARE
 )
+# One that it doesn't move.
+OTHER_SESSION = next(
+    name
+    for name in (SessionId(f"s-{at}") for at in range(1_000))
+    if hash_affinity_key(ROLLOUT, name) > 0.5
+)
 # The version of each endpoint in the tests.
 VERSIONS = {"old": "v1", "new": "v2"}
 
@@ -140,6 +146,30 @@
     assert harness.entry._make_status().open_sessions == ()
 
 
+# A session moved when its second request came to another entry 0.1 s after the first.
+@pytest.mark.parametrize(
+    ("session", "share", "known", "reports"),
+    [
+        (SESSION, 0.0, (), 1),
+        (SESSION, FIRST_SHARE, (), 0),
+        (SESSION, 0.0, (SESSION,), 0),
+        (OTHER_SESSION, 0.0, (), 0),
+    ],
+)
+def test_a_session_that_begins_on_the_old_version_is_reported_at_once(
+    make_harness, session, share, known, reports
+):
+    harness = make_harness(old=answer, new=answer)
+    begin_rollout(harness, share)
+    view = RolloutView(ROLLOUT, 1.0, share)
+    harness.sync(rollouts=(view,), open_sessions=known)
+    made = []
+    harness.entry.poller.report_soon = lambda: made.append(1)
+    for at in range(3):
+        assert harness.connect().call(session=session, id=f"q-{at}").status == 200
+    assert len(made) == reports
+
+
 def answer_slowly(arrival):
     if arrival.target == "/a/slow":
         sleep(0.5)
