Move a session of a rolled-back version to the next one only

Cause: they were routed by the share of the new version like sessions that may stay where they are.

The new tests of requests fail before the change.

Why this works: from the second half on such a session goes to the new version, which all sessions will get. As callers change the entry, entries report these sessions in a new field at the end of three messages, which older builds ignore and whose absence means none.

--- a/packages/core/src/bergamotwood_core/gateway/rollout.py
+++ b/packages/core/src/bergamotwood_core/gateway/rollout.py
@@ -273,7 +273,10 @@
 
 
 def is_on_target(
-    view: RolloutView, affinity_key: str, is_on_other_version: bool
+    view: RolloutView,
+    affinity_key: str,
+    is_on_other_version: bool,
+    is_on_withdrawn_version: bool = False,
 ) -> bool:
     """Whether requests with an affinity key are sent to the new version.
 
@@ -285,7 +288,12 @@
         Id of the session, or of the request if it has no session.
     is_on_other_version : bool
         Whether the session is open on another version.
+    is_on_withdrawn_version : bool
+        Whether that one was rolled back. The session has to leave it, and moves once
+        only if it goes to the version that all sessions will get.
     """
+    if is_on_withdrawn_version and view.may_move_sessions and view.share > 0.0:
+        return True
     point = hash_affinity_key(view.rollout, affinity_key)
     if point >= view.share:
         return False
--- a/packages/core/src/bergamotwood_core/gateway/sessionversions.py
+++ b/packages/core/src/bergamotwood_core/gateway/sessionversions.py
@@ -4,7 +4,7 @@
 after its end.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from msgspec import Struct
 
@@ -94,6 +94,17 @@
             and hash_affinity_key(rollout, session) < share
         ]
 
+    def list_on(
+        self, service: ServiceName, versions: Collection[str], now: Seconds
+    ) -> list[SessionId]:
+        """Return open sessions on some versions of a service."""
+        self._expire(now)
+        return [
+            session
+            for (of, session), version in self._list_versions()
+            if of == service and version in versions
+        ]
+
     def _list_versions(self) -> Iterator[tuple[SessionKey, str]]:
         for key, running in self._running.items():
             yield key, running.version
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlstate.py
@@ -97,6 +97,7 @@
         self.latencies: LatencyReport = {}
         self.retry_usage: UsageReport = {}
         self.open_sessions: frozenset[SessionId] = frozenset()
+        self.withdrawn_sessions: frozenset[SessionId] = frozenset()
         self.replicas: dict[InstanceId, DataCentre] = {}
         self.boot = ""
         self.cursors = Cursors()
@@ -221,6 +222,7 @@
         self._apply_changes(reply)
         self.loads = reply.loads
         self.open_sessions = frozenset(reply.open_sessions)
+        self.withdrawn_sessions = frozenset(reply.withdrawn_sessions)
         self.silent_endpoints = frozenset(reply.silent)
         self.prefill_rates = reply.prefill_rates
         self.latencies = reply.latencies
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entries.py
@@ -153,6 +153,7 @@
             prefill_times=merge_histograms(status.prefill_times for status in statuses),
             latencies=merge_latencies(status.latencies for status in statuses),
             retry_usage=merge_usage(status.retry_usage for status in statuses),
+            withdrawn_sessions=self._list_own_withdrawn_sessions(),
         )
 
     def merge_summary(self, summary: ReplicaSummary) -> SummaryCursor:
@@ -235,6 +236,18 @@
         )
         return tuple(dict.fromkeys(chain.from_iterable(sessions)))
 
+    def list_withdrawn_sessions(self) -> tuple[SessionId, ...]:
+        """Return the sessions of all entries on versions that were rolled back."""
+        sessions = chain(
+            (self._list_own_withdrawn_sessions(),),
+            (relayed.summary.withdrawn_sessions for relayed in self._relayed.values()),
+        )
+        return tuple(dict.fromkeys(chain.from_iterable(sessions)))
+
+    def _list_own_withdrawn_sessions(self) -> tuple[SessionId, ...]:
+        statuses = self._statuses.values()
+        return _collect(status.withdrawn_sessions for status in statuses)
+
     def _list_own_sessions(self) -> tuple[SessionId, ...]:
         """Return the open sessions of the entries that poll this replica.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -480,6 +480,7 @@
             self.latencies.list_averages(),
             self.budget.list_usage(self.clock()),
             int(self.control_state.own_level),
+            self._list_withdrawn_sessions(),
         )
 
     def _routes_to_target(self, view: RolloutView, call: Call) -> bool:
@@ -489,7 +490,18 @@
         is_on_other_version = (
             uses_other_version or session in self.control_state.open_sessions
         )
-        return is_on_target(view, session or call.metadata.request, is_on_other_version)
+        return is_on_target(
+            view,
+            session or call.metadata.request,
+            is_on_other_version,
+            self._is_on_withdrawn_version(call, version),
+        )
+
+    def _is_on_withdrawn_version(self, call: Call, version: str | None) -> bool:
+        """Whether a session has to leave its version, None if it isn't open here."""
+        if version is None:
+            return call.metadata.session in self.control_state.withdrawn_sessions
+        return version in self.control_state.withdrawals.list_versions(call.service)
 
     def _list_open_sessions(self) -> tuple[SessionId, ...]:
         now = self.clock()
@@ -502,6 +514,17 @@
             )
         )
 
+    def _list_withdrawn_sessions(self) -> tuple[SessionId, ...]:
+        now = self.clock()
+        return tuple(
+            session
+            for service, view in self.control_state.rollouts.items()
+            if view.rollout.outcome is RolloutOutcome.IN_PROGRESS
+            for session in self.sessions.list_on(
+                service, self.control_state.withdrawals.list_versions(service), now
+            )
+        )
+
     def _describe(self) -> EntryAddress:
         settings = self.settings
         return EntryAddress(
--- a/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/peermessages.py
@@ -67,6 +67,8 @@
         Requests and retries that it has sent to each service in the current window.
     level : int
         Feature level that its build supports.
+    withdrawn_sessions : tuple of SessionId
+        Its open sessions on versions that were rolled back, during the next roll-out.
     """
 
     entry: EntryAddress
@@ -85,6 +87,7 @@
     latencies: LatencyReport = {}
     retry_usage: UsageReport = {}
     level: int = 0
+    withdrawn_sessions: tuple[SessionId, ...] = ()
 
 
 class Refusal(Struct, frozen=True, array_like=True):
@@ -223,6 +226,8 @@
         below level 2.
     withdrawn_index : LogIndex
         Index of the last change of the withdrawn versions.
+    withdrawn_sessions : tuple of SessionId
+        Open sessions of all entries on withdrawn versions.
     """
 
     age_seconds: float
@@ -252,6 +257,7 @@
     evacuation_ends: tuple[EvacuationEnd, ...] = ()
     withdrawn: dict[ServiceName, tuple[str, ...]] | None = None
     withdrawn_index: LogIndex = LogIndex(0)
+    withdrawn_sessions: tuple[SessionId, ...] = ()
 
 
 class ReplicaSummary(Struct, frozen=True, array_like=True):
@@ -269,7 +275,7 @@
         Changes of the entries that poll it.
     loads, evidence, prefill_times, latencies, retry_usage
         Sums of what these entries report, as in `EntryStatus`.
-    open_sessions
+    open_sessions, withdrawn_sessions
         All that these entries report.
     crashes, successes
         What these entries have reported of recent crashes.
@@ -299,6 +305,7 @@
     limits: tuple[LimitReport, ...] = ()
     level: int = 0
     lowest_level: int = 0
+    withdrawn_sessions: tuple[SessionId, ...] = ()
 
 
 class SummaryCursor(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -456,6 +456,7 @@
             and state.withdrawn_index > request.withdrawn_index
             else None,
             withdrawn_index=state.withdrawn_index,
+            withdrawn_sessions=self.entries.list_withdrawn_sessions(),
         )
 
     def _refuse_entry(self, request: SyncRequest) -> SyncReply:
--- a/tests/core/gateway/test_rollout.py
+++ b/tests/core/gateway/test_rollout.py
@@ -70,6 +70,17 @@
     assert all(is_on_target(make_view(10.0, 0.1), session, True) for session in moved)
 
 
+def test_sessions_of_a_withdrawn_version_move_once_in_the_second_half():
+    sessions = [f"s{index}" for index in range(50)]
+    for view, expected in (
+        (make_view(9.9, 0.0), False),
+        (make_view(10.0, 0.0), False),
+        (make_view(10.0, 0.01), True),
+    ):
+        moved = [is_on_target(view, session, True, True) for session in sessions]
+        assert moved == [expected] * 50
+
+
 def simulate_rollout(rates, seed, seconds=24.0, rate=20.0, baseline=0.01):
     """Simulate a roll-out.
 
--- a/tests/daemon/gateway/test_entries.py
+++ b/tests/daemon/gateway/test_entries.py
@@ -285,6 +285,16 @@
     assert count_sent(one) == count_sent(two) == 5
 
 
+def test_sessions_on_withdrawn_versions_are_relayed():
+    table = EntryTable(lambda: Seconds(100.0))
+    table.update(make_status(1, withdrawn_sessions=("s1",)))
+    table.update(make_status(2, withdrawn_sessions=("s1", "s2")))
+    other = EntryTable(lambda: Seconds(100.0))
+    other.update(make_status(3, withdrawn_sessions=("s3",)))
+    other.merge_summary(table.summarize(InstanceId("c1"), "b", 1))
+    assert set(other.list_withdrawn_sessions()) == {"s1", "s2", "s3"}
+
+
 # The sessions of an entry that stopped counted as closed, and moved to a new version.
 def test_sessions_of_an_entry_that_has_stopped_remain_open_for_their_time_out():
     clock = Clock()
--- a/tests/daemon/gateway/test_rollout_requests.py
+++ b/tests/daemon/gateway/test_rollout_requests.py
@@ -119,6 +119,53 @@
     assert list_served(harness) == {"old", "next"}
 
 
+# A session of a rolled-back version went to the old one, and on to the new one later.
+@pytest.mark.parametrize(("elapsed", "endpoint"), [(2.0, "old"), (10.0, "next")])
+def test_a_session_of_a_rolled_back_version_moves_to_the_next_one_in_its_second_half(
+    make_harness, elapsed, endpoint
+):
+    harness = make_harness(old=answer, new=answer, next=answer)
+    view = begin_next_rollout(harness)
+    session = next(
+        name
+        for name in (SessionId(f"s-{at}") for at in range(1_000))
+        if hash_affinity_key(ROLLOUT, name) < FIRST_SHARE
+        and hash_affinity_key(view.rollout, name) > FIRST_SHARE
+    )
+    harness.sync(rollouts=(RolloutView(ROLLOUT, 3.0, FIRST_SHARE),))
+    assert harness.connect().call(session=session, id="q-1").status == 200
+    harness.sync(rollouts=(RolloutView(ROLLED_BACK, 3.0, 0.0),))
+    harness.sync(rollouts=(replace(view, elapsed_seconds=elapsed, share=FIRST_SHARE),))
+    assert harness.connect().call(session=session, id="q-2").status == 200
+    arrivals = {a.headers["endpoint"] for a in harness.list_arrivals()}
+    assert arrivals == {"new", endpoint}
+
+
+def test_sessions_on_a_rolled_back_version_are_reported_to_the_other_entries(
+    make_harness,
+):
+    harness = make_harness(old=answer, new=answer, next=answer)
+    view = begin_next_rollout(harness)
+    harness.sync(rollouts=(RolloutView(ROLLOUT, 3.0, FIRST_SHARE),))
+    assert harness.connect().call(session=SESSION, id="q-1").status == 200
+    assert harness.entry._make_status().withdrawn_sessions == ()
+    harness.sync(rollouts=(RolloutView(ROLLED_BACK, 3.0, 0.0),))
+    harness.sync(rollouts=(view,))
+    assert harness.entry._make_status().withdrawn_sessions == (SESSION,)
+    harness.clock_offset += harness.entry.settings.bounds.session_timeout_seconds + 2.0
+    assert harness.entry._make_status().withdrawn_sessions == ()
+
+
+def test_a_session_that_another_entry_had_on_a_rolled_back_version_moves_at_once(
+    make_harness,
+):
+    harness = make_harness(old=answer, new=answer, next=answer)
+    view = replace(begin_next_rollout(harness), elapsed_seconds=10.0, share=0.01)
+    harness.sync(rollouts=(view,), withdrawn_sessions=(OTHER_SESSION,))
+    assert harness.connect().call(session=OTHER_SESSION, id="q-1").status == 200
+    assert [a.headers["endpoint"] for a in harness.list_arrivals()] == ["next"]
+
+
 # Requests longer than the time-out of a session let it move in the first half.
 @pytest.mark.parametrize("ends_by_caller", [False, True])
 def test_a_session_stays_on_its_version_while_a_long_request_of_it_runs(
