Leave entries their endpoints while a replica learns them

Cause: a replica that has just started answers polls with the endpoints that it knows, none until the others have dialled it again. An entry whose replica was stopped meanwhile took that over.

Why this works: an entry that comes from another replica is told no list of endpoints and entries until this one has had three relays of another replica, or for a second, and keeps what it has. One that has just started has nothing, and is told what there is.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -1,5 +1,6 @@
 """A control replica: replicated configuration, endpoint directory and roll-outs."""
 
+from collections import Counter
 from collections.abc import Callable
 from math import inf
 from random import Random
@@ -23,6 +24,7 @@
 from bergamotwood_core.gateway.limits import PermitIssuer, RequestCount
 from bergamotwood_core.gateway.orders import ServiceRollout
 from bergamotwood_core.gateway.sessionnews import SessionNews
+from bergamotwood_core.gateway.staleness import has_learned
 from bergamotwood_core.gateway.state_machine import (
     BeginEvacuation,
     BeginRollout,
@@ -132,6 +134,9 @@
         self._notified_cursor = NO_CURSOR
         self._notified_sessions: frozenset[SessionId] = frozenset()
         self._session_news = SessionNews()
+        self._started_at = clock()
+        # Relays of each other replica in this run.
+        self._relays: Counter[InstanceId] = Counter()
         self.group = make_control_group(
             settings, self._machine, self._senders, clock, rng
         )
@@ -371,6 +376,7 @@
                 return encode_usable(self._answer_sync(request))
             case Relay() as relay:
                 known = self._relay.receive(relay)
+                self._relays[relay.summary.replica] += 1
                 self._notify_if_changed()
                 self._decisions.decide_soon()
                 return ENCODER.encode(known)
@@ -416,13 +422,18 @@
             self._session_news.record_sent(instance, open_sessions)
         state = self._machine.state
         cursors = request.cursors if request.boot == self._boot else Cursors()
+        is_learning = self._knows_less_than(request)
         return SyncReply(
             age_seconds=self.group.measure_age(self._clock()),
             number=state.number,
             document=state.document if state.number > request.number else None,
             boot=self._boot,
-            endpoints=self.directory.feed.list_changes(cursors.endpoints),
-            entries=self.entries.addresses.list_changes(cursors.entries),
+            endpoints=None
+            if is_learning
+            else self.directory.feed.list_changes(cursors.endpoints),
+            entries=None
+            if is_learning
+            else self.entries.addresses.list_changes(cursors.entries),
             replicas=self._relay.list_replica_changes(cursors.replicas),
             rollouts=self.rollouts.list_views(),
             loads=self.entries.list_loads(instance),
@@ -494,8 +505,17 @@
         if self._session_news.has_news(instance, sessions):
             return True
         cursor = self.directory.feed.cursor
+        if self._knows_less_than(request):
+            cursor = request.cursors.endpoints
         return has_change(request, self._machine.state, self._boot, cursor)
 
+    def _knows_less_than(self, request: SyncRequest) -> bool:
+        """Whether an entry was told more by another replica than this one knows yet."""
+        relays = max(self._relays.values(), default=0)
+        if has_learned(self._clock() - self._started_at, relays) or not request.boot:
+            return False
+        return request.boot != self._boot or request.cursors.endpoints == NO_CURSOR
+
     def _list_replicas(self) -> tuple[InstanceId, ...]:
         members = tuple(member.instance for member in self.group.membership.members)
         return members or self._settings.seeds
--- a/tests/core/gateway/test_staleness.py
+++ b/tests/core/gateway/test_staleness.py
@@ -1,6 +1,6 @@
 import pytest
 
-from bergamotwood_core.gateway.staleness import is_outdated
+from bergamotwood_core.gateway.staleness import has_learned, is_outdated
 
 INFINITE = float("inf")
 
@@ -23,3 +23,11 @@
     reply_age, own_age, expected
 ):
     assert is_outdated(reply_age, own_age) is expected
+
+
+@pytest.mark.parametrize(
+    ("seconds", "relays", "expected"),
+    [(0.1, 0, False), (0.9, 2, False), (0.3, 3, True), (1.0, 0, True)],
+)
+def test_a_replica_has_learned_after_some_relays_or_a_time(seconds, relays, expected):
+    assert has_learned(seconds, relays) is expected
--- a/tests/daemon/gateway/test_replica.py
+++ b/tests/daemon/gateway/test_replica.py
@@ -2,6 +2,7 @@
 from core.gateway.samples import PLAIN, make_configuration, make_heartbeat, make_route
 from daemon.gateway.fleet import DirectChannel, Fleet
 from gevent import Timeout, sleep, spawn
+from msgspec.structs import replace
 
 from bergamotwood_core.errors import (
     Code,
@@ -9,6 +10,7 @@
     ReplicationError,
     RequestError,
 )
+from bergamotwood_core.gateway.changefeed import NO_CURSOR
 from bergamotwood_core.gateway.levels import OWN_LEVEL
 from bergamotwood_core.gateway.load import EndpointLoad
 from bergamotwood_core.gateway.members import EntryAddress
@@ -258,6 +260,36 @@
                 sleep(0.02)
 
 
+# Restarted one after the other, replicas told entries that there was no endpoint.
+def test_a_restarted_replica_leaves_entries_the_endpoints_that_they_have(fleet):
+    seeds = list(fleet.replicas)
+    fleet.replicas[seeds[0]].record_heartbeat(make_heartbeat())
+    fleet.wait_for(lambda: len(fleet.replicas[seeds[1]].directory) == 1)
+    known = SYNC_REPLY.decode(send_report(fleet.replicas[seeds[1]], 1))
+    assert len(known.endpoints.values) == 1
+    fleet.kill(seeds[0])
+    fleet.start(seeds[0])
+    restarted = fleet.replicas[seeds[0]]
+    reply = SYNC_REPLY.decode(send_report(restarted, 1, reply=known))
+    assert reply.endpoints is reply.entries is None
+    # One that has started knows nothing yet, and is told what there is.
+    fresh = SYNC_REPLY.decode(send_report(restarted, 2))
+    assert fresh.endpoints is not None
+    started_at = read_clock()
+    forgotten = replace(
+        known,
+        boot=reply.boot,
+        endpoints=replace(known.endpoints, cursor=NO_CURSOR),
+        entries=replace(known.entries, cursor=NO_CURSOR),
+    )
+    for _ in range(20):
+        reply = SYNC_REPLY.decode(send_report(restarted, 1, 0.4, forgotten))
+        if reply.endpoints is not None:
+            break
+    assert len(reply.endpoints.values) == 1
+    assert read_clock() - started_at < 2.0
+
+
 def test_committed_state_survives_losing_the_leader_and_its_disk(fleet):
     control_state = fleet.add_entry()
     leader, replica = fleet.find(leads=True)
