--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -29,6 +29,7 @@
 )
 
 SERVICE = ServiceName("models")
+BAD_REQUEST = Fingerprint("resent")
 BAD_PART = PromptPartId("bad")
 REPLICAS = 3
 # First parts, which all callers of a route share, and topics, which some share.
@@ -37,6 +38,9 @@
 BEGIN_SECONDS = 5.0
 RUN_SECONDS = 40.0
 CONTACT_SECONDS = 3.0
+# Crashes after which a part or a request is to be stopped within that time.
+PART_CRASHES = 5
+REQUEST_CRASHES = 3
 RESTART_SECONDS = 4.0
 MAX_ATTEMPTS = 3
 POLL_SECONDS = 0.4
@@ -69,6 +73,12 @@
         Whether two thirds of the endpoints are killed together, twice.
     poll_seconds : float
         Interval at which entries hear from their replica.
+    crash_seconds : float or None
+        Time from the arrival of a bad request to the crash of its endpoint, before any
+        answer; None if it crashes after the answer has begun.
+    is_resent : bool
+        Whether one request crashes endpoints and comes again, rather than any with
+        the bad part.
     """
 
     name: str
@@ -79,6 +89,8 @@
     kill_rate: float = 0.0
     mass_kill: bool = False
     poll_seconds: float = POLL_SECONDS
+    crash_seconds: float | None = None
+    is_resent: bool = False
 
 
 CASES = (
@@ -87,6 +99,13 @@
     Case("9 entries, kills", kill_rate=0.5, mass_kill=True),
     Case("9 entries, slow polls", poll_seconds=1.0),
     Case("9 entries, only kills", bad_rate=0.0, kill_rate=1.0, mass_kill=True),
+    Case("before the answer", crash_seconds=0.03, bad_rate=1.4),
+    Case("at once", crash_seconds=0.001, bad_rate=1.4),
+    Case("at once, rare", crash_seconds=0.001, bad_rate=0.2),
+    Case("request", bad_rate=1.4, is_resent=True),
+    Case("request before the answer", crash_seconds=0.03, bad_rate=1.4, is_resent=True),
+    Case("request at once", crash_seconds=0.001, bad_rate=1.4, is_resent=True),
+    Case("request at once, rare", crash_seconds=0.001, bad_rate=0.2, is_resent=True),
     Case("390 entries", 390, 70, 180.0, 4.0),
     Case("390 entries, kills", 390, 70, 180.0, 4.0, kill_rate=1.0, mass_kill=True),
 )
@@ -183,15 +202,17 @@
         self._number += 1
         first = PromptPartId(f"first-{rng.randrange(FIRST_PARTS)}")
         topic = PromptPartId(f"topic-{int(TOPICS * rng.random() ** 2)}")
-        request = ExecutedRequest(
-            Fingerprint(f"f{self._number}"), (first, bad_part or topic), True
-        )
+        fingerprint = Fingerprint(f"f{self._number}")
+        parts = (first, bad_part or topic)
+        if bad_part and self._case.is_resent:
+            fingerprint, parts = BAD_REQUEST, (PromptPartId("first-0"),)
+        request = ExecutedRequest(fingerprint, parts, True)
         entry = rng.choice(self._entries)
         self.sound += bad_part is None
         self._attempt(Running(entry, request, 0))
 
     def _attempt(self, running: Running) -> None:
-        is_bad = BAD_PART in running.request.parts
+        is_bad = _is_bad(running)
         if running.entry.suspended.intersection(running.request.list_causes(SERVICE)):
             self.refused += not is_bad
             return
@@ -203,8 +224,13 @@
         if is_bad:
             self.bad_sent_at.append(self.simulation.now)
         endpoint.running.add(running)
-        seconds = self._rng.uniform(0.03, 0.6)
         key = endpoint.key
+        if is_bad and self._case.crash_seconds is not None:
+            self.simulation.schedule(
+                self._case.crash_seconds, lambda: self._end(endpoint, key)
+            )
+            return
+        seconds = self._rng.uniform(0.03, 0.6)
         self.simulation.schedule(seconds, lambda: self._begin(running, endpoint, key))
 
     def _begin(
@@ -216,7 +242,7 @@
         running.answer = running.entry.table.record_answer(
             key, SERVICE, running.request, now
         )
-        if BAD_PART in running.request.parts:
+        if _is_bad(running):
             delay = self._rng.uniform(0.05, 0.18)
             self.simulation.schedule(delay, lambda: self._end(endpoint, key))
         if self._rng.random() < CUT_SHARE:
@@ -319,9 +345,16 @@
             entry.suspended = self._suspended
 
 
+def _is_bad(running: Running) -> bool:
+    request = running.request
+    return BAD_PART in request.parts or request.fingerprint == BAD_REQUEST
+
+
 def summarize(case: Case, fleets: list[CrashingFleet]) -> Row:
     """Return a row with the results of one case over its seeds."""
-    bad = Cause(CauseKind.PROMPT_PART, SERVICE, BAD_PART)
+    bad, allowed = Cause(CauseKind.PROMPT_PART, SERVICE, BAD_PART), PART_CRASHES
+    if case.is_resent:
+        bad, allowed = Cause(CauseKind.REQUEST, SERVICE, BAD_REQUEST), REQUEST_CRASHES
     delays, ends, late = [], [], []
     missed = 0
     for fleet in fleets:
@@ -332,10 +365,10 @@
             third = [*fleet.crashed_at, fleet.named[bad], fleet.named[bad]][2]
             delays.append(fleet.named[bad] - third)
             ends.append(len(fleet.crashed_at))
-        if len(fleet.crashed_at) >= 5:
-            limit = fleet.crashed_at[4] + CONTACT_SECONDS
+        if len(fleet.crashed_at) >= allowed:
+            limit = fleet.crashed_at[allowed - 1] + CONTACT_SECONDS
             late.append(sum(at > limit for at in fleet.bad_sent_at))
-    false = [cause for fleet in fleets for cause in fleet.named if cause.id != BAD_PART]
+    false = [cause for fleet in fleets for cause in fleet.named if cause != bad]
     p50, _, p99 = find_percentiles(delays)
     return {
         "case": case.name,
@@ -344,7 +377,7 @@
         "named after third p50 s": p50,
         "p99 s": p99,
         "ends p50": find_percentiles(ends)[0],
-        "sends after fifth + 3 s, most": max(late, default=0),
+        "sends after bound + 3 s, most": max(late, default=0),
         "over 3": sum(count > 3 for count in late),
         "sound parts named": sum(c.kind is CauseKind.PROMPT_PART for c in false),
         "sound requests named": sum(c.kind is CauseKind.REQUEST for c in false),
