--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -15,7 +15,7 @@
 served again: its requests, and those that they took along, would be named next.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable, Set
 
 from msgspec import Struct
@@ -66,6 +66,8 @@
 # A heartbeat that is received that long after the end of its incarnation was not sent
 # before it.
 ALIVE_SECONDS = 1.5
+# Requests and parts in one log line.
+MAX_DESCRIBED = 8
 NEVER = Seconds(float("-inf"))
 
 
@@ -104,6 +106,14 @@
             return requests
         return [item for item in requests if item.has_begun or not item.parts]
 
+    def list_causes(self) -> set[Cause]:
+        """Return what the requests that it had have in common with others."""
+        return {
+            cause
+            for request in self.requests.values()
+            for cause in request.list_causes(self.service)
+        }
+
     def has_begun_any(self, causes: Set[Cause]) -> bool:
         """Whether a request whose answer had begun has one of some causes."""
         return not causes.isdisjoint(
@@ -359,6 +369,31 @@
             if cause in request.list_causes(incident.service)
         ]
 
+    def count_ends(self, now: Seconds) -> int:
+        """Return the number of ends that are weighed."""
+        return len(self._all.list_recent(now))
+
+    def describe_weights(
+        self, suspended: frozenset[Cause], now: Seconds
+    ) -> list[tuple[CauseKind, str, float, int, bool]]:
+        """Return the requests and parts at most ends, for logs.
+
+        Each one with its kind, its id, the weight that counts against it, the number
+        of ends at which a request with it was, suspected or not, and whether it has
+        had a success since it was asked about.
+        """
+        incidents = self._list_unexplained(suspended, now)
+        weights = self._count_crashes(incidents)
+        ends = Counter(
+            cause for incident in incidents for cause in incident.list_causes()
+        )
+        served = self._successes.list_served(ends)
+        return [
+            (cause.kind, cause.id, weights.get(cause, 0.0), count, cause in served)
+            for cause, count in ends.most_common(MAX_DESCRIBED)
+            if count > 1
+        ]
+
     def _list_unexplained(
         self, suspended: frozenset[Cause], now: Seconds
     ) -> list[Incident]:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -325,6 +325,7 @@
             "endpoints": len(self.directory),
             "entries": len(self.entries.addresses),
             "suspensions": len(self._machine.state.suspensions),
+            "endpoint_ends": self.suspensions.count_ends(),
             "evacuated_data_centres": len(
                 list_evacuated(self._machine.state.evacuations)
             ),
--- a/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/suspensions.py
@@ -33,6 +33,9 @@
 # Refusals that a replica keeps; there is at most one for each suspended cause.
 MAX_REFUSALS = 256
 
+# Shortest time between two log lines with the weights of causes.
+WEIGHTS_INTERVAL_SECONDS = 1.0
+
 SuspensionCommand = SuspendCause | GrantTrial | LiftSuspension
 
 
@@ -60,6 +63,8 @@
         self._clock = clock
         self._timer = OrderTimer()
         self._evidence = CrashEvidence(lambda key: directory.find_last_heard(*key))
+        self._weights_logged_at = Seconds(float("-inf"))
+        self._logged_ends = 0
         # Newest refusal for each cause, with its time.
         self._refused: dict[Cause, tuple[Seconds, Refusal]] = {}
 
@@ -109,6 +114,10 @@
         """Return the successes with the causes that entries are asked about."""
         return self._evidence.list_successes(self._clock())
 
+    def count_ends(self) -> int:
+        """Return the number of recent ends of endpoints that are weighed."""
+        return self._evidence.count_ends(self._clock())
+
     def list_questions(self) -> tuple[Cause, ...]:
         """Return the causes of which entries are to report successes."""
         return self._evidence.list_questions(self._list_suspended(), self._clock())
@@ -121,6 +130,7 @@
         """Return the commands to commit now; to be called on the leader only."""
         self.observe()
         now = self._clock()
+        self._log_weights(now)
         commands: list[SuspensionCommand] = [
             self._suspend(cause)
             for cause in self._evidence.find_causes(self._list_suspended(), now)
@@ -131,6 +141,21 @@
                 commands.append(command)
         return commands
 
+    def _log_weights(self, now: Seconds) -> None:
+        """Log what the ends of endpoints speak against, when one was added."""
+        ends = self._evidence.count_ends(now)
+        is_due = now - self._weights_logged_at >= WEIGHTS_INTERVAL_SECONDS
+        if ends > self._logged_ends and is_due:
+            self._weights_logged_at = now
+            log_event(
+                "suspension",
+                "Crashes weighed.",
+                ends=ends,
+                causes=self._evidence.describe_weights(self._list_suspended(), now),
+            )
+            self._logged_ends = ends
+        self._logged_ends = min(self._logged_ends, ends)
+
     def _suspend(self, cause: Cause) -> SuspendCause:
         log_event(
             "suspension",
