--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from click import command, option
+from msgspec.structs import replace
 
 from benchmarks.report import Row, find_percentiles, write_report
 from benchmarks.simulation import Simulation
@@ -76,9 +77,11 @@
     crash_seconds : float or None
         Time from the arrival of a bad request to the crash of its endpoint, before any
         answer; None if it crashes after the answer has begun.
-    is_resent : bool
+    is_request : bool
         Whether one request crashes endpoints and comes again, rather than any with
         the bad part.
+    was_served : bool
+        Whether the bad part was served before.
     """
 
     name: str
@@ -90,7 +93,8 @@
     mass_kill: bool = False
     poll_seconds: float = POLL_SECONDS
     crash_seconds: float | None = None
-    is_resent: bool = False
+    is_request: bool = False
+    was_served: bool = False
 
 
 CASES = (
@@ -100,12 +104,13 @@
     Case("9 entries, slow polls", poll_seconds=1.0),
     Case("9 entries, only kills", bad_rate=0.0, kill_rate=1.0, mass_kill=True),
     Case("before the answer", crash_seconds=0.03, bad_rate=1.4),
+    Case("served before", crash_seconds=0.03, bad_rate=1.4, was_served=True),
     Case("at once", crash_seconds=0.001, bad_rate=1.4),
     Case("at once, rare", crash_seconds=0.001, bad_rate=0.2),
-    Case("request", bad_rate=1.4, is_resent=True),
-    Case("request before the answer", crash_seconds=0.03, bad_rate=1.4, is_resent=True),
-    Case("request at once", crash_seconds=0.001, bad_rate=1.4, is_resent=True),
-    Case("request at once, rare", crash_seconds=0.001, bad_rate=0.2, is_resent=True),
+    Case("request", bad_rate=1.4, is_request=True),
+    Case("request, before", crash_seconds=0.03, bad_rate=1.4, is_request=True),
+    Case("request at once", crash_seconds=0.001, bad_rate=1.4, is_request=True),
+    Case("request at once, rare", crash_seconds=0.001, bad_rate=0.2, is_request=True),
     Case("390 entries", 390, 70, 180.0, 4.0),
     Case("390 entries, kills", 390, 70, 180.0, 4.0, kill_rate=1.0, mass_kill=True),
 )
@@ -183,7 +188,8 @@
         simulation.schedule_every(DECIDE_SECONDS, self._decide, RUN_SECONDS)
         for at in self._draw_times(0.0, case.rate):
             simulation.schedule(at, lambda: self._send(None))
-        for at in self._draw_times(BEGIN_SECONDS, case.bad_rate):
+        start = 0.0 if case.was_served else BEGIN_SECONDS
+        for at in self._draw_times(start, case.bad_rate):
             simulation.schedule(at, lambda: self._send(BAD_PART))
         for at in self._draw_times(BEGIN_SECONDS, case.kill_rate):
             simulation.schedule(at, lambda: self._end(self._choose_endpoint()))
@@ -204,7 +210,7 @@
         topic = PromptPartId(f"topic-{int(TOPICS * rng.random() ** 2)}")
         fingerprint = Fingerprint(f"f{self._number}")
         parts = (first, bad_part or topic)
-        if bad_part and self._case.is_resent:
+        if bad_part and self._case.is_request:
             fingerprint, parts = BAD_REQUEST, (PromptPartId("first-0"),)
         request = ExecutedRequest(fingerprint, parts, True)
         entry = rng.choice(self._entries)
@@ -212,7 +218,7 @@
         self._attempt(Running(entry, request, 0))
 
     def _attempt(self, running: Running) -> None:
-        is_bad = _is_bad(running)
+        is_bad = self._is_bad(running)
         if running.entry.suspended.intersection(running.request.list_causes(SERVICE)):
             self.refused += not is_bad
             return
@@ -242,7 +248,7 @@
         running.answer = running.entry.table.record_answer(
             key, SERVICE, running.request, now
         )
-        if _is_bad(running):
+        if self._is_bad(running):
             delay = self._rng.uniform(0.05, 0.18)
             self.simulation.schedule(delay, lambda: self._end(endpoint, key))
         if self._rng.random() < CUT_SHARE:
@@ -253,6 +259,11 @@
         seconds = self._rng.uniform(0.1, 3.0)
         self.simulation.schedule(seconds, lambda: self._finish(running, endpoint))
 
+    def _is_bad(self, running: Running) -> bool:
+        request = running.request
+        is_marked = BAD_PART in request.parts or request.fingerprint == BAD_REQUEST
+        return is_marked and self.simulation.now >= BEGIN_SECONDS
+
     def _finish(self, running: Running, endpoint: EndpointFake) -> None:
         if running in endpoint.running:
             endpoint.running.discard(running)
@@ -275,9 +286,7 @@
     def _lose(self, running: Running, key: IncarnationKey, now: Seconds) -> None:
         entry = running.entry
         if running.answer is None:
-            waiting = ExecutedRequest(
-                running.request.fingerprint, running.request.parts, False
-            )
+            waiting = replace(running.request, has_begun=False)
             entry.table.record_crash(key, SERVICE, waiting, now)
         else:
             entry.table.record_end(key, SERVICE, now)
@@ -345,15 +354,10 @@
             entry.suspended = self._suspended
 
 
-def _is_bad(running: Running) -> bool:
-    request = running.request
-    return BAD_PART in request.parts or request.fingerprint == BAD_REQUEST
-
-
 def summarize(case: Case, fleets: list[CrashingFleet]) -> Row:
     """Return a row with the results of one case over its seeds."""
     bad, allowed = Cause(CauseKind.PROMPT_PART, SERVICE, BAD_PART), PART_CRASHES
-    if case.is_resent:
+    if case.is_request:
         bad, allowed = Cause(CauseKind.REQUEST, SERVICE, BAD_REQUEST), REQUEST_CRASHES
     delays, ends, late = [], [], []
     missed = 0
--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -16,7 +16,8 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable
+from itertools import chain
 
 from msgspec import Struct
 
@@ -42,6 +43,8 @@
 # and the weight of a later end, or of one before any answer had begun.
 CLOSE_SECONDS = 0.3
 DISTANT_WEIGHT = 0.6
+# Weight of an end at which a cause was not, after its first one.
+ABSENT_WEIGHT = 0.1
 # Ends closer together than this count as one.
 COINCIDENCE_SECONDS = 0.05
 # Lead over any other part that names a part after that many ends.
@@ -50,11 +53,15 @@
 MIN_LEADING_CRASHES = 4
 # Ends that name a part which was served before, for example by an earlier version.
 MIN_CRASHES_AFTER_SUCCESS = 5
-# Different requests that must have had a part.
-MIN_REQUESTS = 2
+# Share of the prompts at the ends above which a part is common, and ends that name a
+# common part which was served before: it is at most ends whatever causes them.
+COMMON_SHARE = 0.2
+MIN_CRASHES_OF_COMMON = 8
 # Time for which entries are asked about a cause before it is named: a poll, a report
 # and a relay between replicas.
 QUESTION_SECONDS = 0.8
+# Time for which questions are not weighed anew, as every poll asks for them.
+WEIGHING_SECONDS = 0.1
 # Causes about which entries are asked at a time.
 MAX_QUESTIONS = 64
 # Weighted ends from which on a cause is asked about.
@@ -85,7 +92,12 @@
     requests : dict
         Requests that it had.
     is_explained : bool
-        Whether one of them had begun and had a part that was suspended.
+        Whether one of them had a part that was suspended.
+    explaining : set of Fingerprint
+        Those that were suspended themselves. The end speaks against nothing else than
+        what they have.
+    causes : dict
+        What may have caused the end if a request did: the request, then its parts.
     """
 
     service: ServiceName
@@ -94,41 +106,44 @@
     is_certain: bool = False
     requests: dict[Fingerprint, ExecutedRequest] = {}
     is_explained: bool = False
+    explaining: set[Fingerprint] = set()
+    causes: dict[Fingerprint, tuple[Cause, ...]] = {}
+
+    def add_request(self, request: ExecutedRequest) -> None:
+        """Add a request, or replace what is known of it."""
+        if request.fingerprint not in self.causes:
+            self.causes[request.fingerprint] = tuple(request.list_causes(self.service))
+        self.requests[request.fingerprint] = request
+
+    def note_suspended(self, suspended: frozenset[Cause]) -> None:
+        """Note what of the requests is suspended, and stays the reason of the end."""
+        if self.is_explained:
+            return
+        for cause in self.list_causes() & suspended:
+            if cause.kind is CauseKind.PROMPT_PART:
+                self.is_explained = True
+            else:
+                self.explaining.add(Fingerprint(cause.id))
 
     def list_suspects(self) -> list[ExecutedRequest]:
         """Return the requests that may have crashed the incarnation.
 
-        A request with a prompt does so when its answer begins, if any had begun. One
-        without a prompt does so while it waits: its answer comes whole or not at all.
+        A request may do so before it is answered, beside others whose answers have
+        begun.
         """
-        requests = list(self.requests.values())
-        if not any(request.has_begun for request in requests):
-            return requests
-        return [item for item in requests if item.has_begun or not item.parts]
+        requests = self.requests
+        return [requests[key] for key in self.explaining] or list(requests.values())
 
     def list_causes(self) -> set[Cause]:
         """Return what the requests that it had have in common with others."""
-        return {
-            cause
-            for request in self.requests.values()
-            for cause in request.list_causes(self.service)
-        }
-
-    def has_begun_any(self, causes: Set[Cause]) -> bool:
-        """Whether a request whose answer had begun has one of some causes."""
-        return not causes.isdisjoint(
-            cause
-            for request in self.requests.values()
-            if request.has_begun
-            for cause in request.list_causes(self.service)
-        )
+        return set(chain.from_iterable(self.causes.values()))
 
     def weigh_causes(self) -> dict[Cause, float]:
         """Return what may have caused the end, with the weight of the evidence."""
         weights: dict[Cause, float] = {}
         for request in self.list_suspects():
             weight = _weigh(request)
-            for cause in request.list_causes(self.service):
+            for cause in self.causes[request.fingerprint]:
                 # An answer that had gone on for longer speaks for what it shares.
                 weights[cause] = min(weight, weights.get(cause, weight))
         return weights
@@ -259,6 +274,7 @@
         self._successes = SuccessLog()
         self._own_successes = SuccessLog()
         self._asked_at: dict[Cause, Seconds] = {}
+        self._weighed_at = NEVER
 
     def apply_report(
         self,
@@ -308,46 +324,46 @@
         self, suspended: frozenset[Cause], now: Seconds
     ) -> tuple[Cause, ...]:
         """Return the causes about which entries are asked whether they succeed."""
-        self._own.drop_refuted(self._find_last_heard)
-        self._all.drop_refuted(self._find_last_heard)
-        counts = self._count_crashes(self._list_unexplained(suspended, now))
-        candidates = [
-            cause for cause, count in counts.items() if count >= MIN_QUESTION_CRASHES
-        ]
-        candidates.sort(key=lambda cause: -counts[cause])
-        questions = (*suspended, *candidates[:MAX_QUESTIONS])
-        self._asked_at = {cause: self._asked_at.get(cause, now) for cause in questions}
-        return questions
+        is_recent = 0.0 < now - self._weighed_at < WEIGHING_SECONDS
+        if not is_recent or not self._asked_at.keys() >= suspended:
+            self._update_questions(suspended, self._weigh(suspended, now)[1], now)
+        return tuple(self._asked_at)
 
     def find_causes(self, suspended: frozenset[Cause], now: Seconds) -> list[Cause]:
         """Return the causes that the evidence names now, besides those suspended."""
-        self.list_questions(suspended, now)
-        incidents = self._list_unexplained(suspended, now)
-        counts = self._count_crashes(incidents)
-        repeated = _find_repeated(incidents)
-        parts = {cause: count for cause, count in counts.items() if cause in repeated}
-        served = self._successes.list_served(parts)
-        named = choose_parts(parts, served)
-        if not named:
-            most = max(
-                (count for cause, count in parts.items() if cause not in served),
-                default=0.0,
-            )
-            named = [
-                cause
-                for cause, count in counts.items()
-                if cause.kind is CauseKind.REQUEST
-                and cause not in suspended
-                and count >= MIN_CRASHES
-                and count > most
-            ]
+        incidents, counts = self._weigh(suspended, now)
+        self._update_questions(suspended, counts, now)
+        served = self._successes.list_served(counts)
         # A weaker cause is not named instead of one that is yet to be asked about.
         return [
             cause
-            for cause in named
-            if now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
+            for cause in choose_causes(counts, served, _find_holders(incidents))
+            if cause not in suspended
+            and now - self._asked_at.get(cause, now) >= QUESTION_SECONDS
         ]
 
+    def _weigh(
+        self, suspended: frozenset[Cause], now: Seconds
+    ) -> tuple[list[Incident], dict[Cause, float]]:
+        """Return the ends that are not explained, and the weight of each cause."""
+        self._own.drop_refuted(self._find_last_heard)
+        self._all.drop_refuted(self._find_last_heard)
+        incidents = self._list_unexplained(suspended, now)
+        return incidents, self._count_crashes(incidents)
+
+    def _update_questions(
+        self, suspended: frozenset[Cause], counts: dict[Cause, float], now: Seconds
+    ) -> None:
+        self._weighed_at = now
+        candidates = [
+            cause for cause, count in counts.items() if count >= MIN_QUESTION_CRASHES
+        ]
+        candidates.sort(key=lambda cause: -counts[cause])
+        self._asked_at = {
+            cause: self._asked_at.get(cause, now)
+            for cause in (*suspended, *candidates[:MAX_QUESTIONS])
+        }
+
     def describe_ends(
         self, cause: Cause, now: Seconds
     ) -> list[tuple[EndpointId, bool, bool, float, float]]:
@@ -366,7 +382,7 @@
             )
             for (endpoint, _), incident in self._all.list_items(now)
             for request in incident.list_suspects()
-            if cause in request.list_causes(incident.service)
+            if cause in incident.causes[request.fingerprint]
         ]
 
     def count_ends(self, now: Seconds) -> int:
@@ -398,28 +414,98 @@
         self, suspended: frozenset[Cause], now: Seconds
     ) -> list[Incident]:
         """Return the incidents that no part explains which is or was suspended."""
-        parts = {cause for cause in suspended if cause.kind is CauseKind.PROMPT_PART}
         incidents = self._all.list_recent(now)
-        for incident in incidents:
-            if not incident.is_explained and incident.has_begun_any(parts):
-                incident.is_explained = True
+        if suspended:
+            for incident in incidents:
+                incident.note_suspended(suspended)
         return [incident for incident in incidents if not incident.is_explained]
 
     def _count_crashes(self, incidents: list[Incident]) -> dict[Cause, float]:
-        """Return the weighted number of separate ends since each cause's success."""
+        """Return the weighted number of separate ends since each cause's success.
+
+        Ends at which a cause was not speak for another reason.
+        """
         counts: dict[Cause, float] = {}
         counted_at: dict[Cause, Seconds] = {}
+        # Number of the first separate end of each cause, and of those since then at
+        # which it was.
+        first: dict[Cause, int] = {}
+        present: Counter[Cause] = Counter()
+        ends, end_at = 0, NEVER
         for incident in incidents:
             at = incident.ended_at
+            if at - end_at > COINCIDENCE_SECONDS:
+                ends += 1
+                end_at = at
             for cause, weight in incident.weigh_causes().items():
                 if at <= self._successes.find(cause):
                     continue
-                if at - counted_at.get(cause, NEVER) > COINCIDENCE_SECONDS:
-                    counts[cause] = round(counts.get(cause, 0.0) + weight, 3)
+                is_separate = at - counted_at.get(cause, NEVER) > COINCIDENCE_SECONDS
+                if is_separate:
+                    present[cause] += 1
+                    first.setdefault(cause, ends)
+                    counts[cause] = counts.get(cause, 0.0) + weight
                     counted_at[cause] = at
+        for cause in counts:
+            absent = max(ends - first[cause] + 1 - present[cause], 0)
+            counts[cause] = round(counts[cause] - ABSENT_WEIGHT * absent, 3)
         return counts
 
 
+def choose_causes(
+    counts: dict[Cause, float],
+    served: frozenset[Cause],
+    holders: dict[Cause, set[Cause]],
+) -> list[Cause]:
+    """Return what crashes endpoints, if the evidence tells it apart.
+
+    A part is named if it was at more ends than any request that has it; a request if
+    no part explains as many. What was served before is named last, and a common part
+    only after many ends.
+
+    Parameters
+    ----------
+    counts : dict
+        Weighted number of separate ends since the last success of each cause.
+    served : frozenset of Cause
+        Causes that have had a success.
+    holders : dict
+        Requests that have each part.
+    """
+    requests = {
+        cause: count
+        for cause, count in counts.items()
+        if cause.kind is CauseKind.REQUEST
+    }
+    prompts = len(set().union(*holders.values()))
+    parts: dict[Cause, float] = {}
+    for part, holding in holders.items():
+        count = counts.get(part, 0.0)
+        is_common = part in served and len(holding) > COMMON_SHARE * prompts
+        is_due = not is_common or count >= MIN_CRASHES_OF_COMMON
+        if is_due and count > max(counts.get(own, 0.0) for own in holding):
+            parts[part] = count
+    most = max(
+        (count for cause, count in requests.items() if cause not in served),
+        default=0.0,
+    )
+    named = [
+        part
+        for part in choose_parts(parts, served)
+        if parts[part] >= most + (MIN_LEAD if part in served else 0.0)
+    ]
+    if named:
+        return named
+    rival = max(
+        (count for part, count in parts.items() if part not in served), default=0.0
+    )
+    return [
+        cause
+        for cause, count in requests.items()
+        if count >= MIN_CRASHES and count > rival
+    ]
+
+
 def choose_parts(counts: dict[Cause, float], served: frozenset[Cause]) -> list[Cause]:
     """Return the parts that crash endpoints, if the evidence tells them apart.
 
@@ -455,15 +541,15 @@
     return 1.0 if is_close or not request.parts else DISTANT_WEIGHT
 
 
-def _find_repeated(incidents: list[Incident]) -> set[Cause]:
-    """Return the parts that several different suspected requests had."""
-    requests: dict[Cause, set[Fingerprint]] = {}
+def _find_holders(incidents: list[Incident]) -> dict[Cause, set[Cause]]:
+    """Return the suspected requests that have each part."""
+    holders: dict[Cause, set[Cause]] = {}
     for incident in incidents:
         for request in incident.list_suspects():
-            for cause in request.list_causes(incident.service):
-                if cause.kind is CauseKind.PROMPT_PART:
-                    requests.setdefault(cause, set()).add(request.fingerprint)
-    return {cause for cause, found in requests.items() if len(found) >= MIN_REQUESTS}
+            own, *parts = incident.causes[request.fingerprint]
+            for part in parts:
+                holders.setdefault(part, set()).add(own)
+    return holders
 
 
 def _merge_request(incident: Incident, request: ExecutedRequest, now: Seconds) -> None:
@@ -472,5 +558,5 @@
         return
     if known is None and len(incident.requests) >= MAX_REQUESTS:
         return
-    incident.requests[request.fingerprint] = request
+    incident.add_request(request)
     incident.updated_at = now
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -46,6 +46,8 @@
 MAX_ANSWERS = 4_096
 MAX_SUCCESSES = 4_096
 MAX_REFUSALS = 64
+# Requests of one entry that waited at one endpoint; more than it has slots for.
+MAX_WAITING = 128
 
 
 class CauseKind(StrEnum):
@@ -248,7 +250,7 @@
         """
         ended = self._record_end(key, service, now)
         ended.is_observed = True
-        if not request.has_begun:
+        if not request.has_begun and len(ended.waiting) < MAX_WAITING:
             ended.waiting.append(request)
         # A request with a prompt that only waited for its answer crashed nothing.
         if request.has_begun or not request.parts:
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -300,3 +300,62 @@
         )
         evidence.apply_report((), [CauseReport(cause, 0.0)], Seconds(at + 0.1))
     assert find(evidence, 3) == []
+
+
+# A prompt that crashes endpoints before it is answered had no weight beside streams.
+@pytest.mark.parametrize("is_part", [False, True])
+def test_what_waits_at_every_end_is_named_beside_answers_that_have_begun(is_part):
+    evidence = CrashEvidence()
+    for at in range(5):
+        fingerprint = f"bad-{at}" if is_part else "again"
+        crash(
+            evidence,
+            at,
+            make_request("first", "bad", fingerprint=fingerprint, has_begun=False),
+            make_request("first", f"topic-{at}"),
+            make_request("first", f"topic-{at + 1}", has_begun=False),
+        )
+        succeed(evidence, "first", at + 0.1)
+    assert find(evidence, 5) == ["bad" if is_part else "again"]
+
+
+def test_what_a_suspended_request_took_along_is_not_named():
+    evidence = CrashEvidence()
+    for at in range(6):
+        crash(
+            evidence,
+            at,
+            make_request("first", "own", fingerprint="again", has_begun=False),
+            make_request("first", "rare", fingerprint="sound", has_begun=False),
+            make_request("first", "rare", has_begun=at < 3),
+        )
+        succeed(evidence, "first", at + 0.1)
+        if at == 2:
+            succeed(evidence, "rare", at + 0.1)
+    cause = Cause(CauseKind.REQUEST, SERVICE, Fingerprint("again"))
+    assert cause.id in find(evidence, 6)
+    suspended = frozenset([cause])
+    assert find(evidence, 7, suspended) == []
+    # It explains those ends also once it is served again.
+    evidence.apply_report((), [CauseReport(cause, 0.0)], Seconds(9.0))
+    succeed(evidence, "own", 9.0)
+    assert find(evidence, 10) == []
+
+
+def test_a_common_part_that_was_served_is_not_named_for_ends_in_an_outage():
+    evidence = CrashEvidence()
+    succeed(evidence, "first", 0.0)
+    for at in range(1, 7):
+        crash(evidence, 0.1 * at, *(make_request("first", f"t{at}") for _ in range(2)))
+    assert find(evidence, 0.7) == []
+
+
+def test_questions_are_not_weighed_anew_with_every_poll():
+    evidence = CrashEvidence()
+    for at in range(3):
+        crash(evidence, at, make_request("bad"))
+    asked = evidence.list_questions(NONE, Seconds(3.0))
+    crash(evidence, 3.01, make_request("bad", "other"), make_request("other"))
+    assert evidence.list_questions(NONE, Seconds(3.02)) == asked
+    suspended = frozenset([make_part("new")])
+    assert suspended <= set(evidence.list_questions(suspended, Seconds(3.03)))
