--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -293,6 +293,7 @@
         if not entry.is_report_scheduled:
             entry.is_report_scheduled = True
             self.simulation.schedule(REPORT_SECONDS, lambda: self._report(entry))
+        running.request = replace(running.request, is_resent=True)
         self.simulation.schedule(0.003, lambda: self._attempt(running))
 
     def _restart(self, endpoint: EndpointFake) -> None:
--- a/packages/core/src/bergamotwood_core/gateway/call.py
+++ b/packages/core/src/bergamotwood_core/gateway/call.py
@@ -178,6 +178,9 @@
     has_fixed_model : bool
         Whether a part of the answer was delivered before it was relayed, so that no
         other model may answer.
+    has_lost_endpoint : bool
+        Whether an endpoint ended with it. It is sent over a new connection from then
+        on, which an endpoint that ended at the same moment does not accept.
     """
 
     metadata: RequestMetadata
@@ -198,6 +201,7 @@
     relayed_to: InstanceId | None = None
     relayed_executions: int = 0
     has_fixed_model: bool = False
+    has_lost_endpoint: bool = False
 
     @property
     def causes(self) -> list[Cause]:
@@ -208,7 +212,9 @@
         """Return what is reported of the request if its endpoint crashes."""
         shared = self.metadata.prompt[:-1][:MAX_PARTS]
         parts = tuple(part.id for part in shared)
-        return ExecutedRequest(self.fingerprint, parts, has_begun)
+        return ExecutedRequest(
+            self.fingerprint, parts, has_begun, is_resent=self.has_lost_endpoint
+        )
 
     @property
     def engine_priority(self) -> int:
--- a/packages/core/src/bergamotwood_core/gateway/crashes.py
+++ b/packages/core/src/bergamotwood_core/gateway/crashes.py
@@ -138,6 +138,15 @@
         """Return what the requests that it had have in common with others."""
         return set(chain.from_iterable(self.causes.values()))
 
+    def list_resent(self) -> set[Cause]:
+        """Return the causes of requests that another endpoint had ended with before."""
+        return {
+            cause
+            for request in self.requests.values()
+            if request.is_resent
+            for cause in self.causes[request.fingerprint]
+        }
+
     def weigh_causes(self) -> dict[Cause, float]:
         """Return what may have caused the end, with the weight of the evidence."""
         weights: dict[Cause, float] = {}
@@ -437,6 +446,7 @@
             if at - end_at > COINCIDENCE_SECONDS:
                 ends += 1
                 end_at = at
+            resent = incident.list_resent()
             for cause, weight in incident.weigh_causes().items():
                 if at <= self._successes.find(cause):
                     continue
@@ -444,6 +454,7 @@
                 if is_separate:
                     present[cause] += 1
                     first.setdefault(cause, ends)
+                if is_separate or cause in resent:
                     counts[cause] = counts.get(cause, 0.0) + weight
                     counted_at[cause] = at
         for cause in counts:
--- a/packages/core/src/bergamotwood_core/gateway/suspects.py
+++ b/packages/core/src/bergamotwood_core/gateway/suspects.py
@@ -96,12 +96,16 @@
         Whether the endpoint had begun to answer.
     answered_seconds : float
         Time from the beginning of the answer to the end of the endpoint.
+    is_resent : bool
+        Whether it was sent over a new connection after another endpoint had ended
+        with it: the two did not end at the same moment.
     """
 
     fingerprint: Fingerprint
     parts: tuple[PromptPartId, ...] = ()
     has_begun: bool = False
     answered_seconds: float = 0.0
+    is_resent: bool = False
 
     def list_causes(self, service: ServiceName) -> list[Cause]:
         """Return what may have crashed the endpoint if this request did."""
--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -197,6 +197,7 @@
             entry.suspects.record_crash(self._key, call.service, request, now)
         else:
             entry.suspects.record_end(self._key, call.service, now)
+        call.has_lost_endpoint = True
         entry.poller.report_soon()
 
     def _record_refused_connection(self, error: NotConnectedError) -> None:
@@ -211,8 +212,11 @@
         request = self._request
         # Without an id, a late copy of an earlier response could not be told from the
         # response to this request.
+        call = self._call
         must_be_new = (
-            not self._call.route.is_retryable or not self._call.metadata.request
+            not call.route.is_retryable
+            or not call.metadata.request
+            or call.has_lost_endpoint
         )
         self._connection = self._entry.pool.acquire(self.heartbeat.address, must_be_new)
         if not self._connection.is_reused:
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -350,6 +350,24 @@
     assert find(evidence, 0.7) == []
 
 
+# Three crashes by one request within 50 ms counted as one.
+@pytest.mark.parametrize("is_part", [False, True])
+def test_ends_of_a_request_that_is_resent_count_also_when_they_are_close(is_part):
+    evidence = CrashEvidence()
+    for turn in range(2):
+        fingerprint = f"bad-{turn}" if is_part else "again"
+        for number in range(3):
+            bad = ExecutedRequest(
+                Fingerprint(fingerprint),
+                (PromptPartId("first"), PromptPartId("bad")),
+                is_resent=number > 0,
+            )
+            sound = make_request("first", f"topic-{turn}-{number}")
+            crash(evidence, turn + 0.01 * number, bad, sound)
+        succeed(evidence, "first", turn + 0.1)
+    assert find(evidence, 2) == ["bad" if is_part else "again"]
+
+
 def test_questions_are_not_weighed_anew_with_every_poll():
     evidence = CrashEvidence()
     for at in range(3):
