--- a/tests/platformprograms.py
+++ b/tests/platformprograms.py
@@ -28,8 +28,8 @@
 
 
 @contextmanager
-def run_system(folder, controls, entries):
-    """Start real programs; end them by id afterwards."""
+def run_system(folder, controls, entries, limits=None):
+    """Start real programs on machines with some limits; end them by id afterwards."""
     subnet = f"127.{10 + getpid() % 240}.{next(_subnets) % 250}"
     system = System(
         folder,
@@ -39,6 +39,7 @@
         "bergamotwood_platform",
         Bounds(),
         Random(1),
+        limits,
     )
     try:
         system.start()
