--- a/packages/core/src/bergamotwood_core/gateway/events.py
+++ b/packages/core/src/bergamotwood_core/gateway/events.py
@@ -68,6 +68,11 @@
         """Whether the buffer contains the beginning of an event."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the beginning of an event in the buffer."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes to the buffer and return the events that are complete.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -31,6 +31,8 @@
 # Idle connections kept per endpoint.
 MAX_IDLE_CONNECTIONS = 8
 MAX_HEAD_BYTES = 65_536
+# Bytes of a body up to which it is sent in one call with its head.
+JOINED_BYTES = 65_536
 # Time from the first byte of a head to its end; heads come in one piece or a few.
 HEAD_SECONDS = 5.0
 HEAD_STATES = (h11.IDLE, h11.SEND_RESPONSE)
@@ -112,11 +114,13 @@
             When the connection breaks; the endpoint may have received the request.
         """
         head = h11.Request(method=method, target=target, headers=headers)
-        data = self._http.send(head)
+        pieces = [self._http.send(head)]
         if body:
-            data += self._http.send(h11.Data(body))
-        data += self._http.send(h11.EndOfMessage())
-        self._writer = RequestWriter(self._sock, data)
+            pieces += self._http.send_with_data_passthrough(h11.Data(body))
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        self._writer = RequestWriter(self._sock, pieces)
         try:
             self._writer.start()
         except OSError as error:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from bergamotwood_core.gateway.configuration import CallerLimits
 from bergamotwood_core.ids import Incarnation
+from bergamotwood_core.memory import MemoryAccount, MemoryLimits
 from bergamotwood_core.messages import Address, parse_address
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway.channels import NO_KEY
@@ -54,6 +55,9 @@
         self.rng = Random(SystemRandom().getrandbits(64))
         self.entry: GatewayEntry | None = None
         self.replica: GatewayReplica | None = None
+        self.memory = MemoryAccount(
+            MemoryLimits(settings.memory_bytes, settings.descriptors)
+        )
         self._stopped = Event()
         self._is_stopping = False
         self._servers: list[HttpServer] = []
@@ -64,11 +68,14 @@
             self._make_entry(dialect)
         if settings.control_address is not None:
             self._make_replica(dialect)
+        for part in (self.entry, self.replica):
+            if part is not None:
+                part.memory = self.memory
 
     def serve(self, listen: Address | None, handler: Handler) -> None:
         """Serve requests at a further address, unless `listen` is None."""
         if listen is not None:
-            server = HttpServer(listen, handler, CallerLimits, read_clock)
+            server = HttpServer(listen, handler, CallerLimits, read_clock, self.memory)
             self._servers.append(server)
 
     def start(self) -> None:
@@ -124,6 +131,7 @@
             forwarder.handle,
             lambda: self.entry.control_state.limits,
             read_clock,
+            self.memory,
         )
         if self.settings.relay_address is not None:
             self._relay_server = HttpServer(
@@ -131,6 +139,7 @@
                 forwarder.handle_relayed,
                 lambda: extend_limits(self.entry.control_state.limits),
                 read_clock,
+                self.memory,
             )
 
     def _make_replica(self, dialect: Dialect) -> None:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/entry.py
@@ -35,6 +35,7 @@
 from bergamotwood_core.gateway.suspects import EndpointCrash, SuspectTable
 from bergamotwood_core.gateway.suspensions import SuspensionTable
 from bergamotwood_core.ids import DataCentre, Incarnation, ServiceName, SessionId
+from bergamotwood_core.memory import MemoryAccount, MemoryLimits
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.eventloop import get_monitor
 from bergamotwood_daemon.gateway.client import ConnectionPool
@@ -73,6 +74,8 @@
     is_draining : bool
         Whether the entry reports itself as not ready, so that callers move to
         other entries.
+    memory : MemoryAccount
+        What the process holds for its peers.
     rejects_requests : bool
         Whether new requests are refused because the remaining grace period is
         too short to finish them.
@@ -91,6 +94,9 @@
         self.dialect = dialect
         self.clock = clock
         self.rng = rng
+        self.memory = MemoryAccount(
+            MemoryLimits(settings.memory_bytes, settings.descriptors)
+        )
         self.is_draining = False
         self.rejects_requests = False
         self.control_state = ControlState(
@@ -459,6 +465,7 @@
             "silent_endpoints": len(self.control_state.silent_endpoints),
             "lost_services": len(self.reach.list_lost()),
             "reach_probes_total": self.prober.probes,
+            **self.memory.list_gauges(),
         }
 
     def _make_status(self) -> EntryStatus:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -216,6 +216,7 @@
         attempt = Attempt(
             entry, call, exchange.request, heartbeat, self._make_forward_metadata
         )
+        attempt.memory = exchange.memory
         evidence = entry.open_evidence(
             call, heartbeat, lambda: self._measure_progress(call, attempt, relay)
         )
--- a/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.health import AttemptResult
 from bergamotwood_daemon.gateway.client import (
@@ -19,6 +20,7 @@
     strip_connection_fields,
 )
 from bergamotwood_daemon.gateway.outcome import Answered, MayHaveRun, Outcome
+from bergamotwood_daemon.gateway.server import AnswerMemory
 
 # Time after the deadline for which bytes that have arrived are still read.
 DEADLINE_SLACK_SECONDS = 0.25
@@ -44,9 +46,12 @@
     ----------
     idle_factor : float
         Multiple of the usual time after which a stream without events is given up.
+    memory : AnswerMemory or None
+        Counts what is held of the answer; None if nothing does.
     """
 
     idle_factor = 1.0
+    memory: AnswerMemory | None = None
 
     def __init__(self, entry: GatewayEntry, call: Call, pool: ConnectionPool) -> None:
         self._entry = entry
@@ -65,6 +70,11 @@
             Head of the response.
         compute_timeout : callable
             Returns the seconds to wait for the next chunk.
+
+        Raises
+        ------
+        EndpointError
+            When this process has no room for the answer.
         """
         body = bytearray()
         pieces = 0
@@ -76,6 +86,8 @@
                 self.check_deadline()
                 body += event.data
                 pieces += 1
+                if self.memory is not None and not self.memory.resize(len(body)):
+                    raise EndpointError("no room for the answer", Code.ENDPOINT_FAILED)
                 if len(body) > MAX_RESPONSE_BYTES or pieces > MAX_RESPONSE_PIECES:
                     return MayHaveRun(
                         "answer too large",
--- a/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
@@ -171,6 +171,7 @@
             attempt = RelayAttempt(
                 entry, call, exchange.request, target, stream.has_started
             )
+            attempt.memory = exchange.memory
             try:
                 outcome = self._run(attempt, call, exchange, stream)
             finally:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -43,6 +43,7 @@
     ServiceName,
     SessionId,
 )
+from bergamotwood_core.memory import MemoryAccount, MemoryLimits
 from bergamotwood_core.states import EndpointState
 from bergamotwood_daemon.eventloop import get_monitor
 from bergamotwood_daemon.gateway.channels import ReplicationSenders
@@ -122,6 +123,9 @@
         self._settings = settings
         self._dialect = dialect
         self._clock = clock
+        self.memory = MemoryAccount(
+            MemoryLimits(settings.memory_bytes, settings.descriptors)
+        )
         self._boot = token_hex(8)
         self._machine = GatewayStateMachine(own_level)
         self._senders = ReplicationSenders()
@@ -338,6 +342,7 @@
             "longest_turn_seconds": round(get_monitor().longest_turn_seconds, 3),
             **self.levels.list_gauges(),
             **self.warmups.list_gauges(),
+            **self.memory.list_gauges(),
         }
 
     def handle_replicate(self, body: bytes) -> bytes:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/requestwriter.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/requestwriter.py
@@ -1,5 +1,7 @@
 """Writes a request to a socket while its response may already be read."""
 
+from collections import deque
+
 from gevent import Greenlet, spawn
 from gevent.socket import socket as Socket
 
@@ -17,7 +19,7 @@
     ----------
     sock : Socket
         Connected socket.
-    data : bytes
+    pieces : list of bytes
         The request.
 
     Attributes
@@ -26,10 +28,10 @@
         Why the rest could not be written.
     """
 
-    def __init__(self, sock: Socket, data: bytes) -> None:
+    def __init__(self, sock: Socket, pieces: list[bytes]) -> None:
         self.error: OSError | None = None
         self._sock = sock
-        self._unsent = memoryview(data)
+        self._unsent = deque(memoryview(piece) for piece in pieces if piece)
         self._greenlet: Greenlet | None = None
         self._duplicate: Socket | None = None
 
@@ -48,7 +50,7 @@
         """
         try:
             while self._unsent:
-                self._advance(self._sock.send(self._unsent, 0, AT_ONCE))
+                self._advance(self._sock.send(self._unsent[0], 0, AT_ONCE))
         except BlockingIOError:
             self._duplicate = self._sock.dup()
             self._duplicate.settimeout(None)
@@ -63,14 +65,16 @@
     def _write_rest(self) -> None:
         try:
             while self._unsent:
-                self._advance(self._duplicate.send(self._unsent))
+                self._advance(self._duplicate.send(self._unsent[0]))
         except OSError as error:
             self.error = error
         finally:
             self._close_duplicate()
 
     def _advance(self, count: int) -> None:
-        self._unsent = self._unsent[count:]
+        piece = self._unsent.popleft()[count:]
+        if piece:
+            self._unsent.appendleft(piece)
 
     def _close_duplicate(self) -> None:
         duplicate, self._duplicate = self._duplicate, None
--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from socket import IPPROTO_TCP, SHUT_WR, SO_RCVBUF, SOL_SOCKET, TCP_NODELAY
 from sys import maxsize
 
 import h11
@@ -13,6 +13,13 @@
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.gateway.configuration import CallerLimits
+from bergamotwood_core.memory import (
+    Holding,
+    MemoryAccount,
+    MemoryLimits,
+    Phase,
+    Reason,
+)
 from bergamotwood_core.messages import Address
 from bergamotwood_daemon.eventloop import Pauser
 from bergamotwood_daemon.gateway.message import Headers, HttpRequest, HttpResponse
@@ -20,13 +27,28 @@
 from bergamotwood_daemon.log import log_event, log_failure
 
 READ_BYTES = 65_536
+# Bytes that are read at a time while a request is served. They must be kept, as its
+# connection cannot be refused any more.
+READ_AHEAD_BYTES = 4_096
 # Bytes of a caller that are buffered ahead; further bytes stay in the kernel.
-MAX_UNREAD_BYTES = 1_048_576
+MAX_UNREAD_BYTES = 65_536
+# Bytes of a caller that the kernel buffers.
+KERNEL_BYTES = 65_536
+# Bytes of a response up to which its pieces are sent in one call.
+JOINED_BYTES = 65_536
 # Timeout for sending a chunk to a caller. Callers give up much earlier themselves.
 SEND_TIMEOUT_SECONDS = 30.0
 # Time for the caller to read an error response before its connection is closed.
 LINGER_SECONDS = 0.5
+# Time after which a caller may come back that was refused for want of room.
+FULL_RETRY_SECONDS = 1.0
+REFUSAL_HEAD = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\nRetry-After: %.3f\r\n\r\n"
+)
 BACKLOG = 1_024
+# Shortest time between two log lines on requests that are refused before they are read.
+REJECTION_LOG_SECONDS = 1.0
 # Limit on accepting waiting connections when the server stops listening.
 ACCEPT_TIMEOUT_SECONDS = 0.2
 
@@ -39,12 +61,38 @@
     """The caller did not complete its request, or was idle, for too long."""
 
 
+class CallerEvictedError(Exception):
+    """Others need the memory of a request that has not been passed on."""
+
+
 class ReadAheadBuffer:
-    """Reads a caller's bytes ahead, so that a disconnect is noticed at once."""
+    """Reads a caller's bytes ahead, so that a disconnect is noticed at once.
+
+    Parameters
+    ----------
+    sock : Socket
+        Socket of the connection.
+    holding : Holding
+        What is held for the connection.
+    account : MemoryAccount
+        Account in which the bytes are counted until they are released.
+    clock : callable
+        Returns the current time.
+    """
 
-    def __init__(self, sock: Socket) -> None:
+    def __init__(
+        self,
+        sock: Socket,
+        holding: Holding,
+        account: MemoryAccount,
+        clock: Callable[[], Seconds],
+    ) -> None:
         self.is_closed = False
+        self.is_evicted = False
         self._sock = sock
+        self._holding = holding
+        self._account = account
+        self._clock = clock
         self._buffer = bytearray()
         self._pauser = Pauser()
         self._data_ready = Event()
@@ -66,29 +114,60 @@
     def receive(self, seconds: float) -> bytes:
         """Return the next bytes; empty at the end of the stream.
 
+        They remain counted as held for the connection.
+
         Raises
         ------
         CallerTimeoutError
             When no bytes arrive in time.
+        CallerEvictedError
+            When the request is refused for others.
         """
-        while not self._buffer and not self.is_closed:
+        while not self._buffer and not self.is_closed and not self.is_evicted:
             self._data_ready.clear()
             if not self._data_ready.wait(seconds):
                 raise CallerTimeoutError
+        if self.is_evicted:
+            raise CallerEvictedError
         data = bytes(self._buffer)
         self._buffer.clear()
         self._space_ready.set()
         return data
 
+    def discard(self, seconds: float) -> None:
+        """Drop what arrives until the caller closes the connection."""
+        while not self.is_closed:
+            self._drop()
+            self._data_ready.clear()
+            if not self._data_ready.wait(seconds):
+                return
+
+    def evict(self) -> None:
+        """Drop what is buffered, and have `receive` fail."""
+        self.is_evicted = True
+        self._drop()
+        self._data_ready.set()
+
+    def resume(self) -> None:
+        """Read on, now that the request that was served has its answer."""
+        if len(self._buffer) <= MAX_UNREAD_BYTES:
+            self._space_ready.set()
+
     def stop(self) -> None:
         """Stop reading."""
         self._on_close = None
         self._reader.kill(block=False)
 
+    def _drop(self) -> None:
+        self._account.shrink(self._holding, len(self._buffer))
+        self._buffer = bytearray()
+        self._space_ready.set()
+
     def _read(self) -> None:
         while True:
+            is_passed_on = self._holding.phase in (Phase.SERVED, Phase.ANSWERING)
             try:
-                data = self._sock.recv(READ_BYTES)
+                data = self._sock.recv(READ_AHEAD_BYTES if is_passed_on else READ_BYTES)
             except TimeoutError:
                 # The socket's timeout limits sending; a caller may wait for longer.
                 continue
@@ -96,8 +175,7 @@
                 data = b""
             if not data:
                 break
-            self._buffer += data
-            self._data_ready.set()
+            self._append(data)
             while len(self._buffer) > MAX_UNREAD_BYTES:
                 self._space_ready.clear()
                 self._space_ready.wait()
@@ -107,6 +185,58 @@
         if self._on_close is not None:
             self._on_close()
 
+    def _append(self, data: bytes) -> None:
+        holding = self._holding
+        if holding.phase is Phase.IDLE:
+            holding.phase = Phase.READING
+        has_room = self._account.grow(holding, len(data), self._clock())
+        if has_room:
+            self._buffer += data
+        elif holding.phase in (Phase.SERVED, Phase.ANSWERING):
+            # The room that every connection has is enough for so few bytes.
+            self._buffer += data
+            self._space_ready.clear()
+            self._space_ready.wait()
+        elif holding.phase is Phase.READING:
+            holding.phase = Phase.CLOSING
+            self.evict()
+        self._data_ready.set()
+
+
+class AnswerMemory:
+    """What is held of one answer until its caller has it.
+
+    Parameters
+    ----------
+    account : MemoryAccount
+        Account in which it is counted.
+    clock : callable
+        Returns the current time.
+    """
+
+    def __init__(self, account: MemoryAccount, clock: Callable[[], Seconds]) -> None:
+        self._account = account
+        self._clock = clock
+        self._holding: Holding | None = None
+
+    def resize(self, count: int) -> bool:
+        """Hold a number of bytes; return whether there is room for them."""
+        if self._holding is None:
+            if not count:
+                return True
+            self._holding = self._account.open_answer(self._clock())
+        more = count - self._holding.held_bytes
+        if more > 0:
+            return self._account.grow(self._holding, more, self._clock())
+        self._account.shrink(self._holding, -more)
+        return True
+
+    def close(self) -> None:
+        """Hold nothing more."""
+        if self._holding is not None:
+            self._account.close(self._holding)
+            self._holding = None
+
 
 class Exchange:
     """One request of a caller, and the methods that answer it.
@@ -121,6 +251,8 @@
         Whether the complete response was sent.
     extra_headers : list of (bytes, bytes)
         Fields that are added to the head of the response.
+    memory : AnswerMemory
+        Counts what is held of the answer.
     """
 
     def __init__(self, connection: "CallerConnection", request: HttpRequest) -> None:
@@ -128,6 +260,7 @@
         self.status = 0
         self.is_finished = False
         self.extra_headers: Headers = []
+        self.memory = connection.make_answer_memory()
         self._connection = connection
 
     def answer(self, response: HttpResponse) -> None:
@@ -174,7 +307,8 @@
     def __init__(self, server: "HttpServer", sock: Socket) -> None:
         self._server = server
         self._sock = sock
-        self._inbound = ReadAheadBuffer(sock)
+        self._holding = server.account.open_connection(server.clock(), self._evict)
+        self._inbound: ReadAheadBuffer | None = None
         # The limit on heads may change while the connection is kept.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=maxsize)
         self._first_byte_at = Seconds(0.0)
@@ -183,8 +317,12 @@
         self._is_framed_twice = False
         # At most as many bytes as `h11` holds without having made an event of them.
         self._unread_bytes = 0
+        self._body = bytearray()
+        # Bytes that were received and are counted as held.
+        self._counted_bytes = 0
         self._is_paused = False
         self._pauser = Pauser()
+        self._worker: Greenlet | None = None
 
     @property
     def closes_after_response(self) -> bool:
@@ -193,8 +331,14 @@
 
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
+        if self._holding is None:
+            self._refuse_connection()
+            return
         self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         self._sock.settimeout(SEND_TIMEOUT_SECONDS)
+        self._inbound = ReadAheadBuffer(
+            self._sock, self._holding, self._server.account, self._server.clock
+        )
         try:
             while self._serve_request():
                 self._http.start_next_cycle()
@@ -202,6 +346,8 @@
             pass
         except CallerTimeoutError:
             self._reject_timeout()
+        except CallerEvictedError:
+            self._reject(503, FULL_RETRY_SECONDS)
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint or 400)
         except OSError as error:
@@ -214,6 +360,8 @@
         """Whether a request is running or has arrived, even if it is still unread."""
         if self.is_busy or self._is_paused:
             return True
+        if self._inbound is None or self._inbound.is_evicted:
+            return False
         if self._inbound.has_bytes or self._http.trailing_data[0]:
             return True
         return not self._inbound.is_closed and is_readable(self._sock)
@@ -234,28 +382,95 @@
         """Return the bytes of an event."""
         return self._http.send(event)
 
+    def make_answer_memory(self) -> AnswerMemory:
+        """Return the memory of the next answer."""
+        return AnswerMemory(self._server.account, self._server.clock)
+
     def send(self, *events: h11.Event, prefix: bytes = b"") -> None:
-        """Send the bytes of a prefix and of events in one call."""
-        data = [prefix, *(self._http.send(event) for event in events)]
-        self._sock.sendall(b"".join(data))
+        """Send the bytes of a prefix and of events, small ones in one call."""
+        pieces = [prefix]
+        for event in events:
+            pieces += self._http.send_with_data_passthrough(event) or ()
+        if sum(map(len, pieces)) <= JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        holding = self._holding
+        phase, holding.phase = holding.phase, Phase.ANSWERING
+        try:
+            for piece in pieces:
+                self._send_piece(memoryview(piece))
+        finally:
+            if holding.phase is Phase.ANSWERING:
+                holding.phase = phase
+
+    def _send_piece(self, unsent: memoryview) -> None:
+        clock = self._server.clock
+        started_at = clock()
+        while unsent:
+            self._holding.progressed_at = clock()
+            if self._holding.progressed_at - started_at > SEND_TIMEOUT_SECONDS:
+                raise TimeoutError("the caller does not read")
+            unsent = unsent[self._sock.send(unsent) :]
 
     def _serve_request(self) -> bool:
         request = self._read_request()
         if request is None or self._is_shut_down:
             return False
+        self._holding.phase = Phase.SERVED
         exchange = Exchange(self, request)
         self.is_busy = True
-        worker = getcurrent()
+        self._worker = worker = getcurrent()
         self._inbound.set_close_callback(lambda: _interrupt(worker))
         try:
             self._server.handler(exchange)
         finally:
             self._inbound.set_close_callback(None)
             self.is_busy = False
+            exchange.memory.close()
         if not exchange.is_finished or self._is_framed_twice or self._can_close_now():
             return False
         states = self._http.states
-        return states[h11.SERVER] is h11.DONE and states[h11.CLIENT] is h11.DONE
+        if states[h11.SERVER] is not h11.DONE or states[h11.CLIENT] is not h11.DONE:
+            return False
+        self._recount(len(self._http.trailing_data[0]))
+        is_idle = not self._counted_bytes and not self._inbound.has_bytes
+        self._holding.phase = Phase.IDLE if is_idle else Phase.READING
+        self._inbound.resume()
+        return True
+
+    def _recount(self, count: int) -> None:
+        """Count only a number of the bytes that were received as held."""
+        freed = self._counted_bytes - count
+        if freed > 0:
+            self._server.account.shrink(self._holding, freed)
+            self._counted_bytes = count
+
+    def _evict(self, reason: Reason) -> None:
+        """Make room for others: drop what is held, at once."""
+        if self._worker is not None and self.is_busy:
+            # Its caller does not read the answer.
+            _interrupt(self._worker)
+            self._abort()
+        elif reason is Reason.MEMORY and (self._body or self._counted_bytes):
+            self._body = bytearray()
+            self._inbound.evict()
+        else:
+            self._abort()
+
+    def _abort(self) -> None:
+        """Close the connection without waiting for its caller."""
+        if self._inbound is not None:
+            self._inbound.evict()
+        with suppress(OSError):
+            self._sock.close()
+
+    def _refuse_connection(self) -> None:
+        """Refuse a connection for which there is no room, and close it."""
+        self._server.count_rejection(503)
+        head = REFUSAL_HEAD % FULL_RETRY_SECONDS
+        with suppress(OSError):
+            self._sock.send(head, 0, 0.0)
+        with suppress(OSError):
+            self._sock.close()
 
     def _can_close_now(self) -> bool:
         """Whether the server is closing and no further request has arrived.
@@ -270,12 +485,14 @@
 
     def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
-        body = bytearray()
+        self._body = bytearray()
         self._first_byte_at = self._server.clock()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._check_incomplete_size()
+                # Of a body, `h11` keeps at most the beginning of a chunk.
+                self._recount(len(self._body) + self._unread_bytes)
                 if self._http.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
                 self._receive(head is not None)
@@ -284,23 +501,40 @@
                 case h11.Request():
                     head = event
                     self._is_framed_twice = _is_framed_twice(event)
+                    self._check_announced_size(event)
                 case h11.Data():
-                    body += event.data
-                    if len(body) > self._server.limits().body_bytes:
+                    self._body += event.data
+                    if len(self._body) > self._server.limits().body_bytes:
                         raise h11.RemoteProtocolError("body too large", 413)
                     self._pause()
+                    if self._inbound.is_evicted:
+                        raise CallerEvictedError
                 case h11.EndOfMessage():
                     break
                 case _:
                     return None
+        body, self._body = bytes(self._body), bytearray()
         return HttpRequest(
             bytes(head.method),
             bytes(head.target),
             [(bytes(name), bytes(value)) for name, value in head.headers],
-            bytes(body),
+            body,
             self._first_byte_at,
         )
 
+    def _check_announced_size(self, head: h11.Request) -> None:
+        """Check that a head announces no body that is too large.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            When it does.
+        """
+        limit = self._server.limits().body_bytes
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit:
+                raise h11.RemoteProtocolError("body too large", 413)
+
     def _check_incomplete_size(self) -> None:
         """Check that a head, or the head of a chunk, is not too large.
 
@@ -332,20 +566,24 @@
         if is_idle:
             self._first_byte_at = self._server.clock()
         self._unread_bytes += len(data)
+        self._counted_bytes += len(data)
         self._http.receive_data(data)
 
     def _reject_timeout(self) -> None:
         if self._http.trailing_data[0] or self._http.their_state is h11.SEND_BODY:
             self._reject(408)
 
-    def _reject(self, status: int) -> None:
-        log_event("caller", "Request refused.", status=status)
+    def _reject(self, status: int, retry_after: float | None = None) -> None:
+        self._server.count_rejection(status)
+        self._body = bytearray()
+        self._recount(0)
+        self._holding.phase = Phase.CLOSING
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        head = h11.Response(
-            status_code=status,
-            headers=[(b"content-length", b"0"), (b"connection", b"close")],
-        )
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if retry_after is not None:
+            headers.append((b"retry-after", f"{retry_after:.3f}".encode()))
+        head = h11.Response(status_code=status, headers=headers)
         with suppress(OSError, h11.LocalProtocolError):
             self.send(head, h11.EndOfMessage())
             self._linger()
@@ -358,11 +596,11 @@
         """
         self._sock.shutdown(SHUT_WR)
         with Timeout(LINGER_SECONDS, False):
-            while not self._inbound.is_closed:
-                self._inbound.receive(LINGER_SECONDS)
+            self._inbound.discard(LINGER_SECONDS)
 
     def _close(self) -> None:
         self._inbound.stop()
+        self._server.account.close(self._holding)
         with suppress(OSError):
             self._sock.close()
 
@@ -395,6 +633,9 @@
         Returns the current limits on callers.
     clock : callable
         Returns the current time.
+    account : MemoryAccount or None
+        Account of what the process holds for its peers, at all of its listeners; by
+        default one of its own.
     """
 
     def __init__(
@@ -403,13 +644,16 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         clock: Callable[[], Seconds],
+        account: MemoryAccount | None = None,
     ) -> None:
         self.limits = limits
         self.clock = clock
+        self.account = MemoryAccount(MemoryLimits()) if account is None else account
         self.is_closing = False
         self._handler = handler
         self._listen = listen
         self._connections: set[CallerConnection] = set()
+        self._logged_at = Seconds(float("-inf"))
         self._server = StreamServer(
             (listen.host, listen.port), self._serve, backlog=BACKLOG
         )
@@ -436,8 +680,29 @@
 
     def start(self) -> None:
         """Start listening."""
+        self._server.init_socket()
+        # Connections inherit it. Bytes in the kernel belong to the process, too.
+        self._server.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, KERNEL_BYTES)
         self._server.start()
 
+    def count_rejection(self, status: int) -> None:
+        """Count a request that is refused before it is read; log some of them."""
+        rejections = self.account.rejections
+        rejections[status] += 1
+        now = self.clock()
+        if now - self._logged_at < REJECTION_LOG_SECONDS:
+            return
+        self._logged_at = now
+        log_event(
+            "caller",
+            "Request refused.",
+            status=status,
+            listener=f"{self._listen.host}:{self._listen.port}",
+            refused={str(code): count for code, count in rejections.items()},
+            held_bytes=self.account.held_bytes,
+            connections=self.account.connections,
+        )
+
     def close_idle(self) -> None:
         """Close connections that have no request."""
         for connection in list(self._connections):
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -6,6 +6,10 @@
 
 from bergamotwood_core.gateway.exposure import ExposureLimit
 from bergamotwood_core.ids import DataCentre, InstanceId
+from bergamotwood_core.memory import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+)
 from bergamotwood_core.messages import Address
 
 
@@ -93,6 +97,10 @@
         of the fleet.
     data_centres : frozenset of DataCentre
         All data centres that may be evacuated.
+    memory_bytes : int
+        Memory that the process is given; a share of it may be held for callers.
+    descriptors : int
+        Descriptors that the process may have open.
     """
 
     instance: InstanceId
@@ -107,3 +115,5 @@
     data_folder: Path | None = None
     forms_group: bool = False
     data_centres: frozenset[DataCentre] = frozenset()
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    descriptors: int = DEFAULT_DESCRIPTORS
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -90,6 +90,8 @@
                     break
                 attempt.check_deadline()
                 self._split(splitter, bytes(event.data), head)
+                if not self._exchange.memory.resize(splitter.partial_bytes):
+                    raise ConnectionBrokenError("no room for the event")
                 self._check_progress(attempt.idle_factor)
             self._send(splitter.finish(), head)
         except (InvalidEventError, ConnectionBrokenError) as error:
