--- a/packages/daemon/src/bergamotwood_daemon/boot.py
+++ b/packages/daemon/src/bergamotwood_daemon/boot.py
@@ -10,6 +10,9 @@
 def main() -> None:
     """Patch the standard library and gRPC, then run the command line."""
     monkey.patch_all()
+    from bergamotwood_daemon.heap import map_large_blocks
+
+    map_large_blocks()
     from grpc.experimental.gevent import init_gevent
 
     init_gevent()
--- a/packages/daemon/src/bergamotwood_daemon/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/daemon.py
@@ -12,6 +12,7 @@
 from bergamotwood_core.control import ControlMachine
 from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.ledger import LedgerMachine
+from bergamotwood_core.memory import MemoryAccount, MemoryLimits
 from bergamotwood_core.messages import Address
 from bergamotwood_core.orders import LoadRateLimit
 from bergamotwood_core.outcome import OutcomeCounter
@@ -21,7 +22,7 @@
 from bergamotwood_daemon.chat import ChatHandler
 from bergamotwood_daemon.claims import Claims
 from bergamotwood_daemon.clock import read_clock
-from bergamotwood_daemon.connection import CallerConnectionHandler
+from bergamotwood_daemon.connection import make_handler
 from bergamotwood_daemon.controlfeed import ControlFeed
 from bergamotwood_daemon.controlreplica import (
     CONTROL_GROUP,
@@ -72,6 +73,9 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.rng = Random(SystemRandom().getrandbits(64))
+        self.memory = MemoryAccount(
+            MemoryLimits(settings.limits.memory_bytes, settings.limits.descriptors)
+        )
         self.incarnation = time_ns() // NANOSECONDS_PER_MICROSECOND
         self._stopped = Event()
         self._peer_tls = (
@@ -83,7 +87,7 @@
             self._make_control_replica() if settings.is_control else None
         )
         self.entry = self._make_entry()
-        self.metrics = Metrics(self.entry, self.control_replica)
+        self.metrics = Metrics(self.entry, self.control_replica, self.memory)
         self.admission_gate = AdmissionGate(self.entry)
         self._peer_server = PeerServer(
             self.control_replica or _NoControlRole(),
@@ -277,7 +281,7 @@
             self._application,
             log=None,
             error_log=None,
-            handler_class=CallerConnectionHandler,
+            handler_class=make_handler(self.memory),
             **tls,
         )
 
--- a/packages/daemon/src/bergamotwood_daemon/metrics.py
+++ b/packages/daemon/src/bergamotwood_daemon/metrics.py
@@ -5,6 +5,7 @@
 
 from aioprometheus import Gauge, Registry, render
 
+from bergamotwood_core.memory import MemoryAccount
 from bergamotwood_daemon.controlreplica import ControlReplica
 from bergamotwood_daemon.entry import Entry
 from bergamotwood_daemon.web import Response, WebRequest
@@ -31,14 +32,27 @@
         The entry, with its tables.
     control_replica : ControlReplica or None
         The control role, if the instance has it.
+    memory : MemoryAccount
+        What the process holds for its callers.
     """
 
-    def __init__(self, entry: Entry, control_replica: ControlReplica | None) -> None:
+    def __init__(
+        self,
+        entry: Entry,
+        control_replica: ControlReplica | None,
+        memory: MemoryAccount,
+    ) -> None:
         self._registry = Registry()
         self._readings: list[Reading] = []
         self._add_entry_gauges(entry)
         if control_replica is not None:
             self._add_replica_gauges(control_replica)
+        for name in memory.list_gauges():
+            self._add_gauge(
+                name,
+                "Memory and connections held for callers",
+                lambda name=name: memory.list_gauges()[name],
+            )
 
     def answer(self, request: WebRequest) -> Response:
         """Answer a scrape."""
--- a/packages/daemon/src/bergamotwood_daemon/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/settings.py
@@ -10,9 +10,17 @@
 from bergamotwood_core.configuration import KeyHash, Name
 from bergamotwood_core.document import DocumentError, list_faults, load_document
 from bergamotwood_core.errors import SettingsError
+from bergamotwood_core.memory import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    MEBIBYTE,
+)
 from bergamotwood_daemon.settingscheck import SECRET_FIELDS, find_cross_field_faults
 
 MAX_SETTINGS_BYTES = 1_000_000
+# Least memory and descriptors of a daemon that has no callers.
+MIN_MEMORY_BYTES = 64 * MEBIBYTE
+MIN_DESCRIPTORS = 256
 
 
 def _check_host(host: str) -> str:
@@ -63,11 +71,17 @@
         Maximum size of a request body, and of a stored answer, in bytes.
     body_seconds : float
         Time within which a caller must send its body.
+    memory_bytes : int
+        Memory that the process is given; a share of it may be held for callers.
+    descriptors : int
+        Descriptors that the process may have open.
     """
 
     body_bytes: int = Field(ge=1_024, default=4_000_000)
     answer_bytes: int = Field(ge=1_024, default=256_000)
     body_seconds: PositiveSeconds = 10.0
+    memory_bytes: int = Field(ge=MIN_MEMORY_BYTES, default=DEFAULT_MEMORY_BYTES)
+    descriptors: int = Field(ge=MIN_DESCRIPTORS, default=DEFAULT_DESCRIPTORS)
 
 
 class Timeouts(_Section):
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -13,14 +13,22 @@
 from bergamotwood_core.errors import (
     BergamotwoodError,
     Code,
+    RefusedError,
     RequestError,
     SettingsError,
     TicketError,
 )
+from bergamotwood_daemon.connection import (
+    BODY_MEMORY,
+    FULL_RETRY_SECONDS,
+    BodyMemory,
+)
 
 if TYPE_CHECKING:
     from bergamotwood_daemon.settings import Limits
 
+# Bytes of a body that are read at a time.
+READ_BYTES = 65_536
 JSON = "application/json"
 PROBLEM_JSON = "application/problem+json"
 EVENT_STREAM = "text/event-stream"
@@ -107,6 +115,8 @@
         ------
         RequestError
             The body is too large, incomplete or too slow.
+        RefusedError
+            Others need the memory.
         """
         if self._body is None:
             self._body = self._read_body()
@@ -137,7 +147,7 @@
             )
         try:
             with Timeout(self.limits.body_seconds):
-                body = self.environ["wsgi.input"].read(maximum + 1)
+                body = self._receive_body(maximum + 1)
         except Timeout as error:
             raise RequestError(
                 f"body: not received within {self.limits.body_seconds} s",
@@ -153,6 +163,24 @@
             raise RequestError("body: cut off", Code.BODY_INCOMPLETE)
         return body
 
+    def _receive_body(self, maximum: int) -> bytes:
+        """Read at most some bytes of the body, while there is room for them."""
+        source = self.environ["wsgi.input"]
+        memory: BodyMemory | None = self.environ.get(BODY_MEMORY)
+        if memory is None:
+            return source.read(maximum)
+        memory.start()
+        left = maximum
+        while piece := source.read(min(READ_BYTES, left)):
+            left -= len(piece)
+            if not memory.append(piece):
+                raise RefusedError(
+                    "body: no room for it",
+                    Code.OVERLOADED,
+                    retry_after=FULL_RETRY_SECONDS,
+                )
+        return memory.finish()
+
 
 class ClosingBody:
     """A response body with a callback for when it is closed.
