--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,6 +4,7 @@
 from bergamotwood_soak.checks import (
     Bounds,
     check_observations,
+    find_memory_excess,
     find_missing_recovery,
 )
 from bergamotwood_soak.history import History
@@ -15,6 +16,7 @@
     Disturbance,
     Evacuation,
     Kind,
+    MemoryPeak,
     Observations,
     Read,
     Run,
@@ -254,3 +256,15 @@
     # What a disturbed connection delivers late was sent over a longer time.
     disturbed = [Disturbance("e", "connections delayed", 39.0, 41.0)]
     assert check(cold_arrivals=arrivals, disturbances=disturbed) == []
+
+
+def test_a_program_that_had_more_memory_than_its_machine_is_found():
+    observations = Observations()
+    observations.memory_peaks += [
+        MemoryPeak("entry-1", 1.0, 90.0),
+        MemoryPeak("entry-2", 2.0, 129.0),
+    ]
+    found = list(find_memory_excess(History(observations, Bounds())))
+    assert [(item.rule, item.subject) for item in found] == [
+        ("too much memory", "entry-2")
+    ]
