--- a/packages/daemon/src/bergamotwood_daemon/gateway/server.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/server.py
@@ -26,7 +26,7 @@
 from bergamotwood_daemon.gateway.sockets import is_readable
 from bergamotwood_daemon.log import log_event, log_failure
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 # Bytes that are read at a time while a request is served. They must be kept, as its
 # connection cannot be refused any more.
 READ_AHEAD_BYTES = 4_096
--- a/tests/platform/test_misbehaving_callers.py
+++ b/tests/platform/test_misbehaving_callers.py
@@ -4,7 +4,12 @@
 from pathlib import Path
 
 import pytest
-from bergamotwood_soak.programs import CONTROL_PORT, READY_PORT, RESOLVER_PORT
+from bergamotwood_soak.programs import (
+    CONTROL_PORT,
+    PEER_PORT,
+    READY_PORT,
+    RESOLVER_PORT,
+)
 from gevent import joinall, killall, sleep, spawn
 from gevent.socket import create_connection
 from platformprograms import (
@@ -16,6 +21,7 @@
     run_system,
 )
 
+from bergamotwood_core.memory import CONNECTION_BYTES
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_platform.settings import METRICS_PORT
 
@@ -33,6 +39,7 @@
 SEND_SECONDS = 20.0
 ANSWER_SECONDS = 60.0
 PIECE_BYTES = 65_536
+PREFIX = "bergamotwood_"
 HEAD = (
     b"POST /big/x HTTP/1.1\r\nHost: " + HOST_NAME.encode() + b"\r\n"
     b"X-Request-Id: crowd\r\nX-Deadline-Ms: 20000\r\n"
@@ -134,6 +141,8 @@
                 return entry, (entry.host, READY_PORT)
             case "metrics":
                 return entry, (entry.host, METRICS_PORT)
+            case "relays":
+                return entry, (entry.host, PEER_PORT + 1)
             case "control":
                 return control, (control.host, CONTROL_PORT)
 
@@ -144,6 +153,28 @@
         joinall(greenlets, timeout=SEND_SECONDS)
         killall(greenlets)
 
+    def read_gauges(self):
+        """Return the entry's gauges by name, once it answers."""
+        deadline = read_clock() + ANSWER_SECONDS
+        while read_clock() < deadline:
+            with suppress(OSError):
+                text = self._fetch_metrics()
+                if "held_bytes" in text:
+                    lines = text.partition("\r\n\r\n")[2].splitlines()
+                    fields = [line.split() for line in lines]
+                    return {item[0]: item[1] for item in fields if len(item) == 2}
+            sleep(0.2)
+        raise AssertionError("no metrics")
+
+    def _fetch_metrics(self):
+        request = b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n"
+        with create_connection(self.find_listener("metrics")[1], STALL_SECONDS) as sock:
+            sock.sendall(request)
+            data = b""
+            while piece := sock.recv(PIECE_BYTES):
+                data += piece
+        return data.decode()
+
     def leave(self):
         """Close the crowd's connections."""
         for sock in self._sockets:
@@ -240,3 +271,75 @@
     address = machines.entry.process.address
     assert call(address, "large", "/big/x", BODY, seconds=20.0) == 200
     machines.check()
+
+
+def send_head_line_by_line(sock):
+    """Send a head line by line, one that never ends."""
+    sock.sendall(b"POST /big/x HTTP/1.1\r\n")
+    for number in range(600):
+        sock.sendall(b"X-Line-%d: %s\r\n" % (number, 20 * b"x"))
+
+
+def send_half(sock):
+    """Send half of a body of legal size."""
+    sock.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES)
+    sock.sendall(BODY[: BODY_BYTES // 2])
+
+
+def send_pipelined_bodies(sock):
+    """Send several bodies of legal size one after the other."""
+    for _ in range(3):
+        send_whole(sock)
+
+
+@pytest.mark.parametrize(
+    "send", [send_head_line_by_line, send_half, send_pipelined_bodies]
+)
+def test_another_crowd_of_callers_ends_no_entry(machines, send):
+    machines.crowd(send)
+    machines.check()
+
+
+def test_a_crowd_at_the_listener_for_other_entries_ends_no_entry(machines):
+    machines.crowd(send_short, address=machines.find_listener("relays")[1])
+    machines.check()
+
+
+def test_crowds_of_all_kinds_at_once_end_no_entry(machines):
+    crowds = [spawn(machines.crowd, send, CROWD // len(SENDERS)) for send in SENDERS]
+    joinall(crowds)
+    machines.check()
+
+
+def test_nothing_is_held_after_crowds(machines):
+    for send in (send_short, send_for_answers, send_part_of_head):
+        machines.crowd(send)
+    assert float(machines.read_gauges()[f"{PREFIX}evicted_for_memory_total"]) > 0
+    machines.leave()
+    deadline = read_clock() + ANSWER_SECONDS
+    # The connection that asks is one itself.
+    while float(machines.read_gauges()[f"{PREFIX}peer_connections"]) > 1.0:
+        assert read_clock() < deadline
+        sleep(0.2)
+    held = float(machines.read_gauges()[f"{PREFIX}held_bytes"])
+    assert held <= CONNECTION_BYTES + PIECE_BYTES
+    machines.check()
+
+
+@pytest.mark.parametrize("size", [1, 1_000, 100_000])
+def test_a_large_body_in_chunks_is_served_in_calm(machines, size):
+    count = min(BODY_BYTES, 20_000 * size) // size
+    with create_connection(machines.find_listener("callers")[1], SEND_SECONDS) as sock:
+        sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        chunk = b"%x\r\n" % size + BODY[:size] + b"\r\n"
+        sock.sendall(chunk * count + b"0\r\n\r\n")
+        assert sock.recv(PIECE_BYTES).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_body_byte_by_byte_is_served_in_calm(machines):
+    with create_connection(machines.find_listener("callers")[1], SEND_SECONDS) as sock:
+        sock.sendall(HEAD + b"Content-Length: 300\r\n\r\n")
+        for _ in range(300):
+            sock.sendall(b"x")
+            sleep(0.002)
+        assert sock.recv(PIECE_BYTES).startswith(b"HTTP/1.1 200 ")
