--- a/packages/core/src/bergamotwood_core/memory.py
+++ b/packages/core/src/bergamotwood_core/memory.py
@@ -22,6 +22,8 @@
 # Least sum, which leaves room for one request and one answer of the largest size.
 MIN_HELD_BYTES = 16 * MEBIBYTE
 DEFAULT_MEMORY_BYTES = 256 * MEBIBYTE
+# Share of the sum that connections without bytes may use.
+CONNECTIONS_SHARE = 0.75
 # Share of the sum that only connections with few bytes may use.
 SMALL_SHARE = 0.125
 SMALL_BYTES = 128 * KIBIBYTE
@@ -86,7 +88,10 @@
     ) -> None:
         self.held_bytes = max(int(MEMORY_SHARE * memory_bytes), MIN_HELD_BYTES)
         self.connections = max(
-            (descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER,
+            min(
+                (descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER,
+                int(CONNECTIONS_SHARE * self.held_bytes) // CONNECTION_BYTES,
+            ),
             MIN_CONNECTIONS,
         )
 
--- a/tests/core/gateway/test_crashes.py
+++ b/tests/core/gateway/test_crashes.py
@@ -3,13 +3,13 @@
 import pytest
 
 from bergamotwood_core.clock import Seconds
+from bergamotwood_core.gateway.crashcauses import choose_parts
 from bergamotwood_core.gateway.crashes import (
     MAX_INCIDENTS,
     MAX_QUESTIONS,
     MAX_REQUESTS,
     QUESTION_SECONDS,
     CrashEvidence,
-    choose_parts,
 )
 from bergamotwood_core.gateway.suspects import (
     Cause,
--- a/tests/core/test_memory.py
+++ b/tests/core/test_memory.py
@@ -46,7 +46,10 @@
 def test_limits_follow_from_the_machine():
     limits = MemoryLimits(128 * MEBIBYTE, 4_100)
     assert limits.held_bytes == int(0.2 * 128 * MEBIBYTE)
-    assert limits.connections == 1_950
+    # Connections without bytes leave room for those that send some.
+    assert limits.connections * CONNECTION_BYTES <= 0.75 * limits.held_bytes
+    assert limits.connections == 491
+    assert MemoryLimits(1_024 * MEBIBYTE, 4_100).connections == 1_950
     # One body and one answer of 4 MiB fit on the smallest machine.
     tiny = MemoryLimits(1, 1)
     assert tiny.held_bytes >= 4 * 4 * MEBIBYTE
@@ -175,3 +178,13 @@
     for holding in holdings:
         account.close(holding)
     assert (account.held_bytes, account.connections, len(account)) == (0, 0, 0)
+
+
+def test_connections_that_only_begin_requests_leave_room_for_new_ones():
+    limits = MemoryLimits(128 * MEBIBYTE, 4_100)
+    account = MemoryAccount(limits)
+    for number in range(3 * limits.connections):
+        peer = Peer(account, Seconds(float(number)))
+        assert peer.holding is not None
+        assert read(account, peer, 1_000, Seconds(float(number)))
+    assert account.evictions[Reason.CONNECTIONS] == 2 * limits.connections
