Split the server for callers into modules of one noun each

Input of callers, their connections and the memory of answers are modules of their own; nothing else changes. A test sets a constant where it is now. Tests of the server, the client, evacuation orders, the API and crowds pass.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
@@ -19,9 +19,9 @@
 from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
 from bergamotwood_core.ids import Fingerprint, ModelName
 from bergamotwood_daemon.gateway.attempt import EndpointEvacuatedError
+from bergamotwood_daemon.gateway.callerconnection import Exchange
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.refusals import NO_ENDPOINT_RETRY_SECONDS
-from bergamotwood_daemon.gateway.server import Exchange
 from bergamotwood_daemon.log import log_event
 
 # Timeout of callers that state none.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/counters.py
@@ -2,7 +2,7 @@
 
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.health import AttemptResult
-from bergamotwood_daemon.gateway.server import Exchange
+from bergamotwood_daemon.gateway.callerconnection import Exchange
 
 # Bucket bounds for objectives from 0.1 s to 4 s and deadlines up to 25 s.
 BUCKET_SECONDS = (0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -13,12 +13,13 @@
 from bergamotwood_core.memory import MemoryAccount, MemoryLimits
 from bergamotwood_core.messages import Address, parse_address
 from bergamotwood_daemon.clock import read_clock
+from bergamotwood_daemon.gateway.callerconnection import Handler
 from bergamotwood_daemon.gateway.channels import NO_KEY
 from bergamotwood_daemon.gateway.dialect import Dialect
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.forwarder import Forwarder
 from bergamotwood_daemon.gateway.relay import extend_limits
-from bergamotwood_daemon.gateway.server import Handler, HttpServer
+from bergamotwood_daemon.gateway.server import HttpServer
 from bergamotwood_daemon.gateway.settings import GatewaySettings
 from bergamotwood_daemon.log import log_event, log_failure
 from bergamotwood_daemon.peer import PeerServer
--- a/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/forwarder.py
@@ -31,6 +31,10 @@
     make_call_fields,
 )
 from bergamotwood_daemon.gateway.attempt import Attempt
+from bergamotwood_daemon.gateway.callerconnection import (
+    CallerDisconnectedError,
+    Exchange,
+)
 from bergamotwood_daemon.gateway.entry import GatewayEntry
 from bergamotwood_daemon.gateway.evidence import OpenRequest
 from bergamotwood_daemon.gateway.message import HttpResponse
@@ -53,7 +57,6 @@
     drop_relay_field,
     read_relayed_request,
 )
-from bergamotwood_daemon.gateway.server import CallerDisconnectedError, Exchange
 from bergamotwood_daemon.gateway.streams import StreamRelay
 from bergamotwood_daemon.log import log_event
 from bergamotwood_daemon.web import PROBLEM_JSON, encode_problem
--- a/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/reader.py
@@ -7,6 +7,7 @@
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.gateway.call import Call
 from bergamotwood_core.gateway.health import AttemptResult
+from bergamotwood_daemon.gateway.answermemory import AnswerMemory
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     ConnectionPool,
@@ -20,7 +21,6 @@
     strip_connection_fields,
 )
 from bergamotwood_daemon.gateway.outcome import Answered, MayHaveRun, Outcome
-from bergamotwood_daemon.gateway.server import AnswerMemory
 
 # Time after the deadline for which bytes that have arrived are still read.
 DEADLINE_SLACK_SECONDS = 0.25
--- a/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/relay.py
@@ -18,6 +18,7 @@
 from bergamotwood_core.gateway.members import EntryAddress
 from bergamotwood_core.gateway.relays import RelayedRequest, RelayOrigin
 from bergamotwood_core.ids import ModelName
+from bergamotwood_daemon.gateway.callerconnection import Exchange
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     NotConnectedError,
@@ -37,7 +38,6 @@
     Outcome,
 )
 from bergamotwood_daemon.gateway.reader import DEADLINE_SLACK_SECONDS, ResponseReader
-from bergamotwood_daemon.gateway.server import Exchange
 from bergamotwood_daemon.gateway.streams import StreamRelay
 from bergamotwood_daemon.log import log_event
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/streams.py
@@ -15,6 +15,7 @@
     is_later_id,
 )
 from bergamotwood_daemon.eventloop import Pauser
+from bergamotwood_daemon.gateway.callerconnection import Exchange
 from bergamotwood_daemon.gateway.client import (
     ConnectionBrokenError,
     ResponseTimeoutError,
@@ -28,7 +29,6 @@
     Outcome,
 )
 from bergamotwood_daemon.gateway.reader import ResponseReader
-from bergamotwood_daemon.gateway.server import Exchange
 
 # Idle time after which a stream resumes at another endpoint, in multiples of the
 # route's longest desired gap between events. Callers give up after eight.
--- a/tests/daemon/gateway/test_evacuationorders.py
+++ b/tests/daemon/gateway/test_evacuationorders.py
@@ -14,9 +14,10 @@
 from bergamotwood_core.messages import Address
 from bergamotwood_daemon.clock import read_clock
 from bergamotwood_daemon.gateway import channels
+from bergamotwood_daemon.gateway.callerconnection import CallerDisconnectedError
 from bergamotwood_daemon.gateway.message import HttpResponse
 from bergamotwood_daemon.gateway.peermessages import SYNC_REPLY
-from bergamotwood_daemon.gateway.server import CallerDisconnectedError, HttpServer
+from bergamotwood_daemon.gateway.server import HttpServer
 from bergamotwood_daemon.gateway.settings import GatewayBounds
 
 KAREN, EMBAKASI, KILIMANI = map(DataCentre, ("karen", "embakasi", "kilimani"))
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -2,7 +2,7 @@
 from gevent import sleep
 
 from bergamotwood_core.gateway.configuration import CallerLimits, RouteKind
-from bergamotwood_daemon.gateway import server
+from bergamotwood_daemon.gateway import callerconnection
 
 
 def answer(arrival):
@@ -74,7 +74,7 @@
         sleep(0.4)
         arrival.answer()
 
-    monkeypatch.setattr(server, "SEND_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(callerconnection, "SEND_TIMEOUT_SECONDS", 0.1)
     harness = make_harness(configure(), one=act)
     assert harness.connect().call().status == 200
 
@@ -87,7 +87,7 @@
             arrival.send_events(at, at)
         arrival.end_events()
 
-    monkeypatch.setattr(server, "SEND_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr(callerconnection, "SEND_TIMEOUT_SECONDS", 0.2)
     routes = (make_route(requires_key=False, kind=RouteKind.STREAMING),)
     harness = make_harness(make_configuration(routes=routes), one=act)
     reply = harness.connect().call()
