--- a/packages/daemon/src/bergamotwood_daemon/connection.py
+++ b/packages/daemon/src/bergamotwood_daemon/connection.py
@@ -53,15 +53,17 @@
         """Hold a piece; return False, and drop the body, if there is no room."""
         if not self._account.grow(self._holding, len(piece), read_clock()):
             self.drop()
+            self._holding.phase = Phase.CLOSING
             return False
         self._body += piece
         self._pauser.pause()
         return self._holding.phase is Phase.READING
 
-    def finish(self) -> bytes:
-        """Return the whole body; its request runs from now on."""
-        if self._holding.phase is Phase.READING:
-            self._holding.phase = Phase.SERVED
+    def finish(self) -> bytes | None:
+        """Return the whole body, whose request runs from now on; None if evicted."""
+        if self._holding.phase is not Phase.READING:
+            return None
+        self._holding.phase = Phase.SERVED
         body, self._body = bytes(self._body), bytearray()
         return body
 
@@ -74,8 +76,7 @@
         holding = self._holding
         self.drop()
         self._account.shrink(holding, holding.held_bytes - CONNECTION_BYTES)
-        if holding.phase in (Phase.READING, Phase.SERVED):
-            holding.phase = Phase.IDLE
+        holding.phase = Phase.IDLE
 
 
 class CallerConnectionHandler(WSGIHandler):
--- a/packages/daemon/src/bergamotwood_daemon/web.py
+++ b/packages/daemon/src/bergamotwood_daemon/web.py
@@ -174,12 +174,15 @@
         while piece := source.read(min(READ_BYTES, left)):
             left -= len(piece)
             if not memory.append(piece):
-                raise RefusedError(
-                    "body: no room for it",
-                    Code.OVERLOADED,
-                    retry_after=FULL_RETRY_SECONDS,
-                )
-        return memory.finish()
+                break
+        body = memory.finish()
+        if body is None:
+            raise RefusedError(
+                "body: no room for it",
+                Code.OVERLOADED,
+                retry_after=FULL_RETRY_SECONDS,
+            )
+        return body
 
 
 class ClosingBody:
