Review: show the case of replaced core machines without a window of seconds

Two core machines are replaced as planned, both new ones first. The group grows to five voters, and the two old machines stay voters for good; one lost disk 13 s after the last of them has ended leaves it without a majority.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,12 @@
-"""A core machine is replaced as planned; then another one loses its disk."""
+"""Core machines are replaced as planned; then another one loses its disk.
+
+Two machines are replaced, both new ones first, the old ones 13 s after each other, and
+the disk is lost 13 s after that. With WAY=2 one machine is replaced, and the disk is
+lost 1.5 s after the old one has ended.
+"""
 
 import json
+import os
 import shutil
 import signal
 import sys
@@ -24,10 +30,12 @@
     run_case,
 )
 
-# The successor counts as lost for `catch_up_s` after its start; it gets twice that.
+# A successor counts as lost for `catch_up_s` after its start; it gets twice that.
 SUCCESSOR_SECONDS = 2.0 * BOUNDS["catch_up_s"]
-# Time from the end of the old machine to the loss of the disk.
-PAUSE_SECONDS = 1.5
+WAY = os.environ.get("WAY", "1")
+REPLACED = 1 if WAY == "2" else 2
+# Time from the end of an old machine to what comes next.
+PAUSE_SECONDS = 1.5 if WAY == "2" else 13.0
 DOWN_SECONDS = 1.0
 RECOVERY_SECONDS = BOUNDS["recovery_s"]
 CONTACT_SECONDS = BOUNDS["contact_ms"] / 1000
@@ -76,27 +84,40 @@
         record.note("runs", server=server.name, id=exchange.request)
         exchange.answer(200, b"found")
 
+    def add_successor(fleet, number, old):
+        """Start an empty machine at a new address, in the zone of an old one."""
+        host = f"{fleet.subnet}.{60 + number}"
+        successor = Daemon(fleet, f"core-{7 + number}", host, True, old.zone)
+        fleet.cores.append(successor)
+        record.note("successor-starts", core=successor.name, host=host)
+        successor.start()
+
+    def remove(fleet, old):
+        """Stop a machine, which doesn't come back."""
+        record.note("sigterm", core=old.name)
+        old.signal(signal.SIGTERM)
+        old.process.wait(BOUNDS["grace_period_s"])
+        fleet.cores.remove(old)
+        record.note("ended", core=old.name)
+
     with Fleet(record, edges=1) as fleet:
         Server(fleet, "i-1", "duka", run)
         put(fleet, 3)
         fleet.wait_until_ready()
-        old, other = fleet.cores[0], fleet.cores[1]
-        host = f"{fleet.subnet}.60"
-        successor = Daemon(fleet, "core-9", host, True, old.zone)
-        fleet.cores.append(successor)
-        record.note("successor-starts", core=successor.name, host=host)
-        successor.start()
+        replaced, other = fleet.cores[:REPLACED], fleet.cores[REPLACED]
+        for number, old in enumerate(replaced):
+            add_successor(fleet, number, old)
         time.sleep(SUCCESSOR_SECONDS)
         put(fleet, 5)
         served_before = count_served(fleet)
         if served_before < REQUESTS:
             raise CannotRunError(f"{served_before} requests are served at first")
-        record.note("sigterm", core=old.name)
-        old.signal(signal.SIGTERM)
-        old.process.wait(BOUNDS["grace_period_s"])
-        fleet.cores.remove(old)
-        record.note("ended", core=old.name)
-        time.sleep(PAUSE_SECONDS)
+        for old in replaced:
+            remove(fleet, old)
+            time.sleep(PAUSE_SECONDS)
+        # What is started from now on is told of the machines that are left.
+        control = fleet.ports["control"]
+        fleet.seeds = [f"{core.host}:{control}" for core in fleet.cores]
         put(fleet, 7)
         if is_troubled:
             record.note("loses-its-disk", core=other.name)
