Do not take the end after a reset for the end of an answer

Cause: a socket reports an error once. The rest of a long request is written by a greenlet of its own. If it wakes first, it gets the reset; the reader of the answer then finds an end of the input, which completes an answer without a length. The error that the writer kept was read after a time-out only.

Why it works: at an end of the input the reader asks whether the writer has seen an error. A reset, a time-out or a host that cannot be reached is one that the peer has not sent, so the answer is broken, whoever gets it first. EPIPE is different: the kernel reports it where the peer's own end came before the reset, so such an answer is whole. An answer with a length is complete by its length, as before.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -9,6 +9,7 @@
 from gevent.socket import AF_INET, SOCK_STREAM
 from gevent.socket import socket as Socket
 
+from bergamotwood_core.answers import is_orderly_end
 from bergamotwood_core.bounds import parse_count
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.messages import parse_address
@@ -152,14 +153,17 @@
                     raise TimeoutError
                 self._check_head_time()
                 self._sock.settimeout(max(left, MIN_RECEIVE_SECONDS))
-                self._http.receive_data(self._sock.recv(READ_BYTES))
+                data = self._sock.recv(READ_BYTES)
+                if not data:
+                    self._check_end()
+                self._http.receive_data(data)
                 has_received = True
                 if self._head_began_at is None:
                     self._head_began_at = self._clock()
         except TimeoutError as error:
-            if self._writer is not None and self._writer.error is not None:
+            if self._write_error is not None:
                 raise ConnectionBrokenError(
-                    f"{self.address}: request not written: {self._writer.error}"
+                    f"{self.address}: request not written: {self._write_error}"
                 ) from error
             raise ResponseTimeoutError(
                 f"{self.address}: nothing within {seconds:.3f} s"
@@ -190,6 +194,17 @@
         with suppress(OSError):
             self._sock.close()
 
+    @property
+    def _write_error(self) -> OSError | None:
+        return self._writer.error if self._writer is not None else None
+
+    def _check_end(self) -> None:
+        """Check that the endpoint has ended the response, if it has no length."""
+        if not is_orderly_end(self._write_error):
+            raise ConnectionBrokenError(
+                f"{self.address}: broken while writing: {self._write_error}"
+            )
+
     def _check_head_time(self) -> None:
         """Check that an incomplete head has not been coming for too long."""
         if self._head_began_at is None or self._http.their_state not in HEAD_STATES:
--- a/tests/daemon/gateway/test_client.py
+++ b/tests/daemon/gateway/test_client.py
@@ -1,7 +1,15 @@
 """Whatever bytes an endpoint sends end in an answer, an error, or a time-out."""
 
 from contextlib import suppress
-from socket import IPPROTO_TCP, SO_RCVBUF, SOL_SOCKET, TCP_MAXSEG
+from socket import (
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_LINGER,
+    SO_RCVBUF,
+    SOL_SOCKET,
+    TCP_MAXSEG,
+)
+from struct import pack
 
 import h11
 from gevent import Timeout, sleep, spawn
@@ -217,3 +225,74 @@
         except ConnectionResetError:
             pass
     theirs.close()
+
+
+UNFRAMED_PART = b"HTTP/1.1 200 OK\r\n\r\n" + 5_000 * b"x"
+RESET = pack("ii", 1, 0)
+
+
+def reset(sock):
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
+    sock.close()
+
+
+# The writer of the request got the reset, and the reader a sound end of the answer.
+def test_an_answer_without_length_is_broken_by_a_reset_that_only_the_writer_sees():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    theirs.recv(1_000)
+    theirs.sendall(UNFRAMED_PART)
+    sleep(0.05)
+    theirs.recv(65_536)
+    reset(theirs)
+    sleep(0.05)
+    assert connection._writer.error is not None
+    with Timeout(WAIT_SECONDS):
+        assert isinstance(wait_for_answer(connection), ConnectionBrokenError)
+    assert not connection.finish()
+    connection.close()
+
+
+def test_an_answer_without_length_ends_with_its_connection_before_the_request_is_read():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    theirs.recv(1_000)
+    theirs.sendall(UNFRAMED_PART)
+    theirs.shutdown(SHUT_WR)
+    with Timeout(WAIT_SECONDS):
+        assert wait_for_answer(connection) == 5_000 * b"x"
+    assert not connection.finish()
+    connection.close()
+    theirs.close()
+
+
+def test_an_answer_without_length_is_whole_if_its_end_came_before_a_reset():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    theirs.recv(1_000)
+    theirs.sendall(UNFRAMED_PART)
+    theirs.shutdown(SHUT_WR)
+    sleep(0.05)
+    theirs.recv(65_536)
+    reset(theirs)
+    sleep(0.05)
+    assert isinstance(connection._writer.error, BrokenPipeError)
+    with Timeout(WAIT_SECONDS):
+        assert wait_for_answer(connection) == 5_000 * b"x"
+    connection.close()
+
+
+def test_an_early_answer_with_a_length_is_whole_though_its_connection_is_reset():
+    connection, theirs = open_slow_pair()
+    post(connection, BODY)
+    theirs.recv(1_000)
+    theirs.sendall(WHOLE)
+    sleep(0.05)
+    theirs.recv(65_536)
+    reset(theirs)
+    sleep(0.05)
+    assert connection._writer.error is not None
+    with Timeout(WAIT_SECONDS):
+        assert wait_for_answer(connection) == b"hello"
+    assert not connection.finish()
+    connection.close()
