Refuse answers whose heads are not of HTTP/1.1

Callers got answers of endpoints in trouble as sound ones: a status from 600 to 999, a version such as HTTP/2.0 or HTTP/0.9, a control byte in a value, and a field whose name begins with a blank. Such a line is a continuation of the line before for the parser, so that it was passed on as a part of that value; where it held the length, all that followed in the connection was the body.

Cause: h11 accepts any three digits from 200 on, any digits as the version, folded lines (RFC 9112, 5.2) and most control bytes in values. Nothing checked what it had parsed. It already rejects the other forms, which keep their tests: statuses below 200 as final ones and those that are not three digits, blanks, control bytes and high bytes within a name, an empty name, a blank before the colon, NUL or CR in a value, two lengths, 101.

Why it works: the bytes of each head are checked before anything is taken from it, interim heads too. h11 tells where the head ends; folds are not seen in what it returns, so the bytes as received are searched. The answer is a failure that may have run. Sound forms are tested beside it: HTTP/1.0, no reason phrase, tabs and high bytes in values, statuses up to 599, interim responses, and any split of the bytes.

--- a/packages/core/src/bergamotwood_core/answers.py
+++ b/packages/core/src/bergamotwood_core/answers.py
@@ -3,6 +3,42 @@
 A server in trouble may send a part of an answer, or bytes that only resemble one.
 """
 
+from re import compile as compile_pattern
+
+# HTTP/1.1 permits no other statuses (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
+PROTOCOL = b"HTTP/1."
+# A folded line (RFC 9112, section 5.2), which makes a field a part of the one before,
+# or a control byte other than those that separate lines and words.
+INVALID_BYTES = compile_pattern(rb"\n[ \t]|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+
+
+def is_status(status: int) -> bool:
+    """Whether a number is a status of HTTP/1.1."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
+def find_head_fault(head: bytes, status: int) -> str | None:
+    """Return what is wrong with the head of an answer; None if nothing is.
+
+    It answers endpoints in trouble whose heads a lenient parser accepts.
+
+    Parameters
+    ----------
+    head : bytes
+        The head as it was received, with nothing after it.
+    status : int
+        Its status.
+    """
+    if not head.startswith(PROTOCOL):
+        return "not an answer of HTTP/1"
+    if not is_status(status):
+        return f"invalid status {status}"
+    if INVALID_BYTES.search(head):
+        return "folded line or control byte in the head"
+    return None
+
 
 def is_orderly_end(write_error: OSError | None) -> bool:
     """Whether the end of a connection's input was sent by the peer.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -9,7 +9,7 @@
 from gevent.socket import AF_INET, SOCK_STREAM
 from gevent.socket import socket as Socket
 
-from bergamotwood_core.answers import is_orderly_end
+from bergamotwood_core.answers import find_head_fault, is_orderly_end
 from bergamotwood_core.bounds import parse_count
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.messages import parse_address
@@ -80,6 +80,8 @@
         self._writer: RequestWriter | None = None
         # Time of the first byte of the next event; None until it has arrived.
         self._head_began_at: Seconds | None = None
+        # Bytes since the last head, until the next one is complete.
+        self._raw_head = bytearray()
         self._sock = Socket(AF_INET, SOCK_STREAM)
         self._idle_seconds = MAX_IDLE_SECONDS
         self._pauser = Pauser()
@@ -156,6 +158,8 @@
                 data = self._sock.recv(READ_BYTES)
                 if not data:
                     self._check_end()
+                if self._http.their_state in HEAD_STATES:
+                    self._raw_head += data
                 self._http.receive_data(data)
                 has_received = True
                 if self._head_began_at is None:
@@ -220,10 +224,23 @@
                 raise ConnectionBrokenError(
                     f"{self.address}: closed without a response"
                 )
+            case h11.InformationalResponse():
+                self._check_head(event)
             case h11.Response():
+                self._check_head(event)
                 self._read_keep_alive(event)
         return event
 
+    def _check_head(self, head: h11.Response | h11.InformationalResponse) -> None:
+        """Check a head that `h11`, which accepts more than HTTP/1.1, has parsed."""
+        rest = self._http.trailing_data[0]
+        raw_head = bytes(self._raw_head[: len(self._raw_head) - len(rest)])
+        is_final = self._http.their_state not in HEAD_STATES
+        self._raw_head = bytearray() if is_final else bytearray(rest)
+        fault = find_head_fault(raw_head, head.status_code)
+        if fault is not None:
+            raise ConnectionBrokenError(f"{self.address}: {fault}")
+
     def _read_keep_alive(self, response: h11.Response) -> None:
         for name, value in response.headers:
             if name != b"keep-alive":
--- a/tests/daemon/gateway/rawserver.py
+++ b/tests/daemon/gateway/rawserver.py
@@ -15,6 +15,15 @@
 NO_LINGER = pack("ii", 1, 0)
 
 
+def make_head(request, line=b"HTTP/1.1 200 OK", fields=b""):
+    """Return the head of an endpoint's answer, also as another entry passes it on."""
+    return b"%b\r\nid: %b\r\nsigned: 1\r\nbergamotwood-relay: endpoint\r\n%b\r\n" % (
+        line,
+        request,
+        fields,
+    )
+
+
 def reset(sock):
     """Close a connection with a reset instead of an end of its bytes."""
     sock.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
--- a/tests/daemon/gateway/test_broken_answers.py
+++ b/tests/daemon/gateway/test_broken_answers.py
@@ -4,7 +4,14 @@
 
 import pytest
 from core.gateway.samples import PLAIN, make_configuration, make_heartbeat, make_route
-from daemon.gateway.rawserver import RawServer, reset
+from daemon.brokenheads import (
+    BROKEN_HEADS,
+    EVENTS,
+    INTERIM_LINES,
+    LENGTH_FIELD,
+    SOUND_HEADS,
+)
+from daemon.gateway.rawserver import RawServer, make_head, reset
 from gevent import sleep
 
 from bergamotwood_core.gateway.configuration import RouteKind
@@ -21,7 +28,6 @@
     requires_key=False, max_attempts=1, kind=RouteKind.STREAMING, event_gap_seconds=0.5
 )
 ROUTES = {"plain": PLAIN_ROUTE, "once": ONCE_ROUTE, "stream": STREAM_ROUTE}
-EVENTS = 100 * b"data: a\n\n"
 # Time for which the writer of a request runs before the answer is read.
 READ_DELAY_SECONDS = 0.1
 
@@ -39,16 +45,16 @@
         server.stop()
 
 
-@pytest.fixture(params=["endpoint", "relay"])
-def connect(request, make_harness, start_server):
+@pytest.fixture
+def make_connect(make_harness, start_server):
     """Connect a caller to an entry whose endpoint, or other entry, is a raw server."""
 
-    def connect_caller(act, route):
+    def connect_caller(act, route, is_relayed):
         server = start_server(act)
         harness = make_harness(make_configuration(routes=(route,)), is_synced=False)
         harness.heartbeats = [make_heartbeat("one", address=server.address)]
         harness.sync()
-        if request.param == "relay":
+        if is_relayed:
             other = EntryAddress(
                 InstanceId("other"), "other", "karen", True, server.address
             )
@@ -59,6 +65,12 @@
     return connect_caller
 
 
+@pytest.fixture(params=["endpoint", "relay"])
+def connect(request, make_connect):
+    is_relayed = request.param == "relay"
+    return lambda act, route: make_connect(act, route, is_relayed)
+
+
 @pytest.fixture
 def delay_reading(monkeypatch):
     """Let the writer of a request run before the reader of its answer."""
@@ -71,15 +83,6 @@
     monkeypatch.setattr(EndpointConnection, "receive", receive_late)
 
 
-def make_head(request, line=b"HTTP/1.1 200 OK", fields=b""):
-    """Return the head of an endpoint's answer, also as another entry passes it on."""
-    return b"%b\r\nid: %b\r\nsigned: 1\r\nbergamotwood-relay: endpoint\r\n%b\r\n" % (
-        line,
-        request,
-        fields,
-    )
-
-
 def is_success(reply):
     return reply is not None and reply.is_whole and reply.status == 200
 
@@ -127,3 +130,61 @@
     reply = connect(act, ROUTES[kind]).call("POST", body=UPLOAD)
     assert is_success(reply)
     assert reply.body == EVENTS.decode()
+
+
+def make_sender(line, fields):
+    def act(sock, request):
+        sock.sendall(make_head(request, line, fields) + EVENTS)
+
+    return act
+
+
+# A status from 600 to 999, or a field that followed a blank, reached the caller.
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("line, fields", BROKEN_HEADS)
+def test_an_answer_whose_head_is_broken_is_a_failure(connect, line, fields, kind):
+    reply = connect(make_sender(line, fields), ROUTES[kind]).call("POST")
+    assert reply.status == 502
+    assert "signed" not in reply.headers
+    assert "may_have_run" in reply.body
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("line, fields", SOUND_HEADS)
+def test_an_answer_whose_head_is_sound_arrives_whole(connect, line, fields, kind):
+    reply = connect(make_sender(line, fields), ROUTES[kind]).call("POST")
+    assert is_success(reply)
+    assert reply.body == EVENTS.decode()
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+def test_an_answer_after_interim_responses_arrives_whole(make_connect, kind):
+    act = make_sender(INTERIM_LINES + b"HTTP/1.1 200 OK", LENGTH_FIELD)
+    reply = make_connect(act, ROUTES[kind], False).call("POST")
+    assert is_success(reply)
+    assert reply.body == EVENTS.decode()
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize(
+    "interim",
+    [
+        b"HTTP/1.1 103 X\r\na: b\r\n c: d",
+        b"HTTP/1.1 000 X",
+        b"HTTP/1.1 103 X\r\na b: c",
+    ],
+)
+def test_an_answer_after_a_broken_interim_response_is_a_failure(
+    make_connect, interim, kind
+):
+    act = make_sender(interim + b"\r\n\r\nHTTP/1.1 200 OK", LENGTH_FIELD)
+    assert make_connect(act, ROUTES[kind], False).call("POST").status == 502
+
+
+@pytest.mark.parametrize("status", [203, 299, 404, 499, 500, 599])
+def test_a_sound_status_reaches_the_caller(connect, status):
+    line = b"HTTP/1.1 %d X" % status
+    reply = connect(make_sender(line, LENGTH_FIELD), ONCE_ROUTE).call("POST")
+    assert reply.status == status
+    assert reply.headers["signed"] == "1"
+    assert reply.body == EVENTS.decode()
--- a/tests/daemon/gateway/test_client.py
+++ b/tests/daemon/gateway/test_client.py
@@ -12,6 +12,7 @@
 from struct import pack
 
 import h11
+import pytest
 from gevent import Timeout, sleep, spawn
 from gevent.socket import AF_INET, SOCK_STREAM, socketpair
 from gevent.socket import socket as Socket
@@ -296,3 +297,37 @@
         assert wait_for_answer(connection) == b"hello"
     assert not connection.finish()
     connection.close()
+
+
+FOLDED = b"HTTP/1.1 200 OK\r\na: b\r\n c: d\r\ncontent-length: 5\r\n\r\nhello"
+INTERIM = b"HTTP/1.1 103 X\r\na: b\r\n\r\n"
+# The blank begins a line of the body, not of the head.
+BLANK = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n\n a\x01b"
+
+
+@pytest.mark.parametrize("size", [1, 7, 1_000])
+@pytest.mark.parametrize(
+    "answer, body", [(FOLDED, None), (INTERIM + FOLDED, None), (BLANK, b"\n a\x01b")]
+)
+def test_a_head_is_checked_alike_in_any_split(answer, body, size):
+    connection, theirs = open_pair()
+    pieces = [answer[at : at + size] for at in range(0, len(answer), size)]
+    sender = spawn(send_all, theirs, pieces)
+    with Timeout(WAIT_SECONDS):
+        found = read_answer(connection)
+    assert found == body if body else isinstance(found, ConnectionBrokenError)
+    connection.close()
+    sender.kill()
+
+
+def test_the_next_answer_on_a_connection_is_checked_by_itself():
+    connection, theirs = open_pair()
+    for _ in range(3):
+        theirs.sendall(INTERIM + WHOLE)
+        assert read_answer(connection) == b"hello"
+        assert connection.finish()
+        connection.send(b"GET", b"/", [(b"host", b"h")], b"")
+    theirs.sendall(FOLDED)
+    assert isinstance(read_answer(connection), ConnectionBrokenError)
+    connection.close()
+    theirs.close()
