Wait for the final response to a health check

Callers saw nothing by themselves: an entry took an endpoint for alive, and went on with the requests there, though it had only sent an interim response, one of status 199 among them. Where a sound interim response came first, the head after it, which says how long an endpoint is cold, was not read.

Cause: the check took the first event of the answer for its head.

Evidence: three cases of test_liveness.py fail on the code before: 199, 103 and 100 before a sound answer, and 103 and 100 before the end of the connection. The 57 others, every broken head of the entry's requests among them, passed before: health checks read through the same connection.

Why it works: `receive_head` reads on until the final response, for at most eight interim ones and within the time of the check, as requests do.

Measured: 92 tests of health checks, endpoint trouble and cold endpoints pass.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -12,6 +12,7 @@
 from bergamotwood_core.gateway.retries import may_retry
 from bergamotwood_core.gateway.suspects import SURVIVAL_SECONDS, StartedAnswer
 from bergamotwood_daemon.gateway.client import (
+    MAX_INFORMATIONAL_RESPONSES,
     ConnectionBrokenError,
     NotConnectedError,
     ResponseTimeoutError,
@@ -28,8 +29,6 @@
 
 MISDIRECTED_REQUEST = 421
 SERVICE_UNAVAILABLE = 503
-# Interim responses accepted before the final one.
-MAX_INFORMATIONAL_RESPONSES = 8
 # Time without a response head after which a retryable request is retried at another
 # endpoint, in multiples of the route's latency objective.
 HEAD_TIMEOUT_OBJECTIVES = 1.5
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -37,6 +37,8 @@
 # Time from the first byte of a head to its end; heads come in one piece or a few.
 HEAD_SECONDS = 5.0
 HEAD_STATES = (h11.IDLE, h11.SEND_RESPONSE)
+# Interim responses accepted before the final one.
+MAX_INFORMATIONAL_RESPONSES = 8
 # Shortest timeout of a socket; 0 would make it non-blocking.
 MIN_RECEIVE_SECONDS = 0.001
 
@@ -175,6 +177,21 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise ConnectionBrokenError(f"{self.address}: {error}") from error
 
+    def receive_head(self, seconds: float) -> h11.Response:
+        """Return the head of the final response, waiting at most `seconds` for it.
+
+        Raises
+        ------
+        ConnectionBrokenError, ResponseTimeoutError
+            As for `receive`, or there are too many interim responses.
+        """
+        deadline = self._clock() + seconds
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
+            head = self.receive(max(deadline - self._clock(), 0.0))
+            if isinstance(head, h11.Response):
+                return head
+        raise ConnectionBrokenError(f"{self.address}: too many informational responses")
+
     def finish(self) -> bool:
         """End an exchange; return whether the connection can be reused.
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/liveness.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 
-import h11
 from gevent.event import AsyncResult
 
 from bergamotwood_core.clock import Seconds
@@ -140,8 +139,8 @@
                 return True
             headers = [(b"host", heartbeat.address.encode())]
             connection.send(b"GET", self._find_target(heartbeat), headers, b"")
-            head = connection.receive(CHECK_TIMEOUT_SECONDS)
-            if self._record_head is not None and isinstance(head, h11.Response):
+            head = connection.receive_head(CHECK_TIMEOUT_SECONDS)
+            if self._record_head is not None:
                 fields = list(head.headers)
                 self._record_head(heartbeat, fields, sent_at, self._clock())
         except (
