Wait for the final response on the chat path

Callers of plain services got an interim response, 100 or 103 without a body, as the answer, if it came by itself; on the chat path the attempt failed.

Cause: `EndpointCall` took the first complete head for that of the answer, and an interim response as a complete message. The parser begins a new message only once more bytes are fed.

Why it works: only a head with a status from 200 on is the head of the answer, and the end of a message counts after that alone; an end of the connection before it is a broken answer. The bytes of all heads together are bounded as before.

--- a/packages/core/src/bergamotwood_core/answers.py
+++ b/packages/core/src/bergamotwood_core/answers.py
@@ -7,6 +7,7 @@
 
 # HTTP/1.1 permits no other statuses (RFC 9110, section 15).
 MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
 PROTOCOL = b"HTTP/1."
 # A folded line (RFC 9112, section 5.2), which makes a field a part of the one before,
--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -5,8 +5,12 @@
 from socket import IPPROTO_TCP, TCP_NODELAY
 
 from gevent.socket import create_connection, timeout, wait_read
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPResponse,
+)
 
+from bergamotwood_core.answers import MIN_FINAL_STATUS
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
@@ -30,12 +34,29 @@
 
 
 class _Response(HTTPResponse):
-    """A response parser that returns the body as it arrives."""
+    """A response parser that returns the body as it arrives.
+
+    Attributes
+    ----------
+    has_head : bool
+        Whether the head of the final response is complete.
+    """
 
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
+        self.has_head = False
         self._unread_body = bytearray()
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the final response is complete."""
+        return self.has_head and self.message_complete
+
+    def _on_headers_complete(self) -> int | bool | None:
+        has_no_body = super()._on_headers_complete()
+        self.has_head = self.status_code >= MIN_FINAL_STATUS
+        return has_no_body
+
     def _on_body(self, buf: bytearray) -> None:
         self._unread_body += buf
 
@@ -114,7 +135,7 @@
             raise EndpointError(
                 f"{self._address} closed the connection: {error}"
             ) from error
-        while not self._response.headers_complete:
+        while not self._response.has_head:
             if self._received_bytes > MAX_HEAD_BYTES:
                 raise self._make_broken_error(f"no head in {MAX_HEAD_BYTES} bytes")
             self._receive(deadline)
@@ -140,7 +161,7 @@
         deadline = read_clock() + timeout_seconds
         while True:
             piece = self._response.take_body()
-            if piece or self._response.message_complete:
+            if piece or self._response.is_complete:
                 return piece
             self._receive(deadline)
 
@@ -234,7 +255,7 @@
 
     def _ends_with_connection(self) -> bool:
         return (
-            self._response.headers_complete
+            self._response.has_head
             and self._response.content_length is None
             and "transfer-encoding" not in self._response
         )
--- a/tests/daemon/test_endpointcall.py
+++ b/tests/daemon/test_endpointcall.py
@@ -1,4 +1,13 @@
+from socket import SHUT_WR
+
 import pytest
+from daemon.brokenheads import (
+    EVENTS,
+    INTERIM_LINES,
+    LENGTH_FIELD,
+    SOUND_HEADS,
+)
+from daemon.gateway.rawserver import reset
 from gevent import Timeout, sleep, spawn
 from gevent.server import StreamServer
 
@@ -205,3 +214,99 @@
     call.send(1.0)
     assert list(call.read_events(1.0, 1.0)) == [b"a", b"bcde"]
     server.stop()
+
+
+def exchange(server):
+    """Return the status and the body of an answer."""
+    call = make_call(server)
+    try:
+        call.send(1.0)
+        body = call.read_all(1.0, 10_000)
+        return call.status, body
+    finally:
+        call.close()
+
+
+@pytest.mark.parametrize("line, fields", SOUND_HEADS)
+def test_an_answer_whose_head_is_sound_is_read_whole(serve, line, fields):
+    server = serve(line + b"\r\n" + fields + b"\r\n" + EVENTS)
+    assert exchange(server) == (200, EVENTS)
+
+
+WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
+
+
+class ActingServer(RawServer):
+    """Calls a function with each connection, of which it has read some bytes."""
+
+    def __init__(self, act):
+        self._act = act
+        super().__init__(b"")
+
+    def _serve(self, sock, _):
+        sock.recv(1_000)
+        self._act(sock)
+
+
+@pytest.fixture
+def act():
+    servers = []
+
+    def start(function):
+        servers.append(ActingServer(function))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+# An interim response that came by itself was taken for the answer.
+def test_an_interim_response_is_followed_by_the_answer(act):
+    def answer(sock):
+        for piece in (INTERIM_LINES, WHOLE):
+            sock.sendall(piece)
+            sleep(0.05)
+
+    assert exchange(act(answer)) == (200, b"hello")
+
+
+def test_an_interim_response_alone_is_no_answer(serve):
+    with pytest.raises(EndpointError) as caught:
+        exchange(serve(INTERIM_LINES))
+    assert caught.value.code is Code.STREAM_BROKEN
+
+
+UPLOAD = 4_000_000 * b"u"
+
+
+def upload(server):
+    call = EndpointCall(server.address, "POST", "/x", (), UPLOAD)
+    call.dial(1.0)
+    call.send(5.0)
+    return call.status, call.read_all(5.0, 10_000)
+
+
+@pytest.mark.parametrize("pause_seconds", [0.0, 0.1])
+@pytest.mark.parametrize("reads", [0, 1, 20])
+def test_an_answer_that_is_reset_is_broken(act, reads, pause_seconds):
+    def answer(sock):
+        sock.sendall(HEAD + b"\r\n" + EVENTS)
+        for _ in range(reads):
+            sock.recv(65_536)
+        sleep(pause_seconds)
+        reset(sock)
+
+    with pytest.raises(EndpointError):
+        upload(act(answer))
+
+
+@pytest.mark.parametrize("fields", [b"", LENGTH_FIELD])
+def test_an_early_answer_is_read_whole(act, fields):
+    def answer(sock):
+        sock.sendall(HEAD + fields + b"\r\n" + EVENTS)
+        sock.shutdown(SHUT_WR)
+        while sock.recv(65_536):
+            pass
+
+    assert upload(act(answer)) == (200, EVENTS)
