Keep bytes after a complete answer out of it on the chat path

Callers of plain services got the status of a second response, and both bodies joined, if an endpoint sent one right after its answer. Other bytes after a complete answer made the request fail though the answer was whole.

Cause: the parser goes on with the next message in the bytes that it is fed, replaces the status and the fields, and calls back with the next body.

Why it works: a message after the complete answer is an error to the parser, and errors after a complete answer are ignored: its bytes belong to no request, and each call has a connection of its own.

--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -7,6 +7,7 @@
 from gevent.socket import create_connection, timeout, wait_read
 from geventhttpclient.response import (
     HTTPParseError,
+    HTTPProtocolViolationError,
     HTTPResponse,
 )
 
@@ -52,6 +53,11 @@
         """Whether the final response is complete."""
         return self.has_head and self.message_complete
 
+    def _on_message_begin(self) -> None:
+        if self.is_complete:
+            raise HTTPProtocolViolationError("bytes after the response")
+        super()._on_message_begin()
+
     def _on_headers_complete(self) -> int | bool | None:
         has_no_body = super()._on_headers_complete()
         self.has_head = self.status_code >= MIN_FINAL_STATUS
@@ -251,6 +257,9 @@
         try:
             self._response.feed(data)
         except HTTPParseError as error:
+            if self._response.is_complete:
+                # Bytes after a complete response belong to no request.
+                return
             raise self._make_broken_error(f"not HTTP: {error}") from error
 
     def _ends_with_connection(self) -> bool:
--- a/tests/daemon/test_endpointcall.py
+++ b/tests/daemon/test_endpointcall.py
@@ -236,6 +236,21 @@
 WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
 
 
+# The second answer's status and body were added to those of the first.
+@pytest.mark.parametrize(
+    "extra",
+    [
+        WHOLE,
+        b"HTTP/1.1 404 X\r\nContent-Length: 4\r\n\r\nlost",
+        b"HTTP/1.1 100 X\r\n\r\n",
+        b"extra",
+        b"\r\n\r\n",
+    ],
+)
+def test_bytes_after_a_complete_answer_are_no_part_of_it(serve, extra):
+    assert exchange(serve(WHOLE + extra)) == (200, b"hello")
+
+
 class ActingServer(RawServer):
     """Calls a function with each connection, of which it has read some bytes."""
 
