Refuse answers whose heads are not of HTTP/1.1 on the chat path

Plain services passed the status that an endpoint in trouble sent to their callers, 000 and 999 among them, and stored it as the answer of a key. On the chat path they were failures, as every status but 200 is.

Cause: the parser of `EndpointCall` accepts any three digits as a status, the versions 0.9 and 2.0, RTSP and ICE answers, and control bytes in the reason phrase; it decodes a body in chunks whatever other transfer coding it has. Nothing checked this afterwards.

Why it works: the status line of each head is checked by the decision that the gateway uses, and the transfer coding must be the one that is decoded. Blanks and control bytes in names and values, folded lines and two lengths are refused by the parser itself; their tests are kept. Ratings and orders to endpoints are sent through `EndpointCall`, too.

--- a/packages/core/src/bergamotwood_core/answers.py
+++ b/packages/core/src/bergamotwood_core/answers.py
@@ -15,11 +15,6 @@
 INVALID_BYTES = compile_pattern(rb"\n[ \t]|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 
 
-def is_status(status: int) -> bool:
-    """Whether a number is a status of HTTP/1.1."""
-    return MIN_STATUS <= status <= MAX_STATUS
-
-
 def find_head_fault(head: bytes, status: int) -> str | None:
     """Return what is wrong with the head of an answer; None if nothing is.
 
@@ -28,13 +23,13 @@
     Parameters
     ----------
     head : bytes
-        The head as it was received, with nothing after it.
+        The head as it was received, or its first line, with nothing after it.
     status : int
         Its status.
     """
     if not head.startswith(PROTOCOL):
         return "not an answer of HTTP/1"
-    if not is_status(status):
+    if not MIN_STATUS <= status <= MAX_STATUS:
         return f"invalid status {status}"
     if INVALID_BYTES.search(head):
         return "folded line or control byte in the head"
--- a/packages/daemon/src/bergamotwood_daemon/endpointcall.py
+++ b/packages/daemon/src/bergamotwood_daemon/endpointcall.py
@@ -11,7 +11,7 @@
     HTTPResponse,
 )
 
-from bergamotwood_core.answers import MIN_FINAL_STATUS
+from bergamotwood_core.answers import MIN_FINAL_STATUS, find_head_fault
 from bergamotwood_core.errors import Code, EndpointError
 from bergamotwood_core.messages import Address
 from bergamotwood_core.states import Run
@@ -24,6 +24,8 @@
 MAX_EVENT_BYTES = 1_000_000
 # Largest head of a response.
 MAX_HEAD_BYTES = 65_536
+# The parser accepts other protocols, too.
+PROTOCOL = b"HTTP/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +62,22 @@
 
     def _on_headers_complete(self) -> int | bool | None:
         has_no_body = super()._on_headers_complete()
+        fault = self._find_fault()
+        if fault is not None:
+            raise HTTPProtocolViolationError(fault)
         self.has_head = self.status_code >= MIN_FINAL_STATUS
         return has_no_body
 
+    def _find_fault(self) -> str | None:
+        line = f"{self.version} {self.status_code} {self.status_message or ''}"
+        fault = find_head_fault(line.encode("latin-1", "replace"), self.status_code)
+        if fault is not None:
+            return fault
+        coding = self.get("transfer-encoding", "chunked")
+        if str(coding).lower() != "chunked":
+            return f"unsupported transfer coding {coding}"
+        return None
+
     def _on_body(self, buf: bytearray) -> None:
         self._unread_body += buf
 
@@ -102,6 +117,7 @@
         self._response = _Response(method)
         self._socket = None
         self._received_bytes = 0
+        self._beginning = b""
 
     def dial(self, timeout_seconds: float) -> None:
         """Connect to the endpoint.
@@ -254,6 +270,7 @@
         self._received_bytes += len(data)
         if not data and not self._ends_with_connection():
             raise self._make_broken_error("closed early")
+        self._check_protocol(data)
         try:
             self._response.feed(data)
         except HTTPParseError as error:
@@ -262,6 +279,13 @@
                 return
             raise self._make_broken_error(f"not HTTP: {error}") from error
 
+    def _check_protocol(self, data: bytes) -> None:
+        if len(self._beginning) == len(PROTOCOL):
+            return
+        self._beginning = (self._beginning + data).lstrip(b"\r\n")[: len(PROTOCOL)]
+        if not PROTOCOL.startswith(self._beginning):
+            raise self._make_broken_error("not HTTP")
+
     def _ends_with_connection(self) -> bool:
         return (
             self._response.has_head
--- a/tests/daemon/test_endpointcall.py
+++ b/tests/daemon/test_endpointcall.py
@@ -2,6 +2,7 @@
 
 import pytest
 from daemon.brokenheads import (
+    BROKEN_HEADS,
     EVENTS,
     INTERIM_LINES,
     LENGTH_FIELD,
@@ -227,12 +228,30 @@
         call.close()
 
 
+# A status below 200 or above 599, or another protocol, was taken for an answer.
+@pytest.mark.parametrize("line, fields", [*BROKEN_HEADS, (b"RTSP/1.0 200 OK", b"")])
+def test_an_answer_whose_head_is_broken_is_none(serve, line, fields):
+    server = serve(line + b"\r\n" + fields + b"\r\n" + EVENTS)
+    with pytest.raises(EndpointError) as caught:
+        exchange(server)
+    assert caught.value.code is Code.STREAM_BROKEN
+    assert caught.value.run is Run.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize("line, fields", SOUND_HEADS)
 def test_an_answer_whose_head_is_sound_is_read_whole(serve, line, fields):
     server = serve(line + b"\r\n" + fields + b"\r\n" + EVENTS)
     assert exchange(server) == (200, EVENTS)
 
 
+@pytest.mark.parametrize("coding", [b"gzip, chunked", b"gzip", b"chunked, identity"])
+def test_a_body_in_a_coding_that_is_not_supported_is_broken(serve, coding):
+    head = HEAD + b"Transfer-Encoding: " + coding + b"\r\n\r\n"
+    with pytest.raises(EndpointError) as caught:
+        exchange(serve(head + b"5\r\nhello\r\n0\r\n\r\n"))
+    assert caught.value.code is Code.STREAM_BROKEN
+
+
 WHOLE = HEAD + b"Content-Length: 5\r\n\r\nhello"
 
 
