Ask the next entry after a broken answer in bergamotctl

Operators saw the command end with the error of a parser, and no other entry was asked, when the first entry named was in trouble and sent a broken answer, 000 as a status and blanks in names among them. A status from 600 on was reported as that of the entry, and an answer in another version or protocol was printed as a sound one.

Cause: the errors of the parser are neither `OSError` nor `ValueError`, which the client expects, and nothing checked the first line that it accepts.

Why it works: what is no answer counts as a lost one. The next entry is asked, and without one the command says so with the exit code for it. A repeated request is harmless, as for lost answers before.

Already handled: a part of a document without a length, ended or reset, is an error, as no beginning of a JSON object is a document.

--- a/packages/ctl/src/bergamotctl/client.py
+++ b/packages/ctl/src/bergamotctl/client.py
@@ -8,9 +8,11 @@
 from click import UsageError
 from gevent.ssl import PROTOCOL_TLS_CLIENT, SSLContext
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 from msgspec import DecodeError
 from msgspec.json import decode
 
+from bergamotwood_core.answers import find_head_fault
 from bergamotwood_core.errors import AnswerError, Code, UnreachableError
 
 # The read timeout limits the time without a byte of the response.
@@ -81,7 +83,7 @@
         for entry in self.entries:
             try:
                 status, content = self._send(entry, method, path, body)
-            except (OSError, ValueError) as error:
+            except (OSError, ValueError, HTTPParseError) as error:
                 failures.append(f"{entry}: {error or type(error).__name__}")
                 continue
             return _parse_response(entry, status, content)
@@ -104,6 +106,7 @@
         )
         try:
             response = client.request(method, path, body, self._make_headers())
+            _check_head(response)
             return response.status_code, bytes(response.read())
         finally:
             client.close()
@@ -126,6 +129,21 @@
     return context
 
 
+def _check_head(response: HTTPResponse) -> None:
+    """Check the first line of a response, of which the parser accepts too much.
+
+    Raises
+    ------
+    ValueError
+        When no entry sends such a line.
+    """
+    status = response.status_code
+    line = f"{response.version} {status} {response.status_message or ''}"
+    fault = find_head_fault(line.encode("latin-1", "replace"), status)
+    if fault is not None:
+        raise ValueError(fault)
+
+
 def _parse_response(entry: str, status: int, content: bytes) -> Any:
     try:
         document = decode(content)
