Reset a stream that breaks off before a caller of HTTP/1.0

Callers of HTTP/1.0 got a stream that broke off as a whole one.

Cause: HTTP/1.0 has no chunks, so the end of a stream is the end of its connection, and the entry closed the connection the same way whether the stream was complete or not.

Evidence: two of four cases of test_broken_answers.py (at an endpoint and through a relay) fail on the code before.

Why it works: a close while a response to such a caller has begun and has not ended resets the connection, also where the caller is dropped for want of memory. A whole stream ends with a close, as before, and callers of HTTP/1.1 see that the last chunk is missing.

Measured: these four and 90 tests of callers, servers and forwarding pass.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/callerconnection.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/callerconnection.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from socket import IPPROTO_TCP, SHUT_WR, SO_LINGER, SOL_SOCKET, TCP_NODELAY
+from struct import pack
 from sys import maxsize
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,8 @@
 SEND_TIMEOUT_SECONDS = 30.0
 # Time for the caller to read an error response before its connection is closed.
 LINGER_SECONDS = 0.5
+# Value of `SO_LINGER` with which closing a socket resets its connection.
+NO_LINGER = pack("ii", 1, 0)
 # Time after which a caller may come back that was refused for want of room.
 FULL_RETRY_SECONDS = 1.0
 REFUSAL_HEAD = (
@@ -266,8 +269,7 @@
         """Close the connection without waiting for its caller."""
         if self._inbound is not None:
             self._inbound.evict()
-        with suppress(OSError):
-            self._sock.close()
+        self._close_socket()
 
     def _refuse_connection(self) -> None:
         """Refuse a connection for which there is no room, and close it."""
@@ -407,9 +409,25 @@
     def _close(self) -> None:
         self._inbound.stop()
         self._server.account.close(self._holding)
+        self._close_socket()
+
+    def _close_socket(self) -> None:
+        """Close the socket; reset it if a cut-off response would seem complete."""
         with suppress(OSError):
+            if self._would_seem_complete:
+                self._sock.setsockopt(SOL_SOCKET, SO_LINGER, NO_LINGER)
             self._sock.close()
 
+    @property
+    def _would_seem_complete(self) -> bool:
+        """Whether a close would end a response that is not complete yet.
+
+        Chunks show that the last one is missing, but HTTP/1.0 has none.
+        """
+        version = self._http.their_http_version
+        has_begun = self._http.our_state is h11.SEND_BODY
+        return has_begun and version is not None and version < b"1.1"
+
 
 def _is_framed_twice(head: h11.Request) -> bool:
     """Whether a request has a length and is chunked (RFC 9112, 6.1).
--- a/tests/daemon/gateway/test_broken_answers.py
+++ b/tests/daemon/gateway/test_broken_answers.py
@@ -188,3 +188,31 @@
     assert reply.status == status
     assert reply.headers["signed"] == "1"
     assert reply.body == EVENTS.decode()
+
+
+def read_until_end(sock):
+    """Return the bytes until the end of a connection, and whether it was reset."""
+    data = b""
+    try:
+        while more := sock.recv(65_536):
+            data += more
+    except ConnectionResetError:
+        return data, True
+    return data, False
+
+
+# A stream that broke off ended like a whole one, as HTTP/1.0 has no chunks.
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_a_stream_that_breaks_off_is_reset_for_a_caller_of_http_1_0(connect, is_whole):
+    def act(sock, request):
+        length = b"content-length: %d\r\n" % (len(EVENTS) + (not is_whole))
+        sock.sendall(make_head(request, fields=length) + EVENTS)
+
+    caller = connect(act, STREAM_ROUTE)
+    caller.send_raw(
+        b"GET /a/x HTTP/1.0\r\nhost: h.example\r\nid: q-1\r\nkey: key-1\r\n\r\n"
+    )
+    data, is_reset = read_until_end(caller.sock)
+    assert b"transfer-encoding" not in data
+    assert is_reset is not is_whole
+    assert not is_whole or data.endswith(b"\r\n\r\n" + EVENTS)
