Draw early and broken answers in the soak

A caller sends requests of 3 MB, and two endpoints answer them before they have read them: with a length, with the end of the connection, with a part and a reset just after they have read on, or with a broken head. A new check compares what arrives as a complete answer with what the endpoint made.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -20,6 +20,7 @@
     Observations,
     Read,
     Run,
+    Upload,
 )
 
 BOUNDS = Bounds()
@@ -268,3 +269,24 @@
     assert [(item.rule, item.subject) for item in found] == [
         ("too much memory", "entry-2")
     ]
+
+
+@pytest.mark.parametrize(
+    "status, answer, is_whole, is_broken",
+    [
+        (200, b"made", True, False),
+        (200, b"ma", True, True),
+        (200, b"ma", False, False),
+        (502, b"error", True, False),
+        (700, b"made", True, True),
+        (None, b"", False, False),
+    ],
+)
+def test_answer_to_a_long_request_has_to_be_whole(status, answer, is_whole, is_broken):
+    upload = Upload("u", 50.0, "length", b"made", status, answer, is_whole)
+    assert check(uploads={"u": upload}) == ["broken answer"] * is_broken
+
+
+def test_answer_that_the_endpoint_broke_off_is_no_success():
+    upload = Upload("u", 50.0, "reset", None, 200, b"", True)
+    assert check(uploads={"u": upload}) == ["broken answer"]
