Read an answer that came before an error of the request's first write

Callers lost a whole answer with a length: an endpoint answered as soon as it had the head of a long request and reset the connection while the entry was still in its first calls to write the body. The request failed with 502.

Cause: an error in these calls was raised at once, and nothing was read. An error of the greenlet that writes the rest was kept for the reader.

Evidence: both cases of test_client.py in which an answer is there before the body is sent fail on the code before; a part without a length is to be broken for the reader too.

Without an answer the attempt ends as before, broken, and counts as one that may have run.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/attempt.py
@@ -113,10 +113,6 @@
             self._entry.record_failed_connection(self._call.service, self._key)
             self._record_refused_connection(error)
             return NotRun(str(error), AttemptResult.UNREACHABLE, was_sent=False)
-        except ConnectionBrokenError as error:
-            self._call.possible_executions += 1
-            self._record_crash()
-            return MayHaveRun(str(error), AttemptResult.BROKEN)
         try:
             head = self._receive_head()
         except ConnectionBrokenError as error:
--- a/packages/daemon/src/bergamotwood_daemon/gateway/client.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/client.py
@@ -113,10 +113,7 @@
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request; an endpoint may answer before it has read all of it.
 
-        Raises
-        ------
-        ConnectionBrokenError
-            When the connection breaks; the endpoint may have received the request.
+        If the connection breaks, `receive` raises once it has read what came before.
         """
         head = h11.Request(method=method, target=target, headers=headers)
         pieces = [self._http.send(head)]
@@ -126,10 +123,7 @@
         if len(body) <= JOINED_BYTES:
             pieces = [b"".join(pieces)]
         self._writer = RequestWriter(self._sock, pieces)
-        try:
-            self._writer.start()
-        except OSError as error:
-            raise ConnectionBrokenError(f"{self.address}: {error}") from error
+        self._writer.start()
 
     def receive(self, seconds: float) -> h11.Event:
         """Return the next event of the response, waiting at most `seconds` for it.
--- a/packages/daemon/src/bergamotwood_daemon/gateway/requestwriter.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/requestwriter.py
@@ -43,10 +43,7 @@
     def start(self) -> None:
         """Write what the socket takes at once, and the rest meanwhile.
 
-        Raises
-        ------
-        OSError
-            When the connection is broken already.
+        An error is kept, as the response may have come before it.
         """
         try:
             while self._unsent:
@@ -55,6 +52,8 @@
             self._duplicate = self._sock.dup()
             self._duplicate.settimeout(None)
             self._greenlet = spawn(self._write_rest)
+        except OSError as error:
+            self.error = error
 
     def stop(self) -> None:
         """Stop writing; what is not written remains so."""
--- a/tests/daemon/gateway/test_client.py
+++ b/tests/daemon/gateway/test_client.py
@@ -331,3 +331,49 @@
     assert isinstance(read_answer(connection), ConnectionBrokenError)
     connection.close()
     theirs.close()
+
+
+class AnsweredSocket:
+    """Socket whose other end acts as soon as the first bytes are sent."""
+
+    def __init__(self, sock, act):
+        self._sock = sock
+        self._act = act
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def send(self, *args):
+        count = self._sock.send(*args)
+        act, self._act = self._act, lambda: None
+        act()
+        return count
+
+
+def post_to_a_server_that_resets(answer):
+    """Return what is read of an answer that is there before the body is sent."""
+    connection, theirs = open_slow_pair()
+
+    def act():
+        theirs.recv(1_000)
+        theirs.sendall(answer)
+        reset(theirs)
+        sleep(0.05)
+
+    connection._sock = AnsweredSocket(connection._sock, act)
+    post(connection, BODY)
+    with Timeout(WAIT_SECONDS):
+        found = wait_for_answer(connection)
+    assert not connection.finish()
+    connection.close()
+    return found
+
+
+# The error of the write hid an answer that had arrived.
+def test_an_answer_that_comes_before_the_body_is_sent_is_whole():
+    assert post_to_a_server_that_resets(WHOLE) == b"hello"
+
+
+def test_a_part_of_an_answer_that_comes_before_the_body_is_sent_is_broken():
+    found = post_to_a_server_that_resets(UNFRAMED_PART)
+    assert isinstance(found, ConnectionBrokenError)
