Let no key work once a configuration has lost its workspaces

Cause: a document with an empty list of tenants and one without the list were decoded to the same configuration, which needs no keys.

Before the change these tests failed: an empty list in test_documents and in test_forwarder (200 and an arrival instead of 401), and the two of the same class below.

Why this works: the configuration says whether it has workspaces at all. The document is what is committed and sent, so no message and no state changes.

The same class on related paths: a request that was admitted without a key was sent again unchecked after keys had become required (two arrivals in the test, one is allowed), and a configured key without characters was that of every request without a key.

--- a/packages/core/src/bergamotwood_core/gateway/configuration.py
+++ b/packages/core/src/bergamotwood_core/gateway/configuration.py
@@ -188,13 +188,15 @@
     ----------
     number : int
         Version; the highest one takes effect. Numbers may have gaps.
+    workspaces : tuple of GatewayWorkspace or None
+        None if requests need no keys. Without any workspace no key is valid.
     """
 
     number: int
     routes: tuple[ServiceRoute, ...] = ()
     services: tuple[GatewayService, ...] = ()
     limits: CallerLimits = CallerLimits()
-    workspaces: tuple[GatewayWorkspace, ...] = ()
+    workspaces: tuple[GatewayWorkspace, ...] | None = None
 
 
 def find_configuration_errors(configuration: GatewayConfiguration) -> tuple[str, ...]:
@@ -237,7 +239,7 @@
 
 def _find_shared_keys(configuration: GatewayConfiguration) -> Iterator[str]:
     owners: dict[str, WorkspaceId] = {}
-    for workspace in configuration.workspaces:
+    for workspace in configuration.workspaces or ():
         for key in workspace.keys:
             owner = owners.setdefault(key, workspace.name)
             if owner != workspace.name:
@@ -282,14 +284,14 @@
         or not 0.0 <= limits.idle_seconds <= MAX_SECONDS
     ):
         yield "limits: a number is out of range"
-    for workspace in configuration.workspaces:
+    for workspace in configuration.workspaces or ():
         if abs(workspace.priority or 0) > MAX_PRIORITY:
             yield f"workspace {workspace.name}: its priority is out of range"
 
 
 def _find_name_errors(configuration: GatewayConfiguration) -> Iterator[str]:
     """Find names that cannot be sent to endpoints."""
-    for workspace in configuration.workspaces:
+    for workspace in configuration.workspaces or ():
         if UNSENDABLE.search(workspace.name):
             yield f"workspace {workspace.name!r}: its name cannot be sent"
     for route in configuration.routes:
--- a/packages/core/src/bergamotwood_core/gateway/routing.py
+++ b/packages/core/src/bergamotwood_core/gateway/routing.py
@@ -29,8 +29,10 @@
         }
         self._workspaces = {
             key: workspace
-            for workspace in configuration.workspaces
+            for workspace in configuration.workspaces or ()
             for key in workspace.keys
+            # An empty key is what a request without a key has.
+            if key
         }
         self._services = {service.name: service for service in configuration.services}
 
@@ -40,9 +42,9 @@
         return self.configuration.number
 
     @property
-    def has_workspaces(self) -> bool:
-        """Whether the configuration defines any workspace."""
-        return bool(self.configuration.workspaces)
+    def checks_keys(self) -> bool:
+        """Whether routes that are not public need a valid key."""
+        return self.configuration.workspaces is not None
 
     def find_route(self, host: str, path: str) -> ServiceRoute | None:
         """Return the route with the longest matching prefix; None if none matches."""
--- a/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
@@ -206,7 +206,7 @@
     def _authorize(
         self, routing: RoutingTable, route: ServiceRoute, metadata: RequestMetadata
     ) -> GatewayWorkspace | None:
-        if not route.requires_key or not routing.has_workspaces:
+        if not route.requires_key or not routing.checks_keys:
             return None
         self._entry.control_state.require_lease()
         workspace = routing.find_workspace(metadata.key)
@@ -226,13 +226,26 @@
         return model
 
     def recheck_key(self, call: Call) -> None:
-        """Refuse a request whose key was revoked while it waited."""
-        if call.workspace is None:
-            return
+        """Refuse a request whose key was revoked, or became required, while it waited.
+
+        Raises
+        ------
+        AuthorizationError
+            When the key is not valid.
+        RefusedError
+            When the configuration may be too old to tell.
+        """
         control_state = self._entry.control_state
+        routing = control_state.require_routing()
+        needs_key = call.route.requires_key and routing.checks_keys
+        if call.workspace is None and not needs_key:
+            return
         control_state.require_lease()
-        if control_state.require_routing().find_workspace(call.metadata.key) is None:
-            raise AuthorizationError("the key was taken away")
+        workspace = routing.find_workspace(call.metadata.key)
+        if workspace is None:
+            raise AuthorizationError("the key is not valid any more")
+        if call.workspace is None:
+            call.workspace = workspace
 
 
 def make_call_fields(call: Call | None) -> dict[str, object]:
--- a/tests/core/gateway/test_routing.py
+++ b/tests/core/gateway/test_routing.py
@@ -1,8 +1,8 @@
 from core.gateway.samples import make_configuration, make_route
 
-from bergamotwood_core.gateway.configuration import Destination
+from bergamotwood_core.gateway.configuration import Destination, GatewayWorkspace
 from bergamotwood_core.gateway.routing import RoutingTable, choose_destination
-from bergamotwood_core.ids import ServiceName
+from bergamotwood_core.ids import ServiceName, WorkspaceId
 
 
 def make_table(*prefixes):
@@ -33,6 +33,14 @@
     assert table.find_workspace("") is None
 
 
+# Guards against a configured key without characters, which any request would bear.
+def test_a_missing_key_belongs_to_no_workspace():
+    workspace = GatewayWorkspace(WorkspaceId("circle"), ("", "key-1"))
+    table = RoutingTable(make_configuration(workspaces=(workspace,)))
+    assert table.find_workspace("") is None
+    assert table.find_workspace("key-1") == workspace
+
+
 def test_destinations_follow_their_weights_and_stay_fixed_per_affinity_key():
     route = make_route(
         destinations=(
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -57,6 +57,20 @@
     assert harness.list_arrivals() == []
 
 
+# Guards against keys that work again once the last workspace has been taken away.
+def test_no_key_is_valid_in_a_configuration_that_has_lost_its_workspaces(make_harness):
+    harness = make_harness(make_configuration(workspaces=()), one=answer)
+    statuses = [harness.connect().call(key=key).status for key in ("key-1", "x", None)]
+    assert statuses == [401, 401, 401]
+    assert harness.list_arrivals() == []
+
+
+def test_a_configuration_without_workspaces_needs_no_key(make_harness):
+    harness = make_harness(make_configuration(workspaces=None), one=answer)
+    assert harness.connect().call(key=None).status == 200
+    assert "workspace" not in harness.list_arrivals()[0].headers
+
+
 def test_public_routes_need_no_key(make_harness):
     harness = make_harness(configure(requires_key=False), one=answer)
     harness.clock_offset = 100.0
@@ -572,6 +586,23 @@
     assert harness.entry.liveness.checks <= 6
 
 
+# Guards against a request without a valid key that waits while keys are introduced.
+def test_a_key_is_checked_before_a_retry_once_there_are_workspaces(make_harness):
+    def disconnect_and_configure(arrival):
+        harness.configuration = make_configuration(number=9)
+        harness.entry.dialect.configuration = harness.configuration
+        harness.sync()
+        return False
+
+    harness = make_harness(
+        make_configuration(workspaces=None),
+        one=disconnect_and_configure,
+        two=disconnect_and_configure,
+    )
+    assert harness.connect().call(key="stolen").status == 502
+    assert len(harness.list_arrivals()) == 1
+
+
 def test_a_key_is_checked_again_before_a_retry(make_harness):
     def disconnect_and_revoke(arrival):
         harness.configuration = make_configuration(
--- a/tests/platform/test_boundaries.py
+++ b/tests/platform/test_boundaries.py
@@ -149,7 +149,7 @@
         assert isfinite(item.timeout_seconds)
         for model in item.models:
             send_fields([(b"m", model.encode())])
-    for workspace in configuration.workspaces:
+    for workspace in configuration.workspaces or ():
         send_fields([(b"w", workspace.name.encode())])
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,6 +4,7 @@
 
 from bergamotwood_core.errors import RequestError
 from bergamotwood_core.gateway.configuration import RouteKind, find_configuration_errors
+from bergamotwood_core.gateway.routing import RoutingTable
 from bergamotwood_core.states import EndpointState
 from bergamotwood_platform.documents import (
     ConfigurationDecoder,
@@ -30,6 +31,16 @@
     assert configuration.workspaces[0].keys == ("a", "b")
 
 
+# Guards against an empty list that is taken for none, so that any key works.
+def test_an_empty_list_of_workspaces_still_requires_keys():
+    document = {**CONFIGURATION, "tenants": []}
+    configuration = decode_configuration(encode(document))
+    assert find_configuration_errors(configuration) == ()
+    assert RoutingTable(configuration).checks_keys
+    del document["tenants"]
+    assert not RoutingTable(decode_configuration(encode(document))).checks_keys
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -41,6 +52,7 @@
         {"routes": [{**ROUTE, "backends": None}]},
         {"services": [{}]},
         {"tenants": [{"api_keys": []}]},
+        {"tenants": None},
     ],
 )
 def test_invalid_configuration_is_rejected(change):
