Remove silent voters that the control group does not need

Callers saw: after two planned replacements of control replicas, one lost disk left the control group without a majority for good.

Cause: with both new replicas beside the old ones the group grows to five voters. A silent voter was removed only to make room for a learner, and as the new ones vote already, the two that were gone counted toward the majority for good: three of five were left, and one lost disk left two.

Why this works: a voter that was silent for three seconds is removed while the group has more voters than 2 f + 1, where the platform's settings tolerate the loss of f machines. Removing a silent voter leaves the live ones with at least the same margin over the majority. At 2 f + 1 voters nothing changes, as a voter that is down with its disk may be needed later.

--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -8,13 +8,16 @@
 
 With open membership any instance may join as a learner. A learner becomes a
 voter when the group may have more voters, or replaces a voter that has been
-silent for `replacement_seconds`.
+silent for `replacement_seconds`. A voter that has been silent for that long is
+also removed while the group has more than `kept_voters`: those that are gone
+for good would otherwise count toward the majority until the next join.
 """
 
 from bergamotwood_core.clock import Seconds
 from bergamotwood_core.ids import InstanceId, ReplicaId, Term
 from bergamotwood_core.logmessages import JoinReply, JoinRequest, Message
 from bergamotwood_core.membership import (
+    MAX_OPEN_VOTERS,
     AddLearner,
     Genesis,
     Member,
@@ -35,8 +38,6 @@
 PROMOTION_LAG_ENTRIES = 200
 # Members of an open group; more would cost bandwidth without a benefit.
 MAX_OPEN_MEMBERS = 9
-# Voters of an open group; five survive the loss of two disks.
-MAX_OPEN_VOTERS = 5
 # Silence of the leader, in election timeouts, after which a replica asks to
 # join again, since it may have been removed while it was disconnected.
 REJOIN_ELECTION_TIMEOUTS = 3
@@ -125,7 +126,11 @@
     """Append the next change that adds, promotes or removes a member, if any."""
     if not can_change_membership(state):
         return
-    change = _choose_promotion(state, now) or _choose_repair(state, now)
+    change = (
+        _choose_promotion(state, now)
+        or _choose_repair(state, now)
+        or _choose_surplus(state, now)
+    )
     if change is not None:
         append_membership(state, change)
         broadcast(state, now)
@@ -185,7 +190,7 @@
         return None
     if not state.settings.open_membership or _has_room_for_voter(state, now):
         return Promote(ready[0].replica)
-    return _find_replaceable_voter(state, now)
+    return _find_silent_voter(state, now)
 
 
 def _is_ready_to_vote(state: ReplicaState, member: Member, now: Seconds) -> bool:
@@ -207,7 +212,20 @@
     return len(state.membership.voters) < min(largest_odd, MAX_OPEN_VOTERS)
 
 
-def _find_replaceable_voter(state: ReplicaState, now: Seconds) -> Remove | None:
+def _choose_surplus(state: ReplicaState, now: Seconds) -> Remove | None:
+    """Choose a silent voter that the group does not need, such as a replaced one.
+
+    The replicas that are left then survive the loss of as many more as before or
+    one more. A voter that returns joins again.
+    """
+    settings = state.settings
+    has_surplus = len(state.membership.voters) > settings.kept_voters
+    if not settings.open_membership or not has_surplus:
+        return None
+    return _find_silent_voter(state, now)
+
+
+def _find_silent_voter(state: ReplicaState, now: Seconds) -> Remove | None:
     for member in state.membership.members:
         if member.voting and member.replica != state.replica:
             silence = _measure_silence(state, member, now)
--- a/packages/core/src/bergamotwood_core/membership.py
+++ b/packages/core/src/bergamotwood_core/membership.py
@@ -6,6 +6,9 @@
 
 from bergamotwood_core.ids import InstanceId, ReplicaId
 
+# Voters of an open group; five survive the loss of two disks.
+MAX_OPEN_VOTERS = 5
+
 
 class Member(Struct, frozen=True, array_like=True):
     """A replica of the group.
--- a/packages/core/src/bergamotwood_core/replicastate.py
+++ b/packages/core/src/bergamotwood_core/replicastate.py
@@ -18,7 +18,7 @@
     Snapshot,
 )
 from bergamotwood_core.logmessages import Body, FollowerTime, Message
-from bergamotwood_core.membership import Genesis, Member, Membership
+from bergamotwood_core.membership import MAX_OPEN_VOTERS, Genesis, Member, Membership
 from bergamotwood_core.progress import NEVER, Leadership
 
 
@@ -62,6 +62,9 @@
     replacement_seconds : float
         Silence of a voter after which a learner replaces it; longer than a
         planned restart of a process takes (a few seconds).
+    kept_voters : int
+        Number of voters that an open group keeps even if some of them are silent:
+        2 f + 1, where f disks may be lost at the same time.
     level : int
         Feature level that the build supports.
     """
@@ -77,6 +80,7 @@
     forms_group: bool = True
     open_membership: bool = False
     replacement_seconds: float = 3.0
+    kept_voters: int = MAX_OPEN_VOTERS
     level: int = 0
 
 
--- a/packages/daemon/src/bergamotwood_daemon/gateway/controlgroup.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/controlgroup.py
@@ -54,6 +54,7 @@
         command_bytes=8 * 1024 * 1024,
         forms_group=settings.forms_group,
         open_membership=True,
+        kept_voters=settings.kept_voters,
         level=int(machine.own_level),
     )
     transport = GroupTransport(GROUP, senders)
--- a/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/settings.py
@@ -6,6 +6,7 @@
 
 from bergamotwood_core.gateway.exposure import ExposureLimit
 from bergamotwood_core.ids import DataCentre, InstanceId
+from bergamotwood_core.membership import MAX_OPEN_VOTERS
 from bergamotwood_core.memory import (
     DEFAULT_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
@@ -95,6 +96,9 @@
     forms_group : bool
         Whether the seeds form a new control group: true only at the first start
         of the fleet.
+    kept_voters : int
+        Voters that the control group keeps even if some of them are silent: 2 f + 1,
+        where f disks may be lost at the same time.
     data_centres : frozenset of DataCentre
         All data centres that may be evacuated.
     memory_bytes : int
@@ -114,6 +118,7 @@
     control_address: Address | None = None
     data_folder: Path | None = None
     forms_group: bool = False
+    kept_voters: int = MAX_OPEN_VOTERS
     data_centres: frozenset[DataCentre] = frozenset()
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     descriptors: int = DEFAULT_DESCRIPTORS
--- a/packages/daemon/src/bergamotwood_daemon/groupsettings.py
+++ b/packages/daemon/src/bergamotwood_daemon/groupsettings.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from bergamotwood_core.ids import InstanceId
+from bergamotwood_core.membership import MAX_OPEN_VOTERS
 from bergamotwood_core.replicastate import ReplicaSettings
 
 
@@ -43,7 +44,7 @@
         Maximum number of queued inputs.
     command_bytes : int
         Maximum size of a command in bytes.
-    forms_group, open_membership, level : bool, bool, int
+    forms_group, open_membership, kept_voters, level : bool, bool, int, int
         As in `ReplicaSettings`.
     """
 
@@ -60,6 +61,7 @@
     command_bytes: int = 1024 * 1024
     forms_group: bool = True
     open_membership: bool = False
+    kept_voters: int = MAX_OPEN_VOTERS
     level: int = 0
 
     def build_replica_settings(self) -> ReplicaSettings:
@@ -72,5 +74,6 @@
             lease_seconds=self.lease_seconds,
             forms_group=self.forms_group,
             open_membership=self.open_membership,
+            kept_voters=self.kept_voters,
             level=self.level,
         )
--- a/tests/core/opencluster.py
+++ b/tests/core/opencluster.py
@@ -3,6 +3,8 @@
 from core.logcluster import Cluster
 from msgspec.structs import replace
 
+from bergamotwood_core.membership import MAX_OPEN_VOTERS
+
 INITIAL_VOTERS = 3
 # Election timeout and lease that the gateway sets.
 ELECTION_SECONDS = 0.6
@@ -25,6 +27,8 @@
         Number of instances that may have lost their disks at the same time.
     power_loss_share : float
         Share of the faults that stop all processes at once.
+    kept_voters : int
+        As in the settings of a replica.
     """
 
     # Large enough that a joining replica catches up while the log grows.
@@ -32,8 +36,17 @@
     snapshot_entries = 100
     kept_entries = 50
 
-    def __init__(self, seed, spares=1, lost_at_once=1, power_loss_share=0.0, **options):
+    def __init__(
+        self,
+        seed,
+        spares=1,
+        lost_at_once=1,
+        power_loss_share=0.0,
+        kept_voters=MAX_OPEN_VOTERS,
+        **options,
+    ):
         self.removed = set()
+        self.kept_voters = kept_voters
         self.power_loss_share = power_loss_share
         self.lost_at_once = lost_at_once
         super().__init__(seed, size=INITIAL_VOTERS + spares, **options)
@@ -44,6 +57,7 @@
             initial_voters=self.names[:INITIAL_VOTERS],
             forms_group=not node.lost_disks and node.disk.genesis is None,
             open_membership=True,
+            kept_voters=self.kept_voters,
             election_seconds=ELECTION_SECONDS,
             lease_seconds=LEASE_SECONDS,
         )
--- a/tests/core/test_bootstrap.py
+++ b/tests/core/test_bootstrap.py
@@ -57,6 +57,46 @@
     assert len(cluster.list_voters()) == 3
 
 
+# Guards against voters that are gone and leave no majority after one more lost disk.
+@pytest.mark.parametrize("at_once", (False, True))
+@pytest.mark.parametrize("seed", range(4))
+def test_a_disk_may_be_lost_after_two_voters_of_five_were_replaced(seed, at_once):
+    cluster = build_settled_cluster(seed, spares=2, kept_voters=3)
+    for name in cluster.names[:2]:
+        cluster.remove(cluster.nodes[name])
+        if not at_once:
+            cluster.heal_and_run(13.0)
+    cluster.heal_and_run(10.0)
+    assert cluster.list_voters() == set(cluster.names[2:])
+    # It finds the group through the one initial voter that is left.
+    wiped = cluster.nodes[cluster.names[3]]
+    cluster.lose_disk(wiped)
+    reached = len(cluster.committed)
+    cluster.heal_and_run(10.0)
+    assert cluster.find_membership().is_voter(wiped.disk.replica)
+    assert len(cluster.committed) > reached
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_silent_voters_stay_while_the_group_needs_their_number(seed):
+    cluster = build_settled_cluster(seed, spares=2, kept_voters=5)
+    for name in cluster.names[:2]:
+        cluster.remove(cluster.nodes[name])
+    cluster.heal_and_run(13.0)
+    assert cluster.list_voters() == set(cluster.names)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_surplus_voter_votes_again_when_it_returns(seed):
+    cluster = build_settled_cluster(seed, spares=2, kept_voters=3)
+    cluster.remove(cluster.nodes[cluster.names[seed]])
+    cluster.heal_and_run(10.0)
+    assert len(cluster.list_voters()) == 4
+    cluster.removed.clear()
+    cluster.heal_and_run(10.0)
+    assert cluster.list_voters() == set(cluster.names)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_voter_with_a_lost_disk_soon_votes_again(seed):
     cluster = build_settled_cluster(seed, spares=0)
@@ -85,6 +125,18 @@
     assert len(cluster.committed) > reached > 0
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_invariants_hold_while_surplus_voters_come_and_go(seed):
+    cluster = OpenCluster(
+        seed, spares=2, kept_voters=3, power_loss_share=POWER_LOSS_SHARE
+    )
+    cluster.run(STEPS)
+    reached = len(cluster.committed)
+    cluster.heal_and_run(20.0)
+    assert len(cluster.committed) > reached > 0
+    assert len(cluster.list_voters()) == 5
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_five_voter_invariants_hold_when_two_disks_are_lost(seed):
     cluster = OpenCluster(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -99,6 +99,24 @@
     assert loaded.gateway.relay_address is None
 
 
+@pytest.mark.parametrize(
+    ("tolerance", "voters"),
+    [
+        ("", 5),
+        ("machines = 0\nzones = 0", 3),
+        ("machines = 1\nzones = 0\nregions = 0", 3),
+        ("machines = 2", 5),
+        ("machines = 4", 5),
+        ("machines = 1\nzones = 1", 5),
+        ("machines = 1\nregions = 1", 5),
+    ],
+)
+def test_as_many_voters_are_kept_as_tolerated_losses_need(tmp_path, tolerance, voters):
+    text = f"{ENTRY}[fault_tolerance]\n{tolerance}\n"
+    loaded = load_settings(write_settings(tmp_path, text))
+    assert loaded.gateway.kept_voters == voters
+
+
 def test_evacuations_need_their_bound(tmp_path):
     loaded = load_settings(write_settings(tmp_path, ENTRY))
     assert loaded.gateway.bounds.evacuation_lease_seconds is None
