Hand the vote of a control replica that stops to a learner

Callers saw: one control replica was replaced as planned, its successor had had 8 s, and another replica lost its disk 1.5 s after the end of the old process.

Cause: beside three live voters a new replica is a learner, and got a vote only once a voter had been silent for three seconds. A stop in order handed over the leadership and not the vote, so for three seconds two of three voters were left beside a replica that had everything.

Why this works: the replica says in its acknowledgements that it stops. The leader promotes a learner that has the log, then removes the leaving voter, so that the group is never smaller than before, and goes on if the process ends meanwhile. The stop waits for this, 0.8 s at most, and not at all where no other replica can have the vote. The new field needs no feature level: an older leader ignores it.

--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -11,6 +11,9 @@
 silent for `replacement_seconds`. A voter that has been silent for that long is
 also removed while the group has more than `kept_voters`: those that are gone
 for good would otherwise count toward the majority until the next join.
+
+A voter whose process stops in order says so before its end, and the leader
+gives its vote to a learner at once.
 """
 
 from bergamotwood_core.clock import Seconds
@@ -128,6 +131,7 @@
         return
     change = (
         _choose_promotion(state, now)
+        or _choose_departure(state, now)
         or _choose_repair(state, now)
         or _choose_surplus(state, now)
     )
@@ -136,6 +140,15 @@
         broadcast(state, now)
 
 
+def may_leave(state: ReplicaState) -> bool:
+    """Whether the group could do without the vote of this replica, as far as known."""
+    if not state.settings.open_membership or not state.is_voter:
+        return False
+    members = state.membership.members
+    has_learner = any(not member.voting for member in members)
+    return has_learner or _can_spare_voter(state)
+
+
 def _record_waiting_identity(
     state: ReplicaState, message: Message, body: JoinRequest, now: Seconds
 ) -> None:
@@ -181,21 +194,46 @@
 
 
 def _choose_promotion(state: ReplicaState, now: Seconds) -> Promote | Remove | None:
-    ready = [
-        member
-        for member in state.membership.members
-        if not member.voting and _is_ready_to_vote(state, member, now)
-    ]
-    if not ready:
+    learner = _find_ready_learner(state, now)
+    if learner is None:
         return None
     if not state.settings.open_membership or _has_room_for_voter(state, now):
-        return Promote(ready[0].replica)
+        return Promote(learner.replica)
     return _find_silent_voter(state, now)
 
 
+def _choose_departure(state: ReplicaState, now: Seconds) -> Promote | Remove | None:
+    """Choose a change that gives the vote of a leaving voter to a learner.
+
+    The learner is promoted first, so that the group is never smaller than before.
+    """
+    leaving = _find_leaving_voter(state)
+    if not state.settings.open_membership or leaving is None:
+        return None
+    if _can_spare_voter(state):
+        return Remove(leaving.replica)
+    learner = _find_ready_learner(state, now)
+    return Promote(learner.replica) if learner else None
+
+
+def _find_leaving_voter(state: ReplicaState) -> Member | None:
+    for member in state.membership.members:
+        progress = state.leadership.progress.get(member.replica)
+        if member.voting and progress is not None and progress.leaving:
+            return member
+    return None
+
+
+def _find_ready_learner(state: ReplicaState, now: Seconds) -> Member | None:
+    for member in state.membership.members:
+        if not member.voting and _is_ready_to_vote(state, member, now):
+            return member
+    return None
+
+
 def _is_ready_to_vote(state: ReplicaState, member: Member, now: Seconds) -> bool:
     progress = state.leadership.progress.get(member.replica)
-    if progress is None or _is_silent(state, member, now):
+    if progress is None or progress.leaving or _is_silent(state, member, now):
         return False
     caught_up = progress.match + PROMOTION_LAG_ENTRIES >= state.commit
     return caught_up and not progress.probing and progress.snapshot is None
@@ -218,13 +256,20 @@
     The replicas that are left then survive the loss of as many more as before or
     one more. A voter that returns joins again.
     """
-    settings = state.settings
-    has_surplus = len(state.membership.voters) > settings.kept_voters
-    if not settings.open_membership or not has_surplus:
+    if not state.settings.open_membership or not _can_spare_voter(state):
         return None
     return _find_silent_voter(state, now)
 
 
+def _can_spare_voter(state: ReplicaState) -> bool:
+    """Whether the group survives as many losses as it needs to with a voter less.
+
+    An even number of voters survives no more than one less does.
+    """
+    count = len(state.membership.voters)
+    return count > state.settings.kept_voters or count % 2 == 0
+
+
 def _find_silent_voter(state: ReplicaState, now: Seconds) -> Remove | None:
     for member in state.membership.members:
         if member.voting and member.replica != state.replica:
--- a/packages/core/src/bergamotwood_core/follower.py
+++ b/packages/core/src/bergamotwood_core/follower.py
@@ -46,7 +46,7 @@
             return
         _install(state, body)
     time = state.get_time(now)
-    reply = AppendReply(True, body.index, body.index, body.sent, time)
+    reply = AppendReply(True, body.index, body.index, body.sent, time, state.is_leaving)
     state.send(message.instance, message.sender, reply)
 
 
@@ -111,7 +111,9 @@
     now: Seconds,
 ) -> None:
     time = state.get_time(now)
-    reply = AppendReply(accepted, body.previous_index, match, body.sent, time)
+    reply = AppendReply(
+        accepted, body.previous_index, match, body.sent, time, state.is_leaving
+    )
     state.send(message.instance, message.sender, reply)
 
 
--- a/packages/core/src/bergamotwood_core/logmessages.py
+++ b/packages/core/src/bergamotwood_core/logmessages.py
@@ -143,6 +143,8 @@
         `sent` of the request.
     follower_time : FollowerTime
         Reading of the follower's clock.
+    leaving : bool
+        Whether the follower's process stops.
     """
 
     accepted: bool
@@ -150,6 +152,7 @@
     match: LogIndex
     sent: Seconds
     follower_time: FollowerTime
+    leaving: bool = False
 
 
 class SnapshotPart(Struct, frozen=True, array_like=True, tag=9):
--- a/packages/core/src/bergamotwood_core/progress.py
+++ b/packages/core/src/bergamotwood_core/progress.py
@@ -28,6 +28,8 @@
         When the newest acknowledgement was received.
     follower_time : FollowerTime
         Newest reading of the member's own clock.
+    leaving : bool
+        Whether the member said so when it last answered.
     snapshot : Snapshot or None
         Snapshot that is being sent in parts, if any.
     offset : int
@@ -42,6 +44,7 @@
     acked_sent_at: Seconds = NEVER
     acked_at: Seconds = NEVER
     follower_time: FollowerTime = NO_FOLLOWER_TIME
+    leaving: bool = False
     snapshot: Snapshot | None = None
     offset: int = 0
     resend_at: Seconds = NEVER
--- a/packages/core/src/bergamotwood_core/replica.py
+++ b/packages/core/src/bergamotwood_core/replica.py
@@ -10,6 +10,7 @@
 from bergamotwood_core.bootstrap import (
     handle_join_reply,
     handle_join_request,
+    may_leave,
     repair_membership,
     request_join,
     should_request_join,
@@ -62,6 +63,9 @@
     transfer_leadership,
 )
 
+# Heartbeat intervals without a message after which a leaving replica was removed.
+LEFT_HEARTBEATS = 3
+
 
 class Replica:
     """One replica of a log group.
@@ -234,6 +238,31 @@
             return False
         return transfer_leadership(self.state, now)
 
+    def leave(self, now: Seconds) -> bool:
+        """Tell the leader from now on that this process stops.
+
+        Returns
+        -------
+        bool
+            Whether the leader may give its vote to another replica.
+        """
+        if not may_leave(self.state):
+            return False
+        self.state.leaving_since = now
+        return True
+
+    def is_leaving(self, now: Seconds) -> bool:
+        """Whether the leader still counts this replica, which leaves, as a member.
+
+        A leader no longer sends anything to a replica that it has removed.
+        """
+        state = self.state
+        if state.leaving_since is None:
+            return False
+        heard_at = max(state.leaving_since, state.leader_heard_at)
+        limit = LEFT_HEARTBEATS * state.settings.heartbeat_seconds
+        return now < heard_at + limit
+
     def compact(self, index: LogIndex, data: bytes, kept: int) -> Snapshot:
         """Replace the log up to an applied index by a snapshot.
 
--- a/packages/core/src/bergamotwood_core/replicastate.py
+++ b/packages/core/src/bergamotwood_core/replicastate.py
@@ -172,6 +172,8 @@
         State that it has only while it leads, None otherwise.
     confirmed_at : Seconds
         As in `Effects`.
+    leaving_since : Seconds or None
+        When it began to leave, as its process stops; None while it stays.
     incoming : IncomingSnapshot or None
         Snapshot that is being received, if any.
     known_identities : dict
@@ -206,6 +208,7 @@
     votes: set[ReplicaId] = field(default_factory=set)
     leadership: Leadership | None = None
     confirmed_at: Seconds = NEVER
+    leaving_since: Seconds | None = None
     incoming: IncomingSnapshot | None = None
     known_identities: dict[InstanceId, ReplicaId] = field(default_factory=dict)
     known_leader: tuple[ReplicaId, Term] = (ReplicaId(""), Term(0))
@@ -228,6 +231,11 @@
         """Whether it votes and counts toward majorities."""
         return self.membership.is_voter(self.replica)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its process stops, so that another replica should have its vote."""
+        return self.leaving_since is not None
+
     def get_time(self, now: Seconds) -> FollowerTime:
         """Return a reading of its own clock, for the leader to echo."""
         return FollowerTime(self.session, now)
--- a/packages/core/src/bergamotwood_core/replication.py
+++ b/packages/core/src/bergamotwood_core/replication.py
@@ -107,6 +107,7 @@
     if progress is None:
         return
     _record_reply(progress, body, now)
+    progress.leaving = body.leaving
     if body.accepted:
         _advance_match(progress, body.match)
     elif not _lower_next(progress, body):
@@ -165,7 +166,7 @@
 
 
 def transfer_leadership(state: ReplicaState, now: Seconds) -> bool:
-    """Start a leadership transfer to the most up-to-date voter.
+    """Start a leadership transfer to the most up-to-date voter that stays, if any.
 
     Returns
     -------
@@ -175,13 +176,13 @@
     leadership = state.leadership
     timeout = state.settings.election_seconds
     ready = [
-        (progress.match, replica)
+        (not progress.leaving, progress.match, replica)
         for replica, progress in leadership.progress.items()
         if state.membership.is_voter(replica) and progress.acked_at > now - timeout
     ]
     if not ready:
         return False
-    leadership.transfer_to = max(ready)[1]
+    leadership.transfer_to = max(ready)[-1]
     leadership.transfer_until = Seconds(now + timeout)
     complete_transfer(state, now)
     return True
--- a/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/daemon.py
@@ -33,8 +33,9 @@
 DRAIN_TTLS = 3.0
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_RESERVE_SECONDS = 1.0
-# Limit on stopping the replica: leadership is handed over within a few heartbeats.
-REPLICA_STOP_SECONDS = 0.5
+# Limit on stopping the replica: leadership and vote are handed over within some
+# heartbeats, or not at all.
+REPLICA_STOP_SECONDS = 1.5
 # Limit on closing the server for other daemons.
 PEER_STOP_SECONDS = 0.2
 POLL_INTERVAL_SECONDS = 0.05
--- a/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/replica.py
@@ -193,11 +193,13 @@
         self._expiry = spawn(self._run_expiry)
 
     def stop(self, handover: bool = True) -> None:
-        """Hand leadership over, unless told otherwise, and stop."""
+        """Hand leadership and vote over, unless told otherwise, and stop."""
+        if handover:
+            self.group.hand_over()
         self._relay.stop()
         if self._expiry is not None:
             self._expiry.kill(block=False)
-        self.group.stop(handover=handover)
+        self.group.stop(handover=False)
         self._senders.stop()
         self._leader.close()
 
--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -35,6 +35,8 @@
 
 IDENTITY_BYTES = 8
 SESSION_BITS = 48
+# Longest time in which a stopping replica waits until another one has its vote.
+LEAVE_SECONDS = 0.8
 
 
 class LogGroup:
@@ -172,17 +174,17 @@
         self._greenlets = [spawn(self._run), spawn(self._run_timer)]
 
     def stop(self, handover: bool = True) -> None:
-        """Stop the replica; a leader first tries to transfer its leadership.
+        """Stop the replica.
 
         Parameters
         ----------
         handover : bool
-            Whether to transfer leadership first.
+            Whether to hand over leadership and vote first.
         """
         if not self._is_running:
             return
-        if handover and self.is_leader and self.failure is None:
-            self._transfer_leadership()
+        if handover:
+            self.hand_over()
         self._is_running = False
         self._inbox.put(Stop())
         joinall(self._greenlets)
@@ -190,6 +192,15 @@
         self._journal.close()
         self._disk.stop()
 
+    def hand_over(self) -> None:
+        """Transfer leadership, and the vote if there is a replica without one."""
+        if not self._is_running or self.failure is not None:
+            return
+        if self.is_leader:
+            self._transfer_leadership()
+        if not self.is_leader:
+            self._leave()
+
     def propose(self, command: bytes, timeout: float) -> bytes:
         """Commit a command and return the state machine's answer.
 
@@ -337,6 +348,13 @@
         while started and self.is_leader and self._clock() < deadline:
             self._progress.wait(self._settings.tick_seconds)
 
+    def _leave(self) -> None:
+        deadline = self._clock() + LEAVE_SECONDS
+        is_leaving = self._call_replica(lambda replica, now: replica.leave(now))
+        while is_leaving and self._clock() < deadline and self.failure is None:
+            self._progress.wait(self._settings.tick_seconds)
+            is_leaving = self._replica.is_leaving(self._clock())
+
     def _call_replica(self, action: Callable[[Replica, Seconds], object]) -> object:
         self._check_running()
         call = Call(action, AsyncResult())
--- a/tests/core/test_bootstrap.py
+++ b/tests/core/test_bootstrap.py
@@ -97,6 +97,66 @@
     assert cluster.list_voters() == set(cluster.names)
 
 
+def leave(cluster, node):
+    """Let a replica leave as a planned stop does; return whether it asked to."""
+    if node.replica.is_leader:
+        node.replica.transfer_leadership(cluster.clock(node))
+        cluster.heal_and_run(2.0)
+    return node.replica.leave(cluster.clock(node))
+
+
+# Guards against a stopped voter that counts until a learner replaces it 3 s later.
+@pytest.mark.parametrize("kept_voters", (3, 5))
+@pytest.mark.parametrize("seed", range(4))
+def test_a_disk_may_be_lost_right_after_a_planned_replacement(seed, kept_voters):
+    cluster = build_settled_cluster(seed, kept_voters=kept_voters)
+    old, wiped = (cluster.nodes[cluster.names[(seed + at) % 3]] for at in range(2))
+    assert leave(cluster, old)
+    cluster.heal_and_run(1.0)
+    cluster.remove(old)
+    cluster.lose_disk(wiped)
+    reached = len(cluster.committed)
+    cluster.heal_and_run(10.0)
+    assert len(cluster.committed) > reached
+    assert cluster.list_voters() == set(cluster.names) - {old.instance}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_voter_that_left_is_a_member_again_once_it_is_back(seed):
+    cluster = build_settled_cluster(seed)
+    old = cluster.nodes[cluster.names[seed % 3]]
+    assert leave(cluster, old)
+    cluster.heal_and_run(1.0)
+    assert old.instance not in cluster.list_voters()
+    cluster.crash(old)
+    cluster.heal_and_run(10.0)
+    assert cluster.find_membership().find(old.disk.replica) is not None
+    assert len(cluster.list_voters()) == 3
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_voter_keeps_its_vote_over_a_restart_if_no_other_can_have_it(seed):
+    cluster = build_settled_cluster(seed, spares=0)
+    old = cluster.nodes[cluster.names[seed % 3]]
+    assert not leave(cluster, old)
+    cluster.heal_and_run(1.0)
+    cluster.crash(old)
+    cluster.heal_and_run(10.0)
+    assert cluster.list_voters() == set(cluster.names)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_group_that_stops_as_a_whole_keeps_the_voters_that_it_needs(seed):
+    cluster = build_settled_cluster(seed, spares=2, kept_voters=3)
+    for node in cluster.nodes.values():
+        node.replica.leave(cluster.clock(node))
+    cluster.heal_and_run(10.0)
+    assert len(cluster.list_voters()) == 3
+    cluster.lose_power()
+    cluster.heal_and_run(20.0)
+    assert cluster.list_voters() == set(cluster.names)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_voter_with_a_lost_disk_soon_votes_again(seed):
     cluster = build_settled_cluster(seed, spares=0)
@@ -137,6 +197,35 @@
     assert len(cluster.list_voters()) == 5
 
 
+class LeavingCluster(OpenCluster):
+    """Replicas often say that they leave, and stop or go on."""
+
+    def _make_fault(self):
+        node = self.nodes[self.rng.choice(self.names)]
+        if node.replica is not None and self.rng.random() < 0.3:
+            node.replica.leave(self.clock(node))
+            self.note(f"{node.instance} leaves")
+        else:
+            super()._make_fault()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_invariants_hold_while_replicas_leave(seed):
+    cluster = LeavingCluster(
+        seed,
+        spares=1 + seed % 2,
+        kept_voters=3 + 2 * (seed % 3 > 0),
+        power_loss_share=POWER_LOSS_SHARE,
+    )
+    cluster.run(STEPS)
+    reached = len(cluster.committed)
+    cluster.restart_all()
+    cluster.heal_and_run(20.0)
+    assert cluster.counts["leaves"] > 0
+    assert len(cluster.committed) > reached > 0
+    assert len(cluster.list_voters()) == 3 + 2 * (seed % 2)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_five_voter_invariants_hold_when_two_disks_are_lost(seed):
     cluster = OpenCluster(
--- a/tests/daemon/loggroups.py
+++ b/tests/daemon/loggroups.py
@@ -93,7 +93,8 @@
         return self.wait_for_leader()
 
     def stop(self, name, handover=False):
-        self.groups.pop(name).stop(handover)
+        self.groups[name].stop(handover)
+        del self.groups[name]
 
     def stop_all(self):
         for name in list(self.groups):
--- a/tests/daemon/test_group.py
+++ b/tests/daemon/test_group.py
@@ -11,6 +11,7 @@
     NotLeaderError,
     ReplicationError,
 )
+from bergamotwood_core.ids import InstanceId
 from bergamotwood_core.states import Run
 
 
@@ -72,6 +73,23 @@
     successor.propose(b"two", 5.0)
 
 
+# Guards against a process that ends before a learner has its vote.
+@pytest.mark.parametrize("leads", (False, True))
+def test_planned_stop_hands_the_vote_to_a_learner(tmp_path, leads):
+    cluster = Cluster(tmp_path, open_membership=True)
+    leader = cluster.start_all()
+    cluster.start(InstanceId("d"))
+    wait_until(lambda: len(leader.membership.members) == 4)
+    wait_until(lambda: cluster.groups["d"].measure_age(read_clock()) < 1.0)
+    assert len(leader.membership.voters) == 3
+    name = next(n for n in NAMES if cluster.groups[n].is_leader == leads)
+    cluster.stop(name, handover=True)
+    members = cluster.wait_for_leader().membership.members
+    voters = {member.instance for member in members if member.voting}
+    assert voters == {"a", "b", "c", "d"} - {name}
+    cluster.stop_all()
+
+
 def test_restart_of_all_replicas_keeps_commands_in_order(cluster):
     # All replicas share one event loop, which 1,200 proposals hold for a while.
     cluster.settings.update(election_seconds=3.0, lease_seconds=2.5)
