Keep a leaving voter while the majority needs it

Callers would have seen: two of five control replicas are away, a third is restarted as planned, and no majority comes back with it.

Cause: a leaving voter was removed whenever the group had a voter more than it needs, also if the others that are there are no majority of what is left. The removal counts once it is appended and could not be committed.

Why this works: the leader removes a leaving voter only if the other voters that it hears are a majority without it. Removing a silent one needs no such check, as it takes no live voter away.

--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -27,6 +27,7 @@
     Membership,
     Promote,
     Remove,
+    change_members,
 )
 from bergamotwood_core.replicastate import ReplicaState, Role
 from bergamotwood_core.replication import (
@@ -211,11 +212,22 @@
     if not state.settings.open_membership or leaving is None:
         return None
     if _can_spare_voter(state):
-        return Remove(leaving.replica)
+        has_majority = _has_majority_without(state, leaving, now)
+        return Remove(leaving.replica) if has_majority else None
     learner = _find_ready_learner(state, now)
     return Promote(learner.replica) if learner else None
 
 
+def _has_majority_without(state: ReplicaState, left: Member, now: Seconds) -> bool:
+    """Whether the other voters that are not silent are a majority of all others."""
+    others = change_members(state.membership, Remove(left.replica))
+    return others.has_quorum(
+        member.replica
+        for member in others.members
+        if member.replica == state.replica or not _is_silent(state, member, now)
+    )
+
+
 def _find_leaving_voter(state: ReplicaState) -> Member | None:
     for member in state.membership.members:
         progress = state.leadership.progress.get(member.replica)
--- a/packages/core/src/bergamotwood_core/replica.py
+++ b/packages/core/src/bergamotwood_core/replica.py
@@ -63,7 +63,7 @@
     transfer_leadership,
 )
 
-# Heartbeat intervals without a message after which a leaving replica was removed.
+# Heartbeat intervals without a message after which a leaving replica has left.
 LEFT_HEARTBEATS = 3
 
 
@@ -251,17 +251,17 @@
         self.state.leaving_since = now
         return True
 
-    def is_leaving(self, now: Seconds) -> bool:
-        """Whether the leader still counts this replica, which leaves, as a member.
+    def has_left(self, now: Seconds) -> bool:
+        """Whether no leader sends anything any more, after this replica said it leaves.
 
-        A leader no longer sends anything to a replica that it has removed.
+        It was removed then, or there is no leader that could do so.
         """
         state = self.state
         if state.leaving_since is None:
             return False
         heard_at = max(state.leaving_since, state.leader_heard_at)
         limit = LEFT_HEARTBEATS * state.settings.heartbeat_seconds
-        return now < heard_at + limit
+        return now >= heard_at + limit
 
     def compact(self, index: LogIndex, data: bytes, kept: int) -> Snapshot:
         """Replace the log up to an applied index by a snapshot.
--- a/packages/daemon/src/bergamotwood_daemon/group.py
+++ b/packages/daemon/src/bergamotwood_daemon/group.py
@@ -349,11 +349,13 @@
             self._progress.wait(self._settings.tick_seconds)
 
     def _leave(self) -> None:
+        if not self._call_replica(lambda replica, now: replica.leave(now)):
+            return
         deadline = self._clock() + LEAVE_SECONDS
-        is_leaving = self._call_replica(lambda replica, now: replica.leave(now))
-        while is_leaving and self._clock() < deadline and self.failure is None:
+        while self._clock() < deadline and self.failure is None:
+            if self._replica.has_left(self._clock()):
+                return
             self._progress.wait(self._settings.tick_seconds)
-            is_leaving = self._replica.is_leaving(self._clock())
 
     def _call_replica(self, action: Callable[[Replica, Seconds], object]) -> object:
         self._check_running()
--- a/tests/core/test_bootstrap.py
+++ b/tests/core/test_bootstrap.py
@@ -157,6 +157,24 @@
     assert cluster.list_voters() == set(cluster.names)
 
 
+# Guards against a planned restart that costs the majority while two voters are away.
+@pytest.mark.parametrize("seed", range(4))
+def test_a_leaving_voter_stays_while_the_majority_needs_it(seed):
+    cluster = build_settled_cluster(seed, spares=2, kept_voters=3)
+    leader = cluster.find_leader()
+    old, *away = (node for node in cluster.nodes.values() if node is not leader)
+    for node in away[:2]:
+        cluster.remove(node)
+    cluster.heal_and_run(1.0)
+    assert old.replica.leave(cluster.clock(old))
+    cluster.heal_and_run(1.0)
+    assert old.instance in cluster.list_voters()
+    cluster.crash(old)
+    reached = len(cluster.committed)
+    cluster.heal_and_run(10.0)
+    assert len(cluster.committed) > reached
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_voter_with_a_lost_disk_soon_votes_again(seed):
     cluster = build_settled_cluster(seed, spares=0)
