Send a request for the workspace that holds its key now

Cause: before each send the entry looked whether any workspace holds the key, and took the name from the call as it had been admitted.

The new test failed before: both arrivals bore the first workspace.

Why this works: the check before each send also takes the workspace that it finds, for retries and for streams that are resumed.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/admission.py
@@ -228,6 +228,8 @@
     def recheck_key(self, call: Call) -> None:
         """Refuse a request whose key was revoked, or became required, while it waited.
 
+        It is sent for the workspace that holds the key now.
+
         Raises
         ------
         AuthorizationError
@@ -244,8 +246,7 @@
         workspace = routing.find_workspace(call.metadata.key)
         if workspace is None:
             raise AuthorizationError("the key is not valid any more")
-        if call.workspace is None:
-            call.workspace = workspace
+        call.workspace = workspace
 
 
 def make_call_fields(call: Call | None) -> dict[str, object]:
--- a/tests/daemon/gateway/test_forwarder.py
+++ b/tests/daemon/gateway/test_forwarder.py
@@ -603,6 +603,24 @@
     assert len(harness.list_arrivals()) == 1
 
 
+# Guards against a retry in the name of a workspace that has lost the key meanwhile.
+def test_a_retry_bears_the_workspace_that_holds_the_key_now(make_harness):
+    def disconnect_and_move(arrival):
+        if len(harness.list_arrivals()) > 1:
+            return answer(arrival)
+        harness.configuration = make_configuration(
+            number=9, workspaces=(GatewayWorkspace(WorkspaceId("ring"), ("key-1",), 0),)
+        )
+        harness.entry.dialect.configuration = harness.configuration
+        harness.sync()
+        return False
+
+    harness = make_harness(one=disconnect_and_move, two=disconnect_and_move)
+    assert harness.connect().call().status == 200
+    bearers = [arrival.headers["workspace"] for arrival in harness.list_arrivals()]
+    assert sorted(bearers) == ["circle", "ring"]
+
+
 def test_a_key_is_checked_again_before_a_retry(make_harness):
     def disconnect_and_revoke(arrival):
         harness.configuration = make_configuration(
