Answer HEAD requests that an entry refuses by itself

Cause: the answer had the body of the problem document, which the HTTP library refuses in the answer to a HEAD. The status was set by then, so that no other answer was sent either.

The new test failed before at the first refusal.

Why this works: the answer to a HEAD has the head of the answer to a GET and no body. All answers that are sent at once go through this method.

--- a/packages/daemon/src/bergamotwood_daemon/gateway/callerconnection.py
+++ b/packages/daemon/src/bergamotwood_daemon/gateway/callerconnection.py
@@ -79,7 +79,8 @@
             (b"content-length", str(len(response.body)).encode()),
         ]
         self._prepare_head(response.status, headers)
-        data = [h11.Data(response.body)] if response.body else []
+        has_body = response.body and self.request.method != b"HEAD"
+        data = [h11.Data(response.body)] if has_body else []
         self._connection.send(*data, h11.EndOfMessage(), prefix=self._head)
         self.is_finished = True
 
--- a/tests/daemon/gateway/test_server.py
+++ b/tests/daemon/gateway/test_server.py
@@ -43,6 +43,19 @@
         data += piece
 
 
+# Guards against an entry's own answer to a HEAD whose body ends the connection instead.
+def test_the_own_answers_of_an_entry_to_head_requests_keep_the_connection(make_harness):
+    harness = make_harness(one=lambda a: a.answer("", 503, not_executed="1"))
+    caller = harness.connect()
+    changes = ({"key": "stolen"}, {"path": "/x"}, {"host": "x.example"}, {})
+    for expected, change in zip((401, 404, 404, 503), changes, strict=True):
+        refused = caller.call("GET", **change)
+        reply = caller.call("HEAD", **change)
+        assert (reply.status, reply.body) == (expected, "")
+        assert refused.status == expected
+        assert reply.headers["content-type"] == refused.headers["content-type"]
+
+
 def test_a_request_embedded_in_a_body_is_not_run(make_harness):
     harness = make_harness(configure(), one=answer)
     inner = make_head("smuggled", "content-length: 0\r\n\r\n").encode()
