Never take one of two voters for spare

Operators could have lost an acknowledged configuration: a control replica loses its disk, and while its successor catches up another one is stopped as planned. The stopped one gave its vote up, one voter was left, and its disk alone acknowledged.

Cause: an even number of voters survives no more losses than one voter less. That holds from four on. Two voters both have what is acknowledged, one does not share it.

Why this works: a voter is spare only above the number that the settings ask for, or if there are four. With two the leader promotes a learner first.

--- a/packages/core/src/bergamotwood_core/bootstrap.py
+++ b/packages/core/src/bergamotwood_core/bootstrap.py
@@ -9,8 +9,8 @@
 With open membership any instance may join as a learner. A learner becomes a
 voter when the group may have more voters, or replaces a voter that has been
 silent for `replacement_seconds`. A voter that has been silent for that long is
-also removed while the group has more than `kept_voters`: those that are gone
-for good would otherwise count toward the majority until the next join.
+also removed while the group has more than `kept_voters`, or four: those that
+are gone for good would otherwise count toward the majority until the next join.
 
 A voter whose process stops in order says so before its end, and the leader
 gives its vote to a learner at once.
@@ -276,10 +276,12 @@
 def _can_spare_voter(state: ReplicaState) -> bool:
     """Whether the group survives as many losses as it needs to with a voter less.
 
-    An even number of voters survives no more than one less does.
+    An even number of voters survives no more than one less does. Of two voters both
+    are needed, as one alone would acknowledge what only its disk has.
     """
     count = len(state.membership.voters)
-    return count > state.settings.kept_voters or count % 2 == 0
+    is_even = count > 2 and count % 2 == 0
+    return count > state.settings.kept_voters or is_even
 
 
 def _find_silent_voter(state: ReplicaState, now: Seconds) -> Remove | None:
--- a/tests/core/test_bootstrap.py
+++ b/tests/core/test_bootstrap.py
@@ -175,6 +175,24 @@
     assert len(cluster.committed) > reached
 
 
+# Guards against a planned stop after which one disk alone acknowledges commands.
+@pytest.mark.parametrize("kept_voters", (3, 5))
+@pytest.mark.parametrize("seed", range(4))
+def test_a_planned_stop_leaves_two_voters_while_a_replica_catches_up(seed, kept_voters):
+    cluster = build_settled_cluster(seed, spares=0, kept_voters=kept_voters)
+    old, wiped = [n for n in cluster.nodes.values() if n is not cluster.find_leader()]
+    cluster.lose_disk(wiped)
+    while len(old.replica.membership.voters) > 2:
+        cluster.step()
+    # It is slow to get the log.
+    cluster.remove(wiped)
+    old.replica.leave(cluster.clock(old))
+    limit = cluster.now + 10.0
+    while cluster.now < limit:
+        cluster.step()
+        assert len(cluster.find_membership().voters) >= 2
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_voter_with_a_lost_disk_soon_votes_again(seed):
     cluster = build_settled_cluster(seed, spares=0)
