--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -79,6 +79,7 @@
         self.subnet = find_subnet()
         self.machines = []
         self.seeds = []
+        self.tolerance = {"machines": 1, "zones": 0, "regions": 0}
 
     def add(self, name, is_core, zone, bootstrap=True):
         """Return a new machine, which is not started yet."""
@@ -146,6 +147,18 @@
         if not is_quiet:
             self.fleet.record.write(f"{self.name} is killed")
 
+    def stop(self, seconds):
+        """Send SIGTERM, and SIGKILL if the process has not ended in time."""
+        self.fleet.record.write(f"{self.name} gets SIGTERM")
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+        self.process = None
+        self.fleet.record.write(f"{self.name} has ended")
+
     def wipe(self):
         """Empty the disk of a machine whose process does not run."""
         shutil.rmtree(self.disk)
@@ -184,7 +197,7 @@
             "zones": dict.fromkeys(ZONES, "nairobi"),
             "listen": listen,
             "limits": {"memory_mb": 296, "max_open_files": 4096},
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": self.fleet.tolerance,
             "bounds": BOUNDS,
         }
         lines = [f"{name} = {json.dumps(value)}" for name, value in rows.items()]
